--- /dev/null
+++ b/src/limpetreel/__init__.py
@@ -0,0 +1,1 @@
+"""Layer-4 load balancer whose decisions can be replayed."""
--- /dev/null
+++ b/src/limpetreel/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Admission of work to one upstream."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/agent/__init__.py
@@ -0,0 +1,3 @@
+"""The agent role."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/assignment/__init__.py
@@ -0,0 +1,3 @@
+"""Deterministic assignment of buckets to agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/assignment/candidates.py
@@ -0,0 +1,22 @@
+"""The two agents that a bucket is assigned to."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.catalog import member_record
+
+
+class Candidates(msgspec.Struct, frozen=True):
+    """Primary and deputy of a bucket.
+
+    Attributes
+    ----------
+    primary : MemberRecord
+        Agent that keeps the flow directory of the bucket.
+    deputy : MemberRecord or None
+        Agent that keeps a copy; None if the class has one member only.
+    """
+
+    primary: member_record.MemberRecord
+    deputy: member_record.MemberRecord | None
--- /dev/null
+++ b/src/limpetreel/catalog/__init__.py
@@ -0,0 +1,3 @@
+"""State machine that the replicated log drives."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/consensus/__init__.py
@@ -0,0 +1,3 @@
+"""Replicated log of the control instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/console/__init__.py
@@ -0,0 +1,3 @@
+"""Command-line application."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/control/__init__.py
@@ -0,0 +1,3 @@
+"""The control role."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/core/__init__.py
@@ -0,0 +1,3 @@
+"""Base types that every decision core shares."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry role."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/flows/__init__.py
@@ -0,0 +1,3 @@
+"""Flow keys, bucket directories, takeover and handover."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/measure/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements on the decision cores."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/messages/lease.py
@@ -0,0 +1,31 @@
+"""Answer to a renewal."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Lease(msgspec.Struct, frozen=True, tag="lease"):
+    """Serving lease of a node.
+
+    Attributes
+    ----------
+    nonce : int
+        Nonce of the renewal.
+    lease_ms : int
+        How long the lease runs, counted from when the renewal was sent; 0 if
+        the control instance has no quorum.
+    revision : int
+        Revision of the control instance's table.
+    digest : int
+        Digest of the control instance's table.
+    incarnation : int
+        Highest incarnation known for the node's name. A node whose own is lower
+        restarts its identity with a higher one.
+    """
+
+    nonce: int
+    lease_ms: int
+    revision: int
+    digest: int
+    incarnation: int
--- /dev/null
+++ b/src/limpetreel/messages/renew.py
@@ -0,0 +1,44 @@
+"""Renewal of a node's membership and lease."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.catalog import role
+
+
+class Renew(msgspec.Struct, frozen=True, tag="renew"):
+    """Sent by every node to a control instance twice a second.
+
+    Attributes
+    ----------
+    name, role, class_name, zone, region, host, port, incarnation
+        The node, as in `catalog.member_record.MemberRecord`.
+    revision : int
+        Revision of the node's table.
+    digest : int
+        Digest of the node's table.
+    capacity : int
+        Open requests that the upstream can bear, as measured; 0 for an entry.
+    draining : bool
+        True once the node has begun to leave.
+    leaving : bool
+        True in the last renewal, when the node has no work left.
+    nonce : int
+        Echoed in the answer, so that the lease counts from this renewal.
+    """
+
+    name: str
+    role: role.Role
+    class_name: str
+    zone: str
+    region: str
+    host: str
+    port: int
+    incarnation: int
+    revision: int
+    digest: int
+    capacity: int
+    draining: bool
+    leaving: bool
+    nonce: int
--- /dev/null
+++ b/src/limpetreel/replay/__init__.py
@@ -0,0 +1,3 @@
+"""Decision logs and their replay."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Duplicate filter, claims and outcomes of requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/serving/__init__.py
@@ -0,0 +1,3 @@
+"""The right of a node to carry packets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/serving/serving_right.py
@@ -0,0 +1,86 @@
+"""Whether a node may carry packets at a given time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from limpetreel.catalog import table
+
+LEASE_SECONDS = 2.0
+"""With 1 s allowed for datagrams under way, a zone is silent 3 s after its removal."""
+
+EVIDENCE_SECONDS = 2.0
+MIN_ZONES = 2
+
+
+class ServingRight:
+    """Serving right of one node: a control lease or zone evidence.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of the node.
+    region : str
+        Region of the node.
+    """
+
+    def __init__(self, zone: str, region: str) -> None:
+        self._zone = zone
+        self._region = region
+        self._lease_until = float("-inf")
+        self._zone_heard: dict[str, float] = {}
+
+    def renew(self, sent_at: float, lease_ms: int) -> None:
+        """Take a lease that control granted for a renewal.
+
+        Parameters
+        ----------
+        sent_at : float
+            When this node sent the renewal, in seconds. Counting from there
+            keeps the lease safe however long the answer was under way.
+        lease_ms : int
+            Length of the lease in milliseconds.
+        """
+        if lease_ms > 0:
+            seconds = min(lease_ms / 1000, LEASE_SECONDS)
+            self._lease_until = max(self._lease_until, sent_at + seconds)
+
+    def adopt(self, now: float, lease_ms: int) -> None:
+        """Take over what is left of the lease of a peer that sent a frame.
+
+        The caller has checked that its own table is not older than the peer's, so
+        that it knows every change that the lease takes into account.
+        """
+        if lease_ms > 0:
+            seconds = min(lease_ms / 1000, LEASE_SECONDS)
+            self._lease_until = max(self._lease_until, now + seconds)
+
+    def hear_zone(self, probe_sent_at: float, zone: str) -> None:
+        """Note that a node of another zone answered a probe."""
+        heard = self._zone_heard.get(zone, float("-inf"))
+        self._zone_heard[zone] = max(heard, probe_sent_at)
+
+    def lease_ms(self, now: float) -> int:
+        """Return what is left of the lease in milliseconds, 0 if it has ended."""
+        return max(0, int((self._lease_until - now) * 1000))
+
+    def has_evidence(self, now: float, records: table.Table) -> bool:
+        """Return whether a majority of the region's zones is in contact."""
+        zones = [z.name for z in records.zones() if z.region == self._region]
+        # A region with one zone cannot tell a cut-off node from a cut-off region.
+        if self._zone not in zones or len(zones) < MIN_ZONES:
+            return False
+        limit = now - EVIDENCE_SECONDS
+        heard = [z for z in zones if self._zone_heard.get(z, limit) > limit]
+        in_contact = len(set(heard) | {self._zone})
+        return 2 * in_contact > len(zones)
+
+    def may_serve(self, now: float, records: table.Table) -> bool:
+        """Return whether the node may carry packets.
+
+        A node whose own zone has been taken out never may.
+        """
+        if not records.is_zone_serving(self._zone):
+            return False
+        return self._lease_until > now or self.has_evidence(now, records)
--- /dev/null
+++ b/src/limpetreel/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings and their checks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/storage/__init__.py
@@ -0,0 +1,3 @@
+"""Durable files of a control instance."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics and traces."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Frames and messages between the processes of the system."""
+
+from __future__ import annotations
