--- a/src/limpetreel/catalog/class_record.py
+++ b/src/limpetreel/catalog/class_record.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class ClassRecord(msgspec.Struct, frozen=True, tag="class"):
+class ClassRecord(msgspec.Struct, frozen=True, tag="class", array_like=True):
     """A class of work and its targets.
 
     Attributes
--- /dev/null
+++ b/src/limpetreel/catalog/first_answer.py
@@ -0,0 +1,26 @@
+"""Answer that is kept for resent commands."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.catalog import result
+
+
+class FirstAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """First answer to a command id.
+
+    Attributes
+    ----------
+    command_id : str
+        Id of the command.
+    digest : bytes
+        128-bit hash of the command; tells a resent command from another command
+        under the same id.
+    answer : Result
+        The answer.
+    """
+
+    command_id: str
+    digest: bytes
+    answer: result.Result
--- a/src/limpetreel/catalog/member_record.py
+++ b/src/limpetreel/catalog/member_record.py
@@ -10,7 +10,7 @@
 MAX_SHARE = 64
 
 
-class MemberRecord(msgspec.Struct, frozen=True, tag="member"):
+class MemberRecord(msgspec.Struct, frozen=True, tag="member", array_like=True):
     """An entry or an agent.
 
     Attributes
--- /dev/null
+++ b/src/limpetreel/catalog/port_pool.py
@@ -0,0 +1,51 @@
+"""Ports of the addresses of classes."""
+
+from __future__ import annotations
+
+import collections
+
+
+class PortPool:
+    """Ports of a range, handed out so that reuse happens as late as possible.
+
+    Parameters
+    ----------
+    first, last : int
+        The range; both ports belong to it.
+    following : int, optional
+        Lowest port that was never handed out.
+    freed : sequence of int
+        Ports that were handed out and returned, the oldest return first.
+    """
+
+    def __init__(
+        self,
+        first: int,
+        last: int,
+        following: int | None = None,
+        freed: tuple[int, ...] = (),
+    ) -> None:
+        self.first = first
+        self.last = last
+        self.following = first if following is None else following
+        self._freed = collections.deque(freed)
+
+    @property
+    def freed(self) -> tuple[int, ...]:
+        """Returned ports, the oldest return first."""
+        return tuple(self._freed)
+
+    def take(self) -> int | None:
+        """Return a port for a new class, or None if all are in use.
+
+        A port that was never used comes first, because entries with an old table
+        may still listen on the port of a deleted class.
+        """
+        if self.following <= self.last:
+            self.following += 1
+            return self.following - 1
+        return self._freed.popleft() if self._freed else None
+
+    def give_back(self, port: int) -> None:
+        """Return the port of a deleted class."""
+        self._freed.append(port)
--- a/src/limpetreel/catalog/zone_record.py
+++ b/src/limpetreel/catalog/zone_record.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class ZoneRecord(msgspec.Struct, frozen=True, tag="zone"):
+class ZoneRecord(msgspec.Struct, frozen=True, tag="zone", array_like=True):
     """A zone and whether it serves.
 
     Attributes
