--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -19,6 +19,12 @@
     "entry": "entry_command.EntryCommand",
     "agent": "agent_command.AgentCommand",
     "control": "control_command.ControlCommand",
+    "class create": "class_create_command.ClassCreateCommand",
+    "zone create": "zone_create_command.ZoneCreateCommand",
+    "zone out": "zone_out_command.ZoneOutCommand",
+    "zone in": "zone_in_command.ZoneInCommand",
+    "status": "status_command.StatusCommand",
+    "demo": "demo_command.DemoCommand",
     "stand-in upstream": "stand_in_upstream_command.StandInUpstreamCommand",
     "stand-in fabric": "stand_in_fabric_command.StandInFabricCommand",
 }
--- a/src/limpetreel/console/command.py
+++ b/src/limpetreel/console/command.py
@@ -23,7 +23,9 @@
     name: str
     help: str
 
-    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+    def add_arguments(  # noqa: B027 - a command without arguments needs none
+        self, parser: argparse.ArgumentParser
+    ) -> None:
         """Add the flags and arguments of the command.
 
         Parameters
--- /dev/null
+++ b/src/limpetreel/settings/operator_settings.py
@@ -0,0 +1,21 @@
+"""Settings of the operator commands."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from limpetreel.settings import parsers, setting
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorSettings:
+    """How operator commands reach control."""
+
+    operator: tuple[tuple[str, int], ...] = setting.setting(
+        parsers.addresses,
+        parsers.ADDRESSES_ALLOWED,
+        "operator addresses of the control instances",
+    )
+    operator_key: bytes = setting.setting(
+        parsers.key, parsers.KEY_ALLOWED, "key that authorises commands", secret=True
+    )
--- /dev/null
+++ b/src/limpetreel/workload/demo.py
@@ -0,0 +1,184 @@
+"""Demonstration of the whole request path under load and a zone move."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import pathlib
+import random
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+import aiocoap
+
+from limpetreel.console import exit_code
+from limpetreel.workload import caller, outcome, reply, site
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+BASE_PORT = 24000
+CALLERS_PER_CLASS = 20
+REQUESTS_PER_SECOND_PER_CALLER = 4.0
+POST_RATIO = 0.3
+PHASE_SECONDS = 4.0
+READY_SECONDS = 20.0
+CLASSES = {"bookings": 4, "briefings": 2}
+"""Classes and the slots of each of their upstreams."""
+
+
+class Demo:
+    """Two classes in three zones, load, and a zone that leaves and returns.
+
+    Parameters
+    ----------
+    program : sequence of str
+        Command line that starts the program.
+    seed : int
+        Seed of the load.
+    """
+
+    def __init__(self, program: Sequence[str], seed: int) -> None:
+        self._program = program
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._replies: list[tuple[str, str, reply.Reply]] = []
+        self._callers: list[caller.Caller] = []
+        self._problems: list[str] = []
+
+    async def run(self) -> int:
+        """Run the demonstration and return the exit code."""
+        with tempfile.TemporaryDirectory(prefix="limpetreel-") as name:
+            self._site = site.Site(self._program, pathlib.Path(name), BASE_PORT)
+            try:
+                await self._run()
+                self._check_runs(await self._fetch_runs())
+            finally:
+                bad = await self._site.stop()
+            self._problems += [f"did not stop gracefully: {b}" for b in bad]
+            for log in sorted(pathlib.Path(name).glob("*.log")):
+                if "Traceback" in log.read_text():
+                    self._problems.append(f"exception in {log.name}")
+                    print(log.read_text()[-2000:])
+        return self._summary()
+
+    async def _run(self) -> None:
+        ports = await self._start()
+        print("load on all zones")
+        load = [
+            asyncio.create_task(self._drive(name, port))
+            for name, port in ports.items()
+            for _ in range(CALLERS_PER_CLASS)
+        ]
+        await asyncio.sleep(PHASE_SECONDS)
+        await self._operate("zone", "out", site.ZONES[2])
+        await asyncio.sleep(PHASE_SECONDS)
+        await self._operate("zone", "in", site.ZONES[2])
+        await asyncio.sleep(PHASE_SECONDS)
+        self._stopping = True
+        await asyncio.gather(*load)
+
+    async def _start(self) -> dict[str, int]:
+        """Start all processes and return the port of each class."""
+        self._stopping = False
+        await self._site.start_control()
+        for zone in site.ZONES:
+            await self._operate("zone", "create", zone)
+        for name in CLASSES:
+            await self._operate(
+                "class", "create", name, "--capacity=100", "--answer-ms=1000"
+            )
+        ips = await self._site.start_entries()
+        for name, slots in CLASSES.items():
+            for number, zone in enumerate(site.ZONES):
+                await self._site.start_upstream(name, number + 1, zone, slots)
+        expected = len(site.ZONES) * (1 + len(CLASSES))
+        ports = await self._wait_for_members(expected)
+        await self._site.start_fabric(list(ports.values()), ips, self._seed)
+        await asyncio.sleep(2)
+        return ports
+
+    async def _wait_for_members(self, count: int) -> dict[str, int]:
+        until = time.monotonic() + READY_SECONDS
+        while True:
+            _, out = await self._site.operate("status", "--json")
+            records = json.loads(out)["records"]
+            members = [r for r in records if r["type"] == "member"]
+            if len(members) >= count:
+                return {r["name"]: r["port"] for r in records if r["type"] == "class"}
+            if time.monotonic() > until:
+                raise TimeoutError(f"{len(members)} of {count} members have joined")
+            await asyncio.sleep(0.2)
+
+    async def _operate(self, *words: str) -> None:
+        code, out = await self._site.operate(*words)
+        print(f"$ limpetreel {' '.join(words)}\n  {out}")
+        if code:
+            self._problems.append(f"{' '.join(words)}: {out}")
+
+    async def _drive(self, class_name: str, port: int) -> None:
+        """Send the requests of one caller until the load ends."""
+        number = len(self._callers)
+        rng = random.Random(self._rng.random())
+        sender = caller.Caller(
+            f"{class_name}-caller-{number}", (site.PUBLIC_IP, port), rng
+        )
+        self._callers.append(sender)
+        while not self._stopping:
+            found = await sender.request(rng.random() >= POST_RATIO)
+            self._replies.append((class_name, sender.name, found))
+            await asyncio.sleep(rng.expovariate(REQUESTS_PER_SECOND_PER_CALLER))
+        sender.close()
+
+    async def _fetch_runs(self) -> collections.Counter[str]:
+        """Return how often each request ran, as the upstreams counted it."""
+        context = await aiocoap.Context.create_client_context(transports=["simple6"])
+        total: collections.Counter[str] = collections.Counter()
+        for port in self._site.upstream_ports.values():
+            req = aiocoap.Message(code=aiocoap.GET, uri=f"coap://127.0.0.1:{port}/runs")
+            answer = await context.request(req).response
+            total.update(json.loads(answer.payload)["runs"])
+        await context.shutdown()
+        return total
+
+    def _check_runs(self, runs: collections.Counter[str]) -> None:
+        """Compare the outcomes that callers saw with what ran."""
+        for _, _, found in self._replies:
+            if found.outcome is outcome.Outcome.NOT_RUN and runs[found.key]:
+                self._problems.append(f"{found.key} ran but was refused as not run")
+            if not found.idempotent and runs[found.key] > 1:
+                self._problems.append(f"{found.key} ran {runs[found.key]} times")
+            if found.outcome is outcome.Outcome.ANSWERED and not runs[found.key]:
+                self._problems.append(f"{found.key} was answered but did not run")
+
+    def _broken_flows(self) -> int:
+        """Count flows whose upstream changed though its zone was never out."""
+        removed = f"-{len(site.ZONES)}"
+        last: dict[str, str] = {}
+        broken = 0
+        for _, name, found in self._replies:
+            if not found.upstream:
+                continue
+            old = last.get(name, found.upstream)
+            broken += old != found.upstream and not old.endswith(removed)
+            last[name] = found.upstream
+        return broken
+
+    def _summary(self) -> int:
+        counts = collections.Counter(r.outcome for _, _, r in self._replies)
+        broken = self._broken_flows()
+        foreign = sum(c.foreign_answers for c in self._callers)
+        print("outcome       count")
+        for kind in outcome.Outcome:
+            print(f"{kind:12} {counts[kind]:6}")
+        print(f"broken flows {broken:6}")
+        print(f"foreign answers {foreign:3}")
+        if broken or foreign:
+            self._problems.append("flows were broken or answers went astray")
+        if not counts[outcome.Outcome.ANSWERED]:
+            self._problems.append("nothing was answered")
+        for problem in self._problems:
+            print(f"problem: {problem}")
+        return exit_code.ExitCode.FAILED if self._problems else exit_code.ExitCode.OK
--- /dev/null
+++ b/src/limpetreel/workload/site.py
@@ -0,0 +1,173 @@
+"""The processes of a small site on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Sequence
+
+ZONES = ("north", "middle", "south")
+PUBLIC_IP = "127.0.0.1"
+CLUSTER_KEY = "demonstration-cluster-key"
+OPERATOR_KEY = "demonstration-operator-key"
+STOP_SECONDS = 10.0
+
+
+class Site:
+    """Starts and stops the processes of a demonstration.
+
+    Parameters
+    ----------
+    program : sequence of str
+        Command line that starts the program.
+    folder : pathlib.Path
+        Folder for logs and data.
+    base_port : int
+        First of the ports that the site uses.
+    """
+
+    def __init__(
+        self, program: Sequence[str], folder: pathlib.Path, base_port: int
+    ) -> None:
+        self._program = tuple(program)
+        self._folder = folder
+        self._base_port = base_port
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+        self.class_ports = (base_port + 500, base_port + 599)
+        self._upstreams: dict[str, int] = {}
+
+    @property
+    def operator_flags(self) -> list[str]:
+        """Flags with which operator commands reach control."""
+        return [
+            f"--operator=127.0.0.1:{self._base_port + 1}",
+            f"--operator-key={OPERATOR_KEY}",
+        ]
+
+    async def start_control(self) -> None:
+        """Start the control instance."""
+        first, last = self.class_ports
+        await self._start(
+            "control-1",
+            "control",
+            "--name=control-1",
+            f"--zone={ZONES[0]}",
+            f"--listen=127.0.0.1:{self._base_port}",
+            f"--operator-listen=127.0.0.1:{self._base_port + 1}",
+            f"--peer-listen=127.0.0.1:{self._base_port + 2}",
+            f"--data={self._folder / 'control-1'}",
+            f"--class-ports={first}-{last}",
+            f"--cluster-key={CLUSTER_KEY}",
+            f"--operator-key={OPERATOR_KEY}",
+        )
+
+    async def start_entries(self) -> list[str]:
+        """Start one entry a zone and return their IP numbers."""
+        ips = []
+        for i, zone in enumerate(ZONES):
+            ip = f"127.0.1.{i + 1}"
+            ips.append(ip)
+            await self._start(
+                f"entry-{zone}",
+                "entry",
+                *self._node_flags(f"entry-{zone}", zone, f"{ip}:{self._base_port}"),
+                f"--service-ip={ip}",
+                "--trace-every=50",
+            )
+        return ips
+
+    async def start_upstream(
+        self, class_name: str, number: int, zone: str, slots: int
+    ) -> None:
+        """Start an upstream and the agent beside it."""
+        name = f"{class_name}-{number}"
+        port = self._base_port + 10 + 4 * len(self._upstreams)
+        self._upstreams[name] = port
+        announce = f"127.0.0.1:{port + 1}"
+        await self._start(
+            f"agent-{name}",
+            "agent",
+            *self._node_flags(f"agent-{name}", zone, f"127.0.0.1:{port + 2}"),
+            f"--class-name={class_name}",
+            f"--upstream=127.0.0.1:{port}",
+            f"--announce={announce}",
+        )
+        await self._start(
+            name,
+            "stand-in",
+            "upstream",
+            f"--name={name}",
+            f"--class-name={class_name}",
+            f"--listen=127.0.0.1:{port}",
+            f"--agent={announce}",
+            f"--slots={slots}",
+        )
+
+    async def start_fabric(
+        self, ports: Sequence[int], entry_ips: Sequence[str], seed: int
+    ) -> None:
+        """Start the fabric."""
+        await self._start(
+            "fabric",
+            "stand-in",
+            "fabric",
+            f"--public-ip={PUBLIC_IP}",
+            f"--seed={seed}",
+            *(f"--port={p}" for p in ports),
+            *(f"--entry-ip={ip}" for ip in entry_ips),
+        )
+
+    @property
+    def upstream_ports(self) -> dict[str, int]:
+        """Ports of the upstreams by name."""
+        return dict(self._upstreams)
+
+    async def operate(self, *words: str) -> tuple[int, str]:
+        """Run an operator command and return exit code and output."""
+        proc = await asyncio.create_subprocess_exec(
+            *self._program,
+            *words,
+            *self.operator_flags,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        out, _ = await proc.communicate()
+        return proc.returncode or 0, out.decode().strip()
+
+    async def stop(self) -> list[str]:
+        """Stop all processes; return the names of those that did not end well."""
+        bad = []
+        for name in reversed(list(self._running)):
+            proc = self._running[name]
+            if proc.returncode is None:
+                proc.send_signal(signal.SIGTERM)
+        for name, proc in self._running.items():
+            try:
+                code = await asyncio.wait_for(proc.wait(), STOP_SECONDS)
+            except TimeoutError:
+                proc.kill()
+                await proc.wait()
+                code = -1
+            if code != 0:
+                bad.append(f"{name} ({code})")
+        return bad
+
+    def _node_flags(self, name: str, zone: str, listen: str) -> list[str]:
+        return [
+            f"--name={name}",
+            f"--zone={zone}",
+            f"--listen={listen}",
+            f"--control=127.0.0.1:{self._base_port}",
+            f"--cluster-key={CLUSTER_KEY}",
+        ]
+
+    async def _start(self, name: str, *words: str) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        with (self._folder / f"{name}.log").open("wb") as log:
+            self._running[name] = await asyncio.create_subprocess_exec(
+                *self._program, *words, stdout=log, stderr=log
+            )
