Add flow keys, request keys and the messages between agents

Cause: flows and requests need typed values that travel between agents. Change: one struct a file, united in flows.router_message and the message codec. Conclusion: the directory, claims and takeover can be built on these types.

--- /dev/null
+++ b/src/limpetreel/flows/class_member.py
@@ -0,0 +1,31 @@
+"""Member of a class as the flow router sees it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.catalog import member_state
+
+
+class ClassMember(msgspec.Struct, frozen=True):
+    """Agent of the class.
+
+    Attributes
+    ----------
+    node_id : int
+        Node id.
+    incarnation : int
+        Incarnation in the table.
+    state : member_state.MemberState
+        State in the table.
+    region : str
+        Region of the agent.
+    modified : int
+        Revision of the last change of its record.
+    """
+
+    node_id: int
+    incarnation: int
+    state: member_state.MemberState
+    region: str
+    modified: int
--- /dev/null
+++ b/src/limpetreel/flows/flow_key.py
@@ -0,0 +1,37 @@
+"""Identity of a flow."""
+
+from __future__ import annotations
+
+import struct
+
+import msgspec
+import xxhash
+
+from limpetreel.assignment import class_assignment
+from limpetreel.wire import address
+
+_PACKED = struct.Struct("!IHI")
+
+
+class FlowKey(msgspec.Struct, frozen=True, array_like=True):
+    """A caller address and the class that it addresses.
+
+    Attributes
+    ----------
+    class_id : int
+        Number of the class.
+    caller : Address
+        Address of the caller.
+    """
+
+    class_id: int
+    caller: address.Address
+
+    def hash64(self) -> int:
+        """Return the 64-bit hash, equal on all nodes."""
+        packed = _PACKED.pack(self.caller.ip, self.caller.port, self.class_id)
+        return xxhash.xxh64_intdigest(packed)
+
+    def bucket(self) -> int:
+        """Return the bucket of the flow."""
+        return self.hash64() % class_assignment.BUCKETS_PER_CLASS
--- /dev/null
+++ b/src/limpetreel/flows/message_arrived.py
@@ -0,0 +1,25 @@
+"""Event: message of a peer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.flows import router_message
+
+
+class MessageArrived(msgspec.Struct, frozen=True, tag="message_arrived"):
+    """A message came from another agent of the class.
+
+    Attributes
+    ----------
+    sender : int
+        Node id of the sender.
+    incarnation : int
+        Incarnation of the sender.
+    message : router_message.RouterMessage
+        The message.
+    """
+
+    sender: int
+    incarnation: int
+    message: router_message.RouterMessage
--- /dev/null
+++ b/src/limpetreel/flows/serve.py
@@ -0,0 +1,25 @@
+"""Action: serve a packet."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.flows import flow_key
+
+
+class Serve(msgspec.Struct, frozen=True, tag="serve"):
+    """Hand the packet to the own upstream, after the request checks.
+
+    Attributes
+    ----------
+    flow : flow_key.FlowKey
+        Flow of the packet.
+    datagram : bytes
+        The packet.
+    is_new : bool
+        True if the flow was placed by this packet.
+    """
+
+    flow: flow_key.FlowKey
+    datagram: bytes
+    is_new: bool
--- /dev/null
+++ b/src/limpetreel/flows/table_changed.py
@@ -0,0 +1,19 @@
+"""Event: new table."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.flows import class_view
+
+
+class TableChanged(msgspec.Struct, frozen=True, tag="table_changed"):
+    """The agent has a new table.
+
+    Attributes
+    ----------
+    view : class_view.ClassView
+        The class in that table.
+    """
+
+    view: class_view.ClassView
--- /dev/null
+++ b/src/limpetreel/messages/handover_request.py
@@ -0,0 +1,29 @@
+"""Announcement of a takeover."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class HandoverRequest(msgspec.Struct, frozen=True, tag="handover_request"):
+    """Fences its receiver for some buckets and asks for its part of their state.
+
+    Attributes
+    ----------
+    class_id : int
+        Number of the class.
+    epoch : int
+        Table revision at which the sender became holder.
+    deputy : int
+        Node id of the deputy at this epoch; 0 if there is none.
+    deputy_incarnation : int
+        Incarnation of the deputy.
+    buckets : tuple[int, ...]
+        Buckets whose state the sender still misses.
+    """
+
+    class_id: int
+    epoch: int
+    deputy: int
+    deputy_incarnation: int
+    buckets: tuple[int, ...]
--- /dev/null
+++ b/src/limpetreel/messages/held_flow.py
@@ -0,0 +1,22 @@
+"""A flow and how long its owner has held it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.flows import flow_key
+
+
+class HeldFlow(msgspec.Struct, frozen=True):
+    """Flow that the sender of a message owns.
+
+    Attributes
+    ----------
+    flow : flow_key.FlowKey
+        The flow.
+    age_ms : int
+        Time since the owner got the flow.
+    """
+
+    flow: flow_key.FlowKey
+    age_ms: int
--- /dev/null
+++ b/src/limpetreel/requests/request_key.py
@@ -0,0 +1,33 @@
+"""Identity of a request."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.flows import flow_key
+
+
+class RequestKey(msgspec.Struct, frozen=True, array_like=True):
+    """What tells a repeated request from a new one within a flow.
+
+    Attributes
+    ----------
+    flow : FlowKey
+        Flow of the request.
+    message_id : int
+        Message id; equal in every retransmission of a datagram.
+    repeat : bytes
+        Request tag and token, at most 32 bytes; equal in a resend under a new
+        message id. Empty if the caller sent no request tag.
+    """
+
+    flow: flow_key.FlowKey
+    message_id: int
+    repeat: bytes = b""
+
+    def names(self) -> tuple[tuple[flow_key.FlowKey, bytes], ...]:
+        """Return the names under which the request is recorded."""
+        by_id = (self.flow, b"i" + self.message_id.to_bytes(4, "big"))
+        if not self.repeat:
+            return (by_id,)
+        return (by_id, (self.flow, b"r" + self.repeat))
--- a/src/limpetreel/wire/message_codec.py
+++ b/src/limpetreel/wire/message_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from limpetreel.core import failure, reason
+from limpetreel.flows import router_message
 from limpetreel.messages import (
     delta,
     delta_request,
@@ -23,6 +24,7 @@
     | probe.Probe
     | probe_answer.ProbeAnswer
     | mismatch.Mismatch
+    | router_message.RouterMessage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
