Add flow directory, takeover, request log and claims

Cause: agents need one owner a flow and at most one run a request while tables differ and agents fail.

--- /dev/null
+++ b/src/limpetreel/flows/bucket_directory.py
@@ -0,0 +1,75 @@
+"""Owners of the flows of one bucket."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from limpetreel.flows import owned_flows
+
+if TYPE_CHECKING:
+    from limpetreel.flows import flow_key
+
+    Owner = tuple[int, int]
+
+REFRESH_SECONDS = 120.0
+IDLE_SECONDS = owned_flows.IDLE_SECONDS + 3 * REFRESH_SECONDS
+"""An owner forgets a flow first, also when two of its refreshes are lost."""
+
+
+class BucketDirectory:
+    """Owner, as (node id, incarnation), by flow; least recently used first."""
+
+    def __init__(self) -> None:
+        self._entries: collections.OrderedDict[flow_key.FlowKey, _Entry]
+        self._entries = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of flows."""
+        return len(self._entries)
+
+    def owner(self, flow: flow_key.FlowKey) -> Owner | None:
+        """Return the owner of a flow, or None."""
+        entry = self._entries.get(flow)
+        return entry.owner if entry else None
+
+    def put(
+        self, now: float, flow: flow_key.FlowKey, owner: Owner, offered: bool = False
+    ) -> None:
+        """Record an owner, or note that the flow was used."""
+        entry = self._entries.get(flow)
+        if entry is None or entry.owner != owner:
+            self._entries[flow] = _Entry(owner, now, offered)
+        else:
+            entry.seen = now
+            entry.offered = entry.offered and offered
+        self._entries.move_to_end(flow)
+
+    def withdraw_offer(self, flow: flow_key.FlowKey, owner: Owner) -> None:
+        """Delete an entry whose owner refused it.
+
+        After a second packet was relayed, the owner may have accepted that one, so
+        the entry stays.
+        """
+        entry = self._entries.get(flow)
+        if entry is not None and entry.owner == owner and entry.offered:
+            del self._entries[flow]
+
+    def expire(self, now: float) -> None:
+        """Forget flows that were not used or refreshed for `IDLE_SECONDS`."""
+        while self._entries:
+            flow, entry = next(iter(self._entries.items()))
+            if entry.seen + IDLE_SECONDS > now:
+                return
+            del self._entries[flow]
+
+
+class _Entry:
+    """One flow."""
+
+    __slots__ = ("offered", "owner", "seen")
+
+    def __init__(self, owner: Owner, seen: float, offered: bool) -> None:
+        self.owner = owner
+        self.seen = seen
+        self.offered = offered
--- a/src/limpetreel/flows/class_member.py
+++ b/src/limpetreel/flows/class_member.py
@@ -22,6 +22,9 @@
         Region of the agent.
     modified : int
         Revision of the last change of its record.
+    serving : bool
+        False if its zone is out of service. Such an agent still answers
+        messages, but its flows are abandoned.
     """
 
     node_id: int
@@ -29,3 +32,4 @@
     state: member_state.MemberState
     region: str
     modified: int
+    serving: bool = True
--- a/src/limpetreel/flows/class_view.py
+++ b/src/limpetreel/flows/class_view.py
@@ -62,7 +62,12 @@
     """
     members = tuple(
         class_member.ClassMember(
-            m.node_id, m.incarnation, m.state, m.region, m.modified
+            m.node_id,
+            m.incarnation,
+            m.state,
+            m.region,
+            m.modified,
+            records.is_zone_serving(m.zone),
         )
         for m in records.agents_of(record.name)
     )
--- /dev/null
+++ b/src/limpetreel/flows/flow_router.py
@@ -0,0 +1,396 @@
+"""Routing of packets and claims at an agent."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from limpetreel.core import core, reason
+from limpetreel.flows import (
+    bucket_directory,
+    bucket_role,
+    drop,
+    flow_directory,
+    message_arrived,
+    owned_flows,
+    packet_arrived,
+    refuse,
+    relay,
+    send,
+    serve,
+    table_changed,
+    takeover_core,
+)
+from limpetreel.flows import tick as ticks
+from limpetreel.messages import (
+    claim_ack,
+    claim_request,
+    claim_result,
+    directory_ack,
+    directory_update,
+    flows_held,
+    handover_reply,
+    handover_request,
+    held_flow,
+    offer_refused,
+)
+from limpetreel.requests import claim, claim_store, lifetime, outcome
+from limpetreel.wire import mode, packet
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.flows import flow_key
+    from limpetreel.requests import request_key
+
+    Peer = tuple[int, int]
+    Action = msgspec.Struct
+
+MAX_QUEUED = 64
+QUEUE_SECONDS = 1.0
+"""A queued packet that is older is dropped, as one in transit for longer would be."""
+FLOWS_PER_MESSAGE = 40
+NOBODY = (0, 0)
+
+
+class FlowRouter(core.Core):
+    """Decides where the packets of a class go and answers claims.
+
+    Parameters
+    ----------
+    class_id : int
+        Class of the agent.
+    me : tuple of int
+        Node id and incarnation of the agent.
+    region : str
+        Region of the agent.
+    first_start : bool
+        True if control had certainly never known the node. Only then can a new
+        class serve non-idempotent requests without an in-doubt window.
+    max_flows : int
+        Flows up to which new ones are placed.
+    """
+
+    def __init__(
+        self,
+        class_id: int,
+        me: Peer,
+        region: str,
+        first_start: bool = False,
+        max_flows: int = flow_directory.MAX_FLOWS,
+    ) -> None:
+        self._class_id = class_id
+        self._me = me
+        self._directory = flow_directory.FlowDirectory(max_flows)
+        self._owned = owned_flows.OwnedFlows()
+        self._claims = claim_store.ClaimStore()
+        self._takeover = takeover_core.TakeoverCore(
+            me, region, first_start, self._directory, self._owned, self._claims
+        )
+        self._queues: dict[
+            int, collections.deque[tuple[float, packet_arrived.PacketArrived]]
+        ] = {}
+        self._next_refresh = 0.0
+        self._refusals = 0
+
+    def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
+        """Take one event and return the actions that it causes, in order."""
+        actions: list[Action] = []
+        if isinstance(event, packet_arrived.PacketArrived):
+            return self._route(now, event)
+        if isinstance(event, message_arrived.MessageArrived):
+            sender = (event.sender, event.incarnation)
+            actions.extend(self._on_message(now, sender, event.message))
+        elif isinstance(event, table_changed.TableChanged):
+            actions.extend(self._takeover.change_table(now, event.view))
+        elif isinstance(event, ticks.Tick):
+            actions.extend(self._on_tick(now))
+        return actions + self._flush(now)
+
+    def role(self, bucket: int) -> bucket_role.BucketRole:
+        """Return the role of this agent for a bucket."""
+        return self._takeover.state(bucket).role
+
+    def owns(self, flow: flow_key.FlowKey) -> bool:
+        """Return whether this agent owns a flow."""
+        return flow in self._owned
+
+    def held_ms(self, now: float, flow: flow_key.FlowKey) -> int:
+        """Return for how long this agent has owned a flow."""
+        return self._owned.held_ms(now, flow)
+
+    def claim_peers(self, bucket: int) -> tuple[Peer, ...]:
+        """Return holder and deputy of a bucket as far as they are known."""
+        state = self._takeover.state(bucket)
+        peers: tuple[Peer, ...] = (state.holder, state.deputy)
+        if state.holder == NOBODY or self._takeover.is_replaced(state.holder):
+            peers = (self._takeover.primary(bucket),)
+        return tuple(p for p in peers if p != NOBODY)
+
+    def note_refusal(
+        self, now: float, key: request_key.RequestKey
+    ) -> outcome.Outcome | None:
+        """Return what may be said of a non-idempotent request that nobody accepts.
+
+        It is not run only if no earlier owner may have run it and if the refusal is
+        recorded, so that a later holder refuses copies of the request as well. None
+        if there is no room for the record; then the caller gets no answer.
+        """
+        bucket = key.flow.bucket()
+        state = self._takeover.state(bucket)
+        found = self._claims.find(bucket, key)
+        if found is not None:
+            return found.outcome or outcome.Outcome.UNKNOWN
+        if not state.is_serving or now < state.doubt_until:
+            return outcome.Outcome.UNKNOWN
+        self._refusals += 1
+        record = claim.Claim(key, *self._me, -self._refusals, outcome.Outcome.NOT_RUN)
+        if self._claims.record(now, bucket, record) is None:
+            return None
+        return outcome.Outcome.NOT_RUN
+
+    def _route(self, now: float, event: packet_arrived.PacketArrived) -> list[Action]:
+        flow = event.flow
+        if flow.class_id != self._class_id:
+            return [drop.Drop(flow, reason.Reason.WRONG_CLASS)]
+        if flow in self._owned:
+            return self._serve(now, event)
+        state = self._takeover.state(flow.bucket())
+        if state.is_serving:
+            return self._route_as_holder(now, event, state.deputy)
+        if state.role is bucket_role.BucketRole.TAKING_OVER:
+            return self._enqueue(now, event)
+        if event.mode != mode.Mode.FIND:
+            return self._take_from_holder(now, event, state.holder)
+        return self._find_holder(event)
+
+    def _route_as_holder(
+        self, now: float, event: packet_arrived.PacketArrived, deputy: Peer
+    ) -> list[Action]:
+        directory = self._directory.of(event.flow)
+        owner = directory.owner(event.flow)
+        if owner is not None and self._takeover.is_owner_alive(owner):
+            directory.put(now, event.flow, owner)
+            if owner == self._me:
+                return self._serve(now, event)
+            return [self._relay(event, owner, mode.Mode.DELIVER)]
+        if self._directory.is_full:
+            return [refuse.Refuse(event.flow, event.datagram)]
+        if event.accepts and len(self._owned) < owned_flows.MAX_OWNED:
+            directory.put(now, event.flow, self._me)
+            return self._serve(now, event)
+        if deputy != NOBODY and self._takeover.is_owner_alive(deputy):
+            directory.put(now, event.flow, deputy, offered=True)
+            return [self._relay(event, deputy, mode.Mode.OFFER)]
+        return [refuse.Refuse(event.flow, event.datagram)]
+
+    def _take_from_holder(
+        self, now: float, event: packet_arrived.PacketArrived, holder: Peer
+    ) -> list[Action]:
+        """Take a flow that the holder handed to this agent."""
+        sender = (event.sender, event.incarnation)
+        if sender != holder:
+            return self._find_holder(event)
+        if event.mode == mode.Mode.DELIVER:
+            return self._serve(now, event)
+        if event.accepts and len(self._owned) < owned_flows.MAX_OWNED:
+            return self._serve(now, event)
+        refused = offer_refused.OfferRefused(event.flow, event.datagram)
+        return [send.Send(*sender, refused)]
+
+    def _find_holder(self, event: packet_arrived.PacketArrived) -> list[Action]:
+        bucket = event.flow.bucket()
+        target = self._takeover.state(bucket).holder
+        if not self._takeover.is_live(target):
+            target = self._takeover.primary(bucket)
+        if target in (NOBODY, self._me):
+            return [drop.Drop(event.flow, reason.Reason.NO_MEMBER)]
+        return [self._relay(event, target, mode.Mode.FIND)]
+
+    def _relay(
+        self, event: packet_arrived.PacketArrived, target: Peer, how: mode.Mode
+    ) -> Action:
+        if event.hops >= packet.MAX_HOPS:
+            return drop.Drop(event.flow, reason.Reason.TOO_MANY_HOPS)
+        return relay.Relay(*target, how, event.hops + 1, event.flow, event.datagram)
+
+    def _serve(self, now: float, event: packet_arrived.PacketArrived) -> list[Action]:
+        is_new = event.flow not in self._owned
+        self._owned.use(now, event.flow)
+        return [serve.Serve(event.flow, event.datagram, is_new)]
+
+    def _enqueue(self, now: float, event: packet_arrived.PacketArrived) -> list[Action]:
+        queue = self._queues.setdefault(event.flow.bucket(), collections.deque())
+        if len(queue) >= MAX_QUEUED:
+            return [drop.Drop(event.flow, reason.Reason.OVERLOADED)]
+        queue.append((now, event))
+        return []
+
+    def _flush(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        changed = sorted(self._takeover.changed)
+        self._takeover.changed.clear()
+        for bucket in changed:
+            for since, event in self._queues.pop(bucket, ()):
+                if now - since > QUEUE_SECONDS:
+                    actions.append(drop.Drop(event.flow, reason.Reason.TIMEOUT))
+                else:
+                    actions.extend(self._route(now, event))
+        return actions
+
+    def _on_message(
+        self, now: float, sender: Peer, message: msgspec.Struct
+    ) -> list[Action]:
+        takeover = self._takeover
+        if isinstance(message, offer_refused.OfferRefused):
+            return self._on_offer_refused(sender, message)
+        if getattr(message, "class_id", None) != self._class_id:
+            return []
+        if isinstance(message, handover_request.HandoverRequest):
+            return [*takeover.on_request(now, sender, message)]
+        if isinstance(message, handover_reply.HandoverReply):
+            return [*takeover.on_reply(now, sender, message)]
+        if isinstance(message, directory_update.DirectoryUpdate):
+            return [*takeover.on_copy(now, sender, message)]
+        if isinstance(message, directory_ack.DirectoryAck):
+            takeover.on_copy_ack(sender, message)
+        elif isinstance(message, flows_held.FlowsHeld):
+            self._on_flows_held(now, sender, message)
+        elif isinstance(message, claim_request.ClaimRequest):
+            return self._on_claim(now, sender, message)
+        elif isinstance(message, claim_result.ClaimResult):
+            self._on_result(now, sender, message)
+        return []
+
+    def _on_offer_refused(
+        self, sender: Peer, message: offer_refused.OfferRefused
+    ) -> list[Action]:
+        state = self._takeover.state(message.flow.bucket())
+        if not state.is_serving:
+            # The successor may place the flow, so a refusal could be wrong.
+            return [drop.Drop(message.flow, reason.Reason.STALE)]
+        self._directory.of(message.flow).withdraw_offer(message.flow, sender)
+        return [refuse.Refuse(message.flow, message.datagram)]
+
+    def _on_flows_held(
+        self, now: float, sender: Peer, message: flows_held.FlowsHeld
+    ) -> None:
+        if not self._takeover.is_owner_alive(sender):
+            return
+        for held in message.flows:
+            if not self._takeover.state(held.flow.bucket()).is_serving:
+                continue
+            directory = self._directory.of(held.flow)
+            owner = directory.owner(held.flow)
+            if owner == sender or not owner or not self._takeover.is_live(owner):
+                directory.put(now, held.flow, sender)
+
+    def _on_claim(
+        self, now: float, sender: Peer, message: claim_request.ClaimRequest
+    ) -> list[Action]:
+        state = self._takeover.state(message.bucket)
+        is_holder = state.role is bucket_role.BucketRole.PRIMARY and state.is_open
+        is_deputy = (
+            state.role is bucket_role.BucketRole.DEPUTY
+            and state.copy_epoch == state.epoch
+        )
+        if not (is_holder or is_deputy):
+            return [*self._takeover.notice(now, message.bucket)]
+        item = claim.Claim(message.key, *sender, message.claim_id)
+        if is_holder and self._claims.find(message.bucket, message.key) is None:
+            refusal = self._check_owner(now, sender, message)
+            if refusal is not None:
+                return self._acknowledge(sender, message, is_holder, refusal)
+        found = self._claims.record(now, message.bucket, item)
+        if found is None:
+            return []
+        return self._acknowledge(sender, message, is_holder, found)
+
+    def _check_owner(
+        self, now: float, sender: Peer, message: claim_request.ClaimRequest
+    ) -> claim.Claim | None:
+        """Return a claim of nobody if the request may have run elsewhere."""
+        directory = self._directory.of(message.key.flow)
+        owner = directory.owner(message.key.flow)
+        unknown = claim.Claim(message.key, 0, 0, 0, outcome.Outcome.UNKNOWN)
+        if not self._takeover.is_owner_alive(sender):
+            return unknown
+        if owner not in (None, sender) and self._takeover.is_owner_alive(
+            owner or NOBODY
+        ):
+            return unknown
+        # Whoever has owned the flow for the lifetime of the request has seen every
+        # copy of it. A shorter time is not enough: the flow may have had an owner
+        # before, whose claims were lost.
+        in_doubt = now < self._takeover.state(message.bucket).doubt_until
+        if in_doubt and message.held_ms < lifetime.EXCHANGE_SECONDS * 1000:
+            return unknown
+        directory.put(now, message.key.flow, sender)
+        return None
+
+    def _acknowledge(
+        self,
+        sender: Peer,
+        message: claim_request.ClaimRequest,
+        is_holder: bool,
+        found: claim.Claim,
+    ) -> list[Action]:
+        state = self._takeover.state(message.bucket)
+        granted = (found.owner, found.incarnation, found.claim_id) == (
+            *sender,
+            message.claim_id,
+        )
+        known = found.outcome or outcome.Outcome.UNKNOWN
+        if known is outcome.Outcome.ANSWERED and not found.answer:
+            known = outcome.Outcome.UNKNOWN
+        ack = claim_ack.ClaimAck(
+            self._class_id,
+            message.bucket,
+            message.claim_id,
+            state.epoch,
+            is_holder,
+            granted,
+            *state.deputy,
+            known,
+            found.answer,
+        )
+        return [send.Send(*sender, ack)]
+
+    def _on_result(
+        self, now: float, sender: Peer, message: claim_result.ClaimResult
+    ) -> None:
+        item = claim.Claim(
+            message.key, *sender, message.claim_id, message.outcome, message.answer
+        )
+        self._claims.settle(message.bucket, item)
+
+    def _on_tick(self, now: float) -> list[Action]:
+        self._claims.expire(now)
+        self._owned.expire(now)
+        self._directory.expire(now)
+        actions: list[Action] = [*self._takeover.tick(now)]
+        if now >= self._next_refresh:
+            self._next_refresh = now + bucket_directory.REFRESH_SECONDS
+            actions.extend(self._refresh(now))
+        return actions
+
+    def _refresh(self, now: float) -> list[Action]:
+        by_peer: dict[Peer, list[held_flow.HeldFlow]] = {}
+        for bucket in self._owned.buckets():
+            for peer in self.claim_peers(bucket)[:1]:
+                if peer == self._me:
+                    continue
+                by_peer.setdefault(peer, []).extend(
+                    held_flow.HeldFlow(f, self._owned.held_ms(now, f))
+                    for f in self._owned.in_bucket(bucket)
+                )
+        return [
+            send.Send(
+                *peer,
+                flows_held.FlowsHeld(
+                    self._class_id, tuple(held[i : i + FLOWS_PER_MESSAGE])
+                ),
+            )
+            for peer, held in by_peer.items()
+            for i in range(0, len(held), FLOWS_PER_MESSAGE)
+        ]
--- a/src/limpetreel/messages/bucket_part.py
+++ b/src/limpetreel/messages/bucket_part.py
@@ -27,8 +27,12 @@
         Epochs of which the sender was told.
     void : tuple[int, ...]
         Epochs at which, as holder or deputy knows, no claim was granted.
+    floor : int
+        Highest epoch left out of `seen` for its bound; 0 if none.
     doubt_ms : int
         Rest of the in-doubt window.
+    first_start : bool
+        True if the sender's node has certainly never run before.
     flows : tuple[held_flow.HeldFlow, ...]
         Flows that the sender owns.
     claims : tuple[claim.Claim, ...]
@@ -42,6 +46,8 @@
     copy_epoch: int
     seen: tuple[int, ...]
     void: tuple[int, ...]
+    floor: int
     doubt_ms: int
+    first_start: bool
     flows: tuple[held_flow.HeldFlow, ...] = ()
     claims: tuple[claim.Claim, ...] = ()
