--- /dev/null
+++ b/src/limpetreel/admission/decision.py
@@ -0,0 +1,7 @@
+"""Decisions that the agent carries out in order."""
+
+from __future__ import annotations
+
+from limpetreel.admission import admitted, expired, refused
+
+Decision = admitted.Admitted | refused.Refused | expired.Expired
--- /dev/null
+++ b/src/limpetreel/admission/gradient_limiter.py
@@ -0,0 +1,50 @@
+"""Concurrency limit that follows the ratio of baseline to measured latency."""
+
+from __future__ import annotations
+
+import math
+
+from limpetreel.admission import concurrency_limiter
+
+LATENCY_TOLERANCE = 1.1
+"""Ratio of latency to the baseline that is put down to noise."""
+
+SMOOTHING = 0.3
+MIN_GRADIENT = 0.5
+HEADROOM = 0.5
+"""Factor of the square root of the limit that is added to probe for capacity."""
+
+
+class GradientLimiter(concurrency_limiter.ConcurrencyLimiter):
+    """Limiter that scales the limit by the latency gradient.
+
+    Parameters
+    ----------
+    max_limit : int
+        Upper bound of the limit.
+    """
+
+    def __init__(self, max_limit: int) -> None:
+        self._max_limit = max_limit
+        self._estimate = 1.0
+
+    @property
+    def limit(self) -> int:
+        """Number of requests that may be open at once."""
+        return max(1, int(self._estimate))
+
+    def note_block(self, mean: float, baseline: float) -> None:
+        """Move the limit towards its product with the gradient."""
+        gradient = min(1.0, LATENCY_TOLERANCE * baseline / mean)
+        scaled = self._estimate * max(MIN_GRADIENT, gradient)
+        wanted = scaled + HEADROOM * math.sqrt(self._estimate)
+        moved = self._estimate + SMOOTHING * (wanted - self._estimate)
+        self._estimate = min(float(self._max_limit), max(1.0, moved))
+
+    def note_shed(self, open_at_send: int) -> None:
+        """Fall below the number of open requests at which the upstream shed."""
+        self._estimate = max(1.0, min(self._estimate, open_at_send - 1.0))
+
+    def restart_at(self, limit: int) -> None:
+        """Continue from a limit that slow start has reached."""
+        self._estimate = float(min(self._max_limit, max(1, limit)))
--- /dev/null
+++ b/src/limpetreel/admission/latency_blocks.py
@@ -0,0 +1,52 @@
+"""Mean latency of blocks of requests and its recent minimum."""
+
+from __future__ import annotations
+
+import collections
+
+BLOCK_SIZE = 16
+"""Requests per block: the mean of 16 is within 8 % for a deviation of 30 %."""
+
+BASELINE_SECONDS = 20.0
+"""Older minima are dropped so that an upstream that became slower is noticed."""
+
+MAX_BLOCKS = 256
+
+
+class LatencyBlocks:
+    """Collects latencies of requests sent at full use of the limit."""
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._count = 0
+        self._means: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=MAX_BLOCKS
+        )
+
+    def note(self, now: float, latency: float) -> float | None:
+        """Add a latency; return the mean in seconds when a block is complete."""
+        self._sum += latency
+        self._count += 1
+        if self._count < BLOCK_SIZE:
+            return None
+        mean = self._sum / self._count
+        self.restart_block()
+        self._means.append((now, mean))
+        while self._means[0][0] < now - BASELINE_SECONDS:
+            self._means.popleft()
+        return mean
+
+    @property
+    def baseline(self) -> float | None:
+        """Lowest mean of the last `BASELINE_SECONDS`, None before the first."""
+        return min((mean for _, mean in self._means), default=None)
+
+    def restart_block(self) -> None:
+        """Drop the block that is being filled, because the limit has changed."""
+        self._sum = 0.0
+        self._count = 0
+
+    def clear(self) -> None:
+        """Drop all measurements."""
+        self.restart_block()
+        self._means.clear()
