--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -9,11 +9,11 @@
 
 from limpetreel.admission import (
     admitted,
-    aimd_limiter,
     back_off,
     capacity_estimate,
     cold_detector,
     expired,
+    gradient_limiter,
     latency_blocks,
     open_request,
     outcome,
@@ -62,7 +62,7 @@
     now : float
         Time in seconds at which slow start begins.
     limiter : ConcurrencyLimiter, optional
-        Algorithm for the warm upstream; `AimdLimiter` by default.
+        Algorithm for the warm upstream; `GradientLimiter` by default.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         limiter: concurrency_limiter.ConcurrencyLimiter | None = None,
     ) -> None:
         self._config = config
-        self._limiter = limiter or aimd_limiter.AimdLimiter(config.max_limit)
+        self._limiter = limiter or gradient_limiter.GradientLimiter(config.max_limit)
         self._slow_start = slow_start.SlowStart()
         self._detector = cold_detector.ColdDetector()
         self._blocks = latency_blocks.LatencyBlocks()
--- a/src/limpetreel/measure/admission_measure.py
+++ b/src/limpetreel/measure/admission_measure.py
@@ -5,7 +5,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from limpetreel.admission import aimd_limiter
+from limpetreel.admission import gradient_limiter
 from limpetreel.measure import (
     admission_policy,
     admission_run,
@@ -35,7 +35,7 @@
 
 
 def measure_admission(
-    seed: int, make_limiter: MakeLimiter = aimd_limiter.AimdLimiter
+    seed: int, make_limiter: MakeLimiter = gradient_limiter.GradientLimiter
 ) -> list[measurement.Measurement]:
     """Run the policy and the baseline on both deployments.
 
