Bound what one latency changes in the cold detector

Cause: an upstream that was overloaded while cold fell over about once a second for 38 s unnoticed; its slow answers shifted mean and deviation. Change: bound of two deviations on learning, upper bound of the deviation, and a request unanswered for three times the mean counts as lost at once.

--- a/src/limpetreel/admission/cold_detector.py
+++ b/src/limpetreel/admission/cold_detector.py
@@ -16,6 +16,17 @@
 """One latency three deviations above the mean, which one in 740 exceeds."""
 
 MIN_DEVIATION = 0.25
+MAX_DEVIATION = 0.6
+LEARNED_DEVIATIONS = 2.0
+"""Bound of the effect of one latency on the mean.
+
+Without the bounds, a cold upstream that is overloaded repeatedly would shift mean
+and deviation until its latencies look normal.
+"""
+
+LOST_RATIO = 3.0
+"""Age over the mean at which an unanswered request counts as lost."""
+
 MEAN_GAIN = 0.05
 MIN_LATENCY = 1e-6
 MIN_SAMPLES = 4
@@ -58,6 +69,8 @@
         """
         if not self._count:
             return True
+        if age >= LOST_RATIO * self.service_seconds:
+            return True
         value = math.log(max(age, MIN_LATENCY))
         self._score += max(0.0, self._excess(value))
         return self._score >= COLD_SCORE
@@ -84,13 +97,18 @@
         self._count = 0
 
     def _excess(self, value: float) -> float:
-        deviation = max(MIN_DEVIATION, math.sqrt(self._variance))
-        return (value - self._mean) / deviation - ALLOWANCE
+        return (value - self._mean) / self._deviation() - ALLOWANCE
+
+    def _deviation(self) -> float:
+        return min(MAX_DEVIATION, max(MIN_DEVIATION, math.sqrt(self._variance)))
 
     def _learn(self, value: float) -> None:
         self._count += 1
         gain = max(MEAN_GAIN, 1.0 / self._count)
         off = value - self._mean
+        if self._count > MIN_SAMPLES:
+            bound = LEARNED_DEVIATIONS * self._deviation()
+            off = max(-bound, min(bound, off))
         self._mean += gain * off
         if self._count > 1:
             self._variance += gain * (off * off - self._variance)
