Take the latency baseline from all requests

Cause: at 70 % load limits grew to 12 on 4 slots. Requests sent at full use were rare there and already queued inside the upstream, so the baseline contained the queueing that it should reveal. Change: the baseline is the lowest mean of blocks of all requests.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -372,8 +372,9 @@
             if not self._slow_start.active:
                 self._limiter.restart_at(self._slow_start.limit)
                 self._proven = self._slow_start.limit
-        elif ended.open_at_send >= self._limiter.limit:
-            mean = self._blocks.note(now, latency)
+        else:
+            is_full_use = ended.open_at_send >= self._limiter.limit
+            mean = self._blocks.note(now, latency, is_full_use)
             if mean is not None:
                 self._note_block(now, mean)
 
--- a/src/limpetreel/admission/latency_blocks.py
+++ b/src/limpetreel/admission/latency_blocks.py
@@ -14,26 +14,43 @@
 
 
 class LatencyBlocks:
-    """Collects latencies of requests sent at full use of the limit."""
+    """Collects latencies.
+
+    The mean is that of requests sent at full use of the limit. The baseline comes
+    from all requests, because at moderate load full use is rare and happens only
+    when requests already queue inside the upstream.
+    """
 
     def __init__(self) -> None:
         self._sum = 0.0
         self._count = 0
+        self._all_sum = 0.0
+        self._all_count = 0
         self._means: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=MAX_BLOCKS
         )
 
-    def note(self, now: float, latency: float) -> float | None:
-        """Add a latency; return the mean in seconds when a block is complete."""
+    def note(self, now: float, latency: float, is_full_use: bool) -> float | None:
+        """Add a latency; return the mean in seconds when a block is complete.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        latency : float
+            Latency in seconds.
+        is_full_use : bool
+            Whether the request was sent while the limit was fully used.
+        """
+        self._note_baseline(now, latency)
+        if not is_full_use:
+            return None
         self._sum += latency
         self._count += 1
         if self._count < BLOCK_SIZE:
             return None
         mean = self._sum / self._count
         self.restart_block()
-        self._means.append((now, mean))
-        while self._means[0][0] < now - BASELINE_SECONDS:
-            self._means.popleft()
         return mean
 
     @property
@@ -46,7 +63,20 @@
         self._sum = 0.0
         self._count = 0
 
+    def _note_baseline(self, now: float, latency: float) -> None:
+        self._all_sum += latency
+        self._all_count += 1
+        if self._all_count < BLOCK_SIZE:
+            return
+        self._means.append((now, self._all_sum / self._all_count))
+        self._all_sum = 0.0
+        self._all_count = 0
+        while self._means[0][0] < now - BASELINE_SECONDS:
+            self._means.popleft()
+
     def clear(self) -> None:
         """Drop all measurements."""
         self.restart_block()
+        self._all_sum = 0.0
+        self._all_count = 0
         self._means.clear()
