Make the first steps of slow start less sensitive to noise

Cause: slow start of upstreams with long service times ended at a limit of 1 by chance, and the limiter took more than 30 s to leave that. An upstream with two slots got its second request slightly before it was warm.

--- a/src/limpetreel/admission/slow_start.py
+++ b/src/limpetreel/admission/slow_start.py
@@ -18,8 +18,17 @@
 FALLING_RATIO = 0.9
 """A step mean below this ratio to the step before shows that warming goes on."""
 
-CONGESTED_RATIO = 1.3
-"""Ratio of latency to the lowest step mean at which the limit is too high."""
+CONGESTED_RATIO = 1.5
+"""Ratio of latency to the lowest step mean at which the limit is too high.
+
+The mean of 4 latencies with a deviation of 30 % exceeds the lowest of several such
+means by 30 % too often: slow start then ended at a limit of 1.
+"""
+
+WARM_STEPS = 2
+"""Steps in a row with a warm latency before the first growth: an upstream with two
+slots bears a second request only when it is entirely warm.
+"""
 
 PATIENCE = 3.0
 """Hold times after which a lasting higher latency is accepted as the new normal."""
@@ -42,6 +51,7 @@
         self._last_mean: float | None = None
         self._best_mean = math.inf
         self._limit_before = 1
+        self._warm_steps = 0
         self._start_step(0.0)
 
     def begin(
@@ -78,6 +88,7 @@
         self._last_mean = None
         self._best_mean = math.inf
         self._limit_before = 1
+        self._warm_steps = 0
         self._start_step(now)
 
     def note_success(self, now: float, latency: float, open_at_send: int) -> None:
@@ -93,7 +104,11 @@
             self.limit = self._limit_before
             self.end()
         elif self._is_warm(now, mean):
-            self._grow()
+            self._warm_steps += 1
+            if self._warm_steps >= WARM_STEPS:
+                self._grow()
+        else:
+            self._warm_steps = 0
         self._best_mean = min(self._best_mean, mean)
         self._last_mean = mean
         self._start_step(now)
