Join flow directory, claims and admission in the agent core

Cause: flows broke when tables changed, since the agent served every packet that reached it. Change: the agent core routes packets through the flow router, filters duplicates, claims non-idempotent requests and asks the admission controller.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -2,65 +2,100 @@
 
 from __future__ import annotations
 
+import collections
+from typing import TYPE_CHECKING
+
 import msgspec
 
-from limpetreel.agent import (
-    answer,
-    caller_protocol,
-    open_request,
-    request,
-    signal,
-)
-from limpetreel.agent.actions import send_upstream
+from limpetreel.admission import admission_controller, admission_settings
+from limpetreel.agent import request_service, return_path
+from limpetreel.agent.actions import close_flow, send_upstream
 from limpetreel.agent.events import (
     drain_requested,
     upstream_announced,
     upstream_datagram,
 )
+from limpetreel.assignment import assignments
 from limpetreel.core import core, failure, reason
+from limpetreel.flows import (
+    class_view,
+    drop,
+    flow_key,
+    flow_router,
+    message_arrived,
+    packet_arrived,
+    refuse,
+    relay,
+    router_message,
+    send,
+    serve,
+    table_changed,
+)
+from limpetreel.flows import tick as flow_tick
+from limpetreel.messages import claim_ack
 from limpetreel.node import (
     drained,
     frame_arrived,
     record_span,
     send_frame,
-    table_link,
     tick,
 )
-from limpetreel.wire import address, frame, kind, message_codec, packet
+from limpetreel.wire import address, frame, kind, message_codec, mode, packet
 
-TOKEN_BYTES = 8
+if TYPE_CHECKING:
+    from limpetreel.agent import caller_protocol
+    from limpetreel.catalog import class_record, member_record
+    from limpetreel.node import identity, table_link
+
+    Actions = list[msgspec.Struct]
+
+FLOW_CHECK_SECONDS = 5.0
 
 
 class AgentCore(core.Core):
-    """Serves the flows of one upstream.
+    """Serves the flows of one upstream and routes those of its buckets.
 
     Parameters
     ----------
+    ident : Identity
+        The node.
     link : TableLink
         Table and serving right of the node.
     protocol : CallerProtocol
         Protocol of callers and the upstream.
-    class_name : str
-        Class that the upstream serves.
+    seed : int
+        Seed of the jitter of retry hints.
     """
 
     def __init__(
         self,
+        ident: identity.Identity,
         link: table_link.TableLink,
         protocol: caller_protocol.CallerProtocol,
-        class_name: str,
+        seed: int,
     ) -> None:
         self.link = link
+        self._ident = ident
         self._protocol = protocol
-        self._class_name = class_name
-        self._token = 0
-        self._open: dict[bytes, open_request.OpenRequest] = {}
-        self._entries: dict[address.Address, tuple[address.Address, int]] = {}
+        self._seed = seed
+        self._assignments = assignments.Assignments(link.table)
+        self._back = return_path.ReturnPath(link.table)
+        self._revision = -1
+        self._members: dict[int, member_record.MemberRecord] = {}
+        self._class: class_record.ClassRecord | None = None
+        self._router: flow_router.FlowRouter | None = None
+        self._requests: request_service.RequestService | None = None
         self._run_id = ""
+        self._sockets: dict[address.Address, None] = {}
+        self._next_flow_check = 0.0
         self.dropped: dict[reason.Reason, int] = {}
 
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Take one event; see `core.Core.handle`."""
+        found = self._dispatch(now, event)
+        return self._carry_out(now, found)
+
+    def _dispatch(self, now: float, event: msgspec.Struct) -> Actions:
         if isinstance(event, frame_arrived.FrameArrived):
             return self._receive(now, event)
         if isinstance(event, upstream_datagram.UpstreamDatagram):
@@ -68,89 +103,273 @@
         if isinstance(event, tick.Tick):
             return self._tick(now)
         if isinstance(event, upstream_announced.UpstreamAnnounced):
-            self._run_id = event.run_id
-            self.link.draining = self.link.draining or event.draining
-            return []
+            return self._announced(now, event)
         if isinstance(event, drain_requested.DrainRequested):
-            self.link.draining = True
-            return []
+            return self._drain(now)
         raise TypeError(type(event))
 
-    def _tick(self, now: float) -> list[msgspec.Struct]:
+    def _tick(self, now: float) -> Actions:
+        actions: Actions = []
         # An agent joins only once its upstream has announced itself.
-        actions: list[msgspec.Struct] = []
         if self._run_id:
             actions += self.link.tick(now)
-        if self.link.draining and not self._open:
+        actions += self._follow_table(now)
+        if self._router is not None and self._requests is not None:
+            actions += self._router.handle(now, flow_tick.Tick())
+            actions += self._requests.tick(now)
+            self.link.capacity = self._requests.admission.capacity()
+            actions += self._close_idle_sockets(now)
+        if self.link.draining and not self._has_work(now):
             actions.append(drained.Drained())
         return actions
 
-    def _receive(
-        self, now: float, event: frame_arrived.FrameArrived
-    ) -> list[msgspec.Struct]:
+    def _has_work(self, now: float) -> bool:
+        if self._router is None or self._requests is None:
+            return False
+        if self._requests.open_count:
+            return True
+        return self._router.has_recent_flow(now)
+
+    def _drain(self, now: float) -> Actions:
+        self.link.draining = True
+        if self._requests is None:
+            return []
+        self._requests.admission.drain(now)
+        return []
+
+    def _announced(
+        self, now: float, event: upstream_announced.UpstreamAnnounced
+    ) -> Actions:
+        if event.class_name != self._ident.class_name:
+            return self._drop(reason.Reason.WRONG_CLASS)
+        restarted = bool(self._run_id) and event.run_id != self._run_id
+        self._run_id = event.run_id
+        if event.draining and not self.link.draining:
+            return self._drain(now)
+        if restarted and self._requests is not None:
+            return self._requests.upstream_restarted(now)
+        return []
+
+    def _receive(self, now: float, event: frame_arrived.FrameArrived) -> Actions:
         if event.frame.kind in (kind.Kind.FORWARD, kind.Kind.RELAY):
-            return self._packet(now, event.frame)
+            return self._packet(now, event)
+        if event.frame.kind != kind.Kind.MESSAGE:
+            return self._drop(reason.Reason.UNKNOWN_KIND)
         message = message_codec.decode(event.frame.body)
         if isinstance(message, failure.Failure):
             return self._drop(message.reason)
-        return [*self.link.receive(now, event.source, message)]
+        if isinstance(message, router_message.RouterMessage):
+            return self._peer_message(now, event.frame, message)
+        sends = self.link.receive(now, event.source, message)
+        return [*sends, *self._follow_table(now)]
 
-    def _packet(self, now: float, received: frame.Frame) -> list[msgspec.Struct]:
-        found = packet.decode(received.body)
+    def _peer_message(
+        self,
+        now: float,
+        received: frame.Frame,
+        message: router_message.RouterMessage,
+    ) -> Actions:
+        if self._router is None or self._requests is None:
+            return self._drop(reason.Reason.NO_MEMBER)
+        sender = (received.sender, received.incarnation)
+        if isinstance(message, claim_ack.ClaimAck):
+            return self._requests.acknowledge(now, sender, message)
+        arrived = message_arrived.MessageArrived(*sender, message)
+        return self._router.handle(now, arrived)
+
+    def _packet(self, now: float, event: frame_arrived.FrameArrived) -> Actions:
+        found = packet.decode(event.frame.body)
         if isinstance(found, failure.Failure):
             return self._drop(found.reason)
-        record = self.link.table.class_by_id(found.class_id)
-        if record is None or record.name != self._class_name:
+        if self._class is None or self._router is None or self._requests is None:
+            return self._drop(reason.Reason.NO_MEMBER)
+        if found.class_id != self._class.class_id:
             return self._drop(reason.Reason.WRONG_CLASS)
+        self.link.hear_peer(now, event.source, found.revision, found.lease_ms)
         if not self.link.right.may_serve(now, self.link.table):
             return self._drop(reason.Reason.NO_LEASE)
-        self._entries[found.caller] = found.entry, received.incarnation
-        read = self._protocol.read_caller(found.datagram)
-        if isinstance(read, request.Request):
-            return self._request(now, found, read)
-        if isinstance(read, signal.Signal):
-            return [send_upstream.SendUpstream(found.caller, found.datagram)]
-        return self._drop(read.reason)
-
-    def _request(
-        self, now: float, found: packet.Packet, req: request.Request
-    ) -> list[msgspec.Struct]:
-        self._token += 1
-        token = self._token.to_bytes(TOKEN_BYTES, "big")
-        self._open[token] = open_request.OpenRequest(found, req, now)
-        datagram = self._protocol.replace_token(found.datagram, token)
-        return [send_upstream.SendUpstream(found.caller, datagram)]
+        flow = flow_key.FlowKey(found.class_id, found.caller)
+        if found.mode == mode.Mode.FIND and not self._router.owns(flow):
+            again = self._requests.recorded_refusal(now, flow, found)
+            if again is not None:
+                return again
+        is_last = found.mode == mode.Mode.OFFER
+        arrived = packet_arrived.PacketArrived(
+            flow=flow,
+            mode=found.mode,
+            hops=found.hops,
+            sender=event.frame.sender,
+            incarnation=event.frame.incarnation,
+            accepts=self._requests.admission.can_accept_flow(now, is_last),
+            datagram=event.frame.body,
+        )
+        return self._router.handle(now, arrived)
 
     def _from_upstream(
         self, now: float, event: upstream_datagram.UpstreamDatagram
-    ) -> list[msgspec.Struct]:
-        read = self._protocol.read_upstream(event.datagram)
-        if isinstance(read, answer.Answer):
-            return self._answer(now, event, read)
-        return []
-
-    def _answer(
-        self, now: float, event: upstream_datagram.UpstreamDatagram, read: answer.Answer
-    ) -> list[msgspec.Struct]:
-        found = self._open.get(read.token)
-        if found is None or found.packet.caller != event.caller:
+    ) -> Actions:
+        if self._class is None or self._requests is None:
             return self._drop(reason.Reason.STALE)
-        if read.last:
-            del self._open[read.token]
-        datagram = self._protocol.replace_token(event.datagram, found.request.token)
-        body = packet.encode(msgspec.structs.replace(found.packet, datagram=datagram))
-        entry, incarnation = self._entries[event.caller]
-        actions: list[msgspec.Struct] = [
-            send_frame.SendFrame(entry, incarnation, kind.Kind.RETURN, body)
+        if not self.link.right.may_serve(now, self.link.table):
+            return self._drop(reason.Reason.NO_LEASE)
+        flow = flow_key.FlowKey(self._class.class_id, event.caller)
+        return self._requests.from_upstream(now, flow, event.datagram)
+
+    def _carry_out(self, now: float, found: Actions) -> Actions:
+        """Turn actions of the parts into actions of the shell.
+
+        Messages to this agent itself are handled at once, since it may be primary
+        or deputy of a bucket whose flow it owns.
+        """
+        actions: Actions = []
+        todo = collections.deque(found)
+        while todo:
+            action = todo.popleft()
+            if isinstance(action, serve.Serve):
+                todo.extendleft(reversed(self._serve(now, action)))
+            elif isinstance(action, refuse.Refuse):
+                todo.extendleft(reversed(self._refuse(now, action)))
+            elif isinstance(action, relay.Relay):
+                actions += self._relay(now, action)
+            elif isinstance(action, send.Send):
+                todo.extendleft(reversed(self._send(now, action)))
+            elif isinstance(action, drop.Drop):
+                self._drop(action.reason)
+            else:
+                if isinstance(action, send_upstream.SendUpstream):
+                    self._sockets[action.caller] = None
+                actions.append(action)
+        return actions
+
+    def _serve(self, now: float, action: serve.Serve) -> Actions:
+        found = packet.decode(action.datagram)
+        if isinstance(found, failure.Failure) or self._class is None:
+            return self._drop(reason.Reason.MALFORMED)
+        if self._requests is None:
+            return self._drop(reason.Reason.NO_MEMBER)
+        actions = self._requests.serve(now, action.flow, found, self._class.answer_ms)
+        if found.trace_id:
+            attributes = {"new_flow": str(action.is_new), "hops": str(found.hops)}
+            actions.append(
+                record_span.RecordSpan(
+                    found.trace_id, "agent.serve", now, now, attributes
+                )
+            )
+        return actions
+
+    def _refuse(self, now: float, action: refuse.Refuse) -> Actions:
+        found = packet.decode(action.datagram)
+        if isinstance(found, failure.Failure) or self._requests is None:
+            return self._drop(reason.Reason.MALFORMED)
+        return self._requests.refuse(now, action.flow, found)
+
+    def _relay(self, now: float, action: relay.Relay) -> Actions:
+        target = self._members.get(action.target)
+        found = packet.decode(action.datagram)
+        if target is None or isinstance(found, failure.Failure):
+            return self._drop(reason.Reason.NO_MEMBER)
+        body = packet.encode(
+            msgspec.structs.replace(
+                found,
+                hops=action.hops,
+                mode=action.mode,
+                lease_ms=self.link.right.lease_ms(now),
+                revision=self.link.table.revision,
+            )
+        )
+        actions: Actions = [
+            send_frame.SendFrame(
+                address.from_socket((target.host, target.port)),
+                action.incarnation,
+                kind.Kind.RELAY,
+                body,
+            )
         ]
-        if found.packet.trace_id:
+        if found.trace_id:
+            attributes = {"to": target.name, "mode": mode.Mode(action.mode).name}
             actions.append(
                 record_span.RecordSpan(
-                    found.packet.trace_id, "agent.upstream", found.sent_at, now, {}
+                    found.trace_id, "agent.relay", now, now, attributes
                 )
             )
         return actions
 
-    def _drop(self, why: reason.Reason) -> list[msgspec.Struct]:
+    def _send(self, now: float, action: send.Send) -> Actions:
+        if action.target == self._ident.node_id:
+            if action.incarnation != self._ident.incarnation:
+                return []
+            own = frame.Frame(
+                kind.Kind.MESSAGE, action.target, action.incarnation, 0, b""
+            )
+            return self._peer_message(now, own, action.message)
+        target = self._members.get(action.target)
+        if target is None:
+            return self._drop(reason.Reason.NO_MEMBER)
+        return [
+            send_frame.SendFrame(
+                address.from_socket((target.host, target.port)),
+                action.incarnation,
+                kind.Kind.MESSAGE,
+                message_codec.encode(action.message),
+            )
+        ]
+
+    def _follow_table(self, now: float) -> Actions:
+        """Take over a new table."""
+        records = self.link.table
+        if records.revision == self._revision:
+            return []
+        self._revision = records.revision
+        self._class = records.class_by_name(self._ident.class_name)
+        self._members = {
+            m.node_id: m for m in records.agents_of(self._ident.class_name)
+        }
+        if self._class is None:
+            return []
+        if self._router is None:
+            self._start(now, self._class)
+        if self._router is None:
+            return []
+        view = class_view.from_table(records, self._class, self._assignments)
+        return self._router.handle(now, table_changed.TableChanged(view))
+
+    def _start(self, now: float, record: class_record.ClassRecord) -> None:
+        """Build the parts that need the class."""
+        self._router = flow_router.FlowRouter(
+            record.class_id,
+            (self._ident.node_id, self._ident.incarnation),
+            self._ident.region,
+            first_start=self.link.is_first_start,
+        )
+        cfg = admission_settings.AdmissionSettings(
+            answer_seconds=record.answer_ms / 1000, peer=self._ident.name
+        )
+        self._requests = request_service.RequestService(
+            record.class_id,
+            self._router,
+            admission_controller.AdmissionController(cfg, self._seed, now),
+            self._protocol,
+            self._back,
+            self.link.right,
+        )
+        if self.link.draining:
+            self._requests.admission.drain(now)
+
+    def _close_idle_sockets(self, now: float) -> Actions:
+        """Close the upstream sockets of flows that are no longer owned."""
+        if now < self._next_flow_check or self._class is None or self._router is None:
+            return []
+        self._next_flow_check = now + FLOW_CHECK_SECONDS
+        class_id = self._class.class_id
+        idle = [
+            caller
+            for caller in self._sockets
+            if not self._router.owns(flow_key.FlowKey(class_id, caller))
+        ]
+        for caller in idle:
+            del self._sockets[caller]
+        return [close_flow.CloseFlow(caller) for caller in idle]
+
+    def _drop(self, why: reason.Reason) -> Actions:
         self.dropped[why] = self.dropped.get(why, 0) + 1
         return []
--- a/src/limpetreel/agent/caller_protocol.py
+++ b/src/limpetreel/agent/caller_protocol.py
@@ -44,3 +44,7 @@
     @abc.abstractmethod
     def unknown(self, req: request.Request) -> bytes:
         """Return the answer for a request that may or may not have run."""
+
+    @abc.abstractmethod
+    def answer_again(self, datagram: bytes, req: request.Request) -> bytes:
+        """Return a recorded answer as the answer to a repeated request."""
--- /dev/null
+++ b/src/limpetreel/agent/return_path.py
@@ -0,0 +1,89 @@
+"""Way of answers back to callers."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel.catalog import member_state, role, table
+from limpetreel.node import send_frame
+from limpetreel.wire import address, frame, kind, packet
+
+if TYPE_CHECKING:
+    from limpetreel.flows import flow_key
+
+MAX_FLOWS = 32_768
+
+
+class ReturnPath:
+    """Remembers through which entry the last packet of a flow came.
+
+    Parameters
+    ----------
+    records : Table
+        Table of the node, for another entry if that one has left.
+    """
+
+    def __init__(self, records: table.Table) -> None:
+        self._table = records
+        self._carriers: collections.OrderedDict[flow_key.FlowKey, packet.Packet] = (
+            collections.OrderedDict()
+        )
+        self._revision = -1
+        self._entries: dict[address.Address, int] = {}
+
+    def note(self, flow: flow_key.FlowKey, carrier: packet.Packet) -> None:
+        """Remember the entry of a packet."""
+        self._carriers[flow] = msgspec.structs.replace(carrier, datagram=b"")
+        self._carriers.move_to_end(flow)
+        if len(self._carriers) > MAX_FLOWS:
+            self._carriers.popitem(last=False)
+
+    def carrier(self, flow: flow_key.FlowKey) -> packet.Packet | None:
+        """Return the last packet of a flow without its datagram, or None."""
+        return self._carriers.get(flow)
+
+    def send(
+        self, carrier: packet.Packet, datagram: bytes, lease_ms: int
+    ) -> send_frame.SendFrame:
+        """Return the frame that carries an answer.
+
+        Parameters
+        ----------
+        carrier : Packet
+            Packet that the answer belongs to.
+        datagram : bytes
+            The answer.
+        lease_ms : int
+            Remaining lease of this node in milliseconds.
+        """
+        self._refresh()
+        entry = carrier.entry
+        if self._entries and entry not in self._entries:
+            # The entry has left; every other one reaches the caller as well.
+            number = carrier.caller.port % len(self._entries)
+            entry = sorted(self._entries, key=str)[number]
+        body = packet.encode(
+            msgspec.structs.replace(
+                carrier,
+                datagram=datagram,
+                lease_ms=lease_ms,
+                revision=self._table.revision,
+            )
+        )
+        target = self._entries.get(entry, frame.ANY_INCARNATION)
+        return send_frame.SendFrame(entry, target, kind.Kind.RETURN, body)
+
+    def _refresh(self) -> None:
+        if self._revision == self._table.revision:
+            return
+        self._revision = self._table.revision
+        self._entries = {
+            address.from_socket((m.host, m.port)): m.incarnation
+            for m in self._table.members()
+            if m.role is role.Role.ENTRY
+            and m.state is not member_state.MemberState.LOST
+            and self._table.is_zone_serving(m.zone)
+        }
--- a/src/limpetreel/coap/coap_protocol.py
+++ b/src/limpetreel/coap/coap_protocol.py
@@ -84,6 +84,13 @@
         """Return 5.04 (RFC 7252, section 5.9.3.5)."""
         return _error(aiocoap.GATEWAY_TIMEOUT, req, b"unknown").encode()
 
+    def answer_again(self, datagram: bytes, req: request.Request) -> bytes:
+        """Return the answer, acknowledging the repeated request."""
+        kind = message_type.MessageType.ACK
+        if not req.confirmable:
+            kind = message_type.MessageType.NON
+        return header.readdress(datagram, kind, req.message_id)
+
 
 def _signal(head: header.Header) -> signal.Signal | failure.Failure:
     if head.type in (message_type.MessageType.ACK, message_type.MessageType.RST):
--- a/src/limpetreel/coap/header.py
+++ b/src/limpetreel/coap/header.py
@@ -75,3 +75,20 @@
     first, code, message_id = FIXED.unpack_from(datagram)
     rest = datagram[FIXED.size + (first & 0x0F) :]
     return FIXED.pack(first & 0xF0 | len(token), code, message_id) + token + rest
+
+
+def readdress(datagram: bytes, kind: int, message_id: int) -> bytes:
+    """Return a datagram with another type and message id.
+
+    Parameters
+    ----------
+    datagram : bytes
+        A datagram that `read` accepts.
+    kind : int
+        A `message_type.MessageType` value.
+    message_id : int
+        The new message id.
+    """
+    first, code, _ = FIXED.unpack_from(datagram)
+    head = FIXED.pack(first & 0xCF | kind << 4, code, message_id)
+    return head + datagram[FIXED.size :]
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -36,7 +36,7 @@
     ident = _identity(cfg, role.Role.AGENT, cfg.class_name)
     link = _link(cfg, ident)
     protocol = coap_protocol.CoapProtocol()
-    decisions = agent_core.AgentCore(link, protocol, cfg.class_name)
+    decisions = agent_core.AgentCore(ident, link, protocol, seed=ident.incarnation)
     return agent_shell.AgentShell(cfg, decisions, _codec(cfg, ident))
 
 
--- a/src/limpetreel/flows/flow_router.py
+++ b/src/limpetreel/flows/flow_router.py
@@ -50,6 +50,8 @@
 QUEUE_SECONDS = 1.0
 """A queued packet that is older is dropped, as one in transit for longer would be."""
 FLOWS_PER_MESSAGE = 40
+QUIET_SECONDS = 10.0
+"""A draining agent takes flows without a packet for so long as ended."""
 NOBODY = (0, 0)
 
 
@@ -115,6 +117,10 @@
         """Return whether this agent owns a flow."""
         return flow in self._owned
 
+    def has_recent_flow(self, now: float) -> bool:
+        """Return whether an owned flow was used within `QUIET_SECONDS`."""
+        return self._owned.last_use() + QUIET_SECONDS > now
+
     def held_ms(self, now: float, flow: flow_key.FlowKey) -> int:
         """Return for how long this agent has owned a flow."""
         return self._owned.held_ms(now, flow)
--- a/src/limpetreel/flows/owned_flows.py
+++ b/src/limpetreel/flows/owned_flows.py
@@ -39,6 +39,12 @@
         times[1] = now
         self._flows.move_to_end(flow)
 
+    def last_use(self) -> float:
+        """Return when a flow was last used, in seconds; minus infinity if never."""
+        if not self._flows:
+            return float("-inf")
+        return next(reversed(self._flows.values()))[1]
+
     def held_ms(self, now: float, flow: flow_key.FlowKey) -> int:
         """Return for how long a flow has been owned, 0 if it is not."""
         times = self._flows.get(flow)
--- a/src/limpetreel/node/table_link.py
+++ b/src/limpetreel/node/table_link.py
@@ -41,6 +41,7 @@
         self.capacity = 0
         self.draining = False
         self.leaving = False
+        self.is_first_start = True
 
     def tick(self, now: float) -> list[send_frame.SendFrame]:
         """Return a renewal if one is due."""
@@ -73,6 +74,13 @@
         """Make the next tick send a renewal."""
         self._next_renewal = 0.0
 
+    def hear_peer(
+        self, now: float, source: address.Address, revision: int, lease_ms: int
+    ) -> None:
+        """Adopt the lease of a peer that knows no later change than this node."""
+        if revision <= self.table.revision:
+            self.right.adopt(now, lease_ms)
+
     def receive(
         self, now: float, source: address.Address, message: message_codec.Message
     ) -> list[send_frame.SendFrame]:
--- a/src/limpetreel/requests/request_log.py
+++ b/src/limpetreel/requests/request_log.py
@@ -82,6 +82,14 @@
         self._records += 1
         return verdict.Verdict(verdict.Kind.NEW)
 
+    def find(self, now: float, key: request_key.RequestKey) -> verdict.Verdict | None:
+        """Return the recorded outcome of a request, or None if there is none."""
+        self.expire(now)
+        found = self._find(key)
+        if found is None or found.outcome is None:
+            return None
+        return verdict.Verdict(verdict.Kind.REPEATED, found.outcome, found.answer)
+
     def mark_sent(self, key: request_key.RequestKey) -> None:
         """Note that a request is about to be sent to the upstream."""
         found = self._find(key)
