Add replicated log core and durable log store

Cause: control needs a replicated, durable log; both packages were empty. Conclusion: storage survives a crash at each operation; the core needs fuzzing.

--- /dev/null
+++ b/src/limpetreel/consensus/actions/__init__.py
@@ -0,0 +1,3 @@
+"""Actions that the consensus core returns."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/consensus/election.py
@@ -0,0 +1,132 @@
+"""Elections: pre-votes and votes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.consensus import role, timing
+from limpetreel.consensus.messages import (
+    pre_vote_reply,
+    pre_vote_request,
+    vote_reply,
+    vote_request,
+)
+
+if TYPE_CHECKING:
+    from limpetreel.consensus import node_state
+    from limpetreel.consensus.messages import envelope
+
+
+class Election:
+    """Standing for election and voting.
+
+    Parameters
+    ----------
+    state : NodeState
+        State of the instance.
+    """
+
+    def __init__(self, state: node_state.NodeState) -> None:
+        self._state = state
+        self._votes: set[str] = set()
+
+    def begin(self, now: float) -> bool:
+        """Ask whether an election could succeed; return True if it already has.
+
+        The term does not change yet, so that an instance that comes back from a
+        partition cannot depose a leader that a quorum still hears.
+        """
+        state = self._state
+        state.delay_election(now)
+        if not state.is_voter():
+            return False
+        state.change_role(role.Role.PRE_CANDIDATE, "")
+        self._votes = {state.identity}
+        log = state.log
+        question = pre_vote_request.PreVoteRequest(
+            state.term + 1, log.last_index, log.last_term
+        )
+        for peer in state.peers():
+            if peer.voting:
+                state.send(peer, question)
+        return state.quorum_of(self._votes) and self._campaign(now)
+
+    def on_pre_vote_request(
+        self,
+        now: float,
+        request: envelope.Envelope,
+        message: pre_vote_request.PreVoteRequest,
+    ) -> None:
+        """Answer a pre-vote; refuse it while a leader is heard."""
+        state = self._state
+        heard_for = now - state.leader_heard_at
+        has_leader = (
+            state.role is role.Role.LEADER or heard_for < timing.ELECTION_MIN_SECONDS
+        )
+        granted = (
+            message.term > state.term
+            and not has_leader
+            and self._is_up_to_date(message.last_index, message.last_term)
+        )
+        answer = pre_vote_reply.PreVoteReply(state.term, message.term, granted)
+        state.reply(request, answer)
+
+    def on_pre_vote_reply(
+        self,
+        now: float,
+        request: envelope.Envelope,
+        message: pre_vote_reply.PreVoteReply,
+    ) -> bool:
+        """Count a pre-vote; return True if this instance has become leader."""
+        state = self._state
+        if state.role is not role.Role.PRE_CANDIDATE or not message.granted:
+            return False
+        if message.asked_term != state.term + 1:
+            return False
+        self._votes.add(request.sender)
+        return state.quorum_of(self._votes) and self._campaign(now)
+
+    def on_vote_request(
+        self, now: float, request: envelope.Envelope, message: vote_request.VoteRequest
+    ) -> None:
+        """Answer a request for a vote in the present term or an earlier one."""
+        state = self._state
+        granted = (
+            message.term == state.term
+            and state.vote in ("", request.sender)
+            and self._is_up_to_date(message.last_index, message.last_term)
+        )
+        if granted and not state.vote:
+            state.enter_term(state.term, request.sender)
+        if granted:
+            state.delay_election(now)
+        state.reply(request, vote_reply.VoteReply(state.term, granted))
+
+    def on_vote_reply(
+        self, request: envelope.Envelope, message: vote_reply.VoteReply
+    ) -> bool:
+        """Count a vote; return True if this instance has won."""
+        state = self._state
+        if state.role is not role.Role.CANDIDATE or not message.granted:
+            return False
+        if message.term != state.term:
+            return False
+        self._votes.add(request.sender)
+        return state.quorum_of(self._votes)
+
+    def _campaign(self, now: float) -> bool:
+        state = self._state
+        state.enter_term(state.term + 1, state.identity)
+        state.change_role(role.Role.CANDIDATE, "")
+        state.delay_election(now)
+        self._votes = {state.identity}
+        log = state.log
+        question = vote_request.VoteRequest(state.term, log.last_index, log.last_term)
+        for peer in state.peers():
+            if peer.voting:
+                state.send(peer, question)
+        return state.quorum_of(self._votes)
+
+    def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
+        log = self._state.log
+        return (last_term, last_index) >= (log.last_term, log.last_index)
--- /dev/null
+++ b/src/limpetreel/consensus/entry_kind.py
@@ -0,0 +1,13 @@
+"""Kinds of log entries."""
+
+from __future__ import annotations
+
+import enum
+
+
+class EntryKind(enum.IntEnum):
+    """What the data of a log entry holds."""
+
+    NOOP = 0
+    DATA = 1
+    MEMBERS = 2
--- /dev/null
+++ b/src/limpetreel/consensus/events/__init__.py
@@ -0,0 +1,3 @@
+"""Events that the consensus core takes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/consensus/following.py
@@ -0,0 +1,167 @@
+"""Receiving the log from a leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel import exceptions
+from limpetreel.consensus import role, snapshot
+from limpetreel.consensus.actions import install_snapshot
+from limpetreel.consensus.messages import append_reply, snapshot_reply
+
+if TYPE_CHECKING:
+    from limpetreel.consensus import node_state
+    from limpetreel.consensus.messages import (
+        append_request,
+        envelope,
+        snapshot_chunk,
+    )
+
+
+class Following:
+    """The part of a follower.
+
+    Parameters
+    ----------
+    state : NodeState
+        State of the instance.
+    """
+
+    def __init__(self, state: node_state.NodeState) -> None:
+        self._state = state
+        self._lease_term = 0
+        self._lease_end = float("-inf")
+        self._partial = bytearray()
+        self._partial_of: tuple[str, int, int] = ("", 0, 0)
+
+    def lease_remaining(self, now: float) -> float:
+        """Return the seconds left of the lease that the leader passed on."""
+        # What an earlier leader passed on is dropped with its term.
+        if self._lease_term != self._state.term:
+            return 0.0
+        return max(0.0, self._lease_end - now)
+
+    def on_append(
+        self,
+        now: float,
+        request: envelope.Envelope,
+        message: append_request.AppendRequest,
+    ) -> None:
+        """Take a heartbeat or entries of the present term's leader."""
+        self._hear(now, request)
+        hint, hint_term = self._mismatch(message)
+        if hint:
+            refusal = self._reply(
+                now, False, message.prev_index, message.round, hint, hint_term
+            )
+            self._state.reply(request, refusal)
+            return
+        self._append_new(message)
+        agreed = message.prev_index + len(message.entries)
+        self._state.advance_commit(min(message.commit, agreed))
+        self._renew_lease(message)
+        self._state.reply(request, self._reply(now, True, agreed, message.round))
+
+    def on_chunk(
+        self,
+        now: float,
+        request: envelope.Envelope,
+        message: snapshot_chunk.SnapshotChunk,
+    ) -> None:
+        """Take a part of a snapshot from the present term's leader."""
+        self._hear(now, request)
+        state = self._state
+        if message.index > state.commit and not self._complete(request.sender, message):
+            answer = snapshot_reply.SnapshotReply(
+                state.term, message.index, len(self._partial), message.round
+            )
+            state.reply(request, answer)
+            return
+        if message.index > state.commit:
+            self._install(message)
+        state.reply(request, self._reply(now, True, message.index, message.round))
+
+    def _hear(self, now: float, request: envelope.Envelope) -> None:
+        state = self._state
+        if state.role is role.Role.LEADER:
+            raise exceptions.ConsensusError(
+                "consensus.follow",
+                f"two leaders in term {state.term}",
+                peer=request.sender,
+            )
+        state.leader_heard_at = now
+        state.delay_election(now)
+        if state.role is not role.Role.FOLLOWER or state.leader != request.sender:
+            state.change_role(role.Role.FOLLOWER, request.sender)
+
+    def _mismatch(self, message: append_request.AppendRequest) -> tuple[int, int]:
+        """Return where the leader should try again and the conflicting term."""
+        log = self._state.log
+        # Entries up to the base are accepted and so agree with every leader's log.
+        if message.prev_index <= log.base_index:
+            return 0, 0
+        term = log.term_at(message.prev_index)
+        if term is None:
+            return log.last_index + 1, 0
+        if term != message.prev_term:
+            return log.first_of_term(message.prev_index), term
+        return 0, 0
+
+    def _append_new(self, message: append_request.AppendRequest) -> None:
+        log = self._state.log
+        for i, item in enumerate(message.entries):
+            if item.index <= log.base_index or log.term_at(item.index) == item.term:
+                continue
+            self._state.append(message.entries[i:])
+            return
+
+    def _renew_lease(self, message: append_request.AppendRequest) -> None:
+        state = self._state
+        # A lease vouches for all entries accepted before its round, so it counts
+        # only once this instance has applied all that the leader had accepted.
+        if message.echo is None or state.commit < message.commit:
+            return
+        # Counting from the own stamp, which was sent before the leader sent this
+        # message, keeps the lease safe however long the message was under way.
+        if not state.owns(message.echo):
+            return
+        end = message.echo.sent_at + message.lease
+        if self._lease_term != state.term:
+            self._lease_term = state.term
+            self._lease_end = end
+        self._lease_end = max(self._lease_end, end)
+
+    def _complete(self, sender: str, message: snapshot_chunk.SnapshotChunk) -> bool:
+        # Two leaders may have written equal states as different bytes.
+        source = (sender, message.index, message.size)
+        if source != self._partial_of:
+            self._partial_of = source
+            self._partial.clear()
+        if message.offset == len(self._partial):
+            self._partial += message.data
+        return len(self._partial) >= message.size
+
+    def _install(self, message: snapshot_chunk.SnapshotChunk) -> None:
+        data = bytes(self._partial)
+        self._partial = bytearray()
+        self._partial_of = ("", 0, 0)
+        received = snapshot.Snapshot(
+            message.index, message.last_term, message.members, data
+        )
+        self._state.adopt_snapshot(received)
+        done = install_snapshot.InstallSnapshot(message.index, data)
+        self._state.actions.append(done)
+
+    def _reply(
+        self,
+        now: float,
+        success: bool,
+        index: int,
+        number: int,
+        hint: int = 0,
+        hint_term: int = 0,
+    ) -> append_reply.AppendReply:
+        state = self._state
+        return append_reply.AppendReply(
+            state.term, success, index, hint, hint_term, number, state.make_stamp(now)
+        )
--- /dev/null
+++ b/src/limpetreel/consensus/leadership.py
@@ -0,0 +1,337 @@
+"""Leading one term."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.consensus import (
+    entry,
+    entry_kind,
+    membership,
+    membership_changes,
+    progress,
+    quorum_rounds,
+    role,
+    timing,
+)
+from limpetreel.consensus.actions import proposal_result, read_result
+from limpetreel.consensus.messages import append_request, snapshot_chunk
+from limpetreel.core import failure, reason
+
+if TYPE_CHECKING:
+    from limpetreel.consensus import member, node_state
+    from limpetreel.consensus.events import change_membership, propose
+    from limpetreel.consensus.messages import (
+        append_reply,
+        join_request,
+        snapshot_reply,
+    )
+
+
+class Leadership:
+    """The part of the leader of one term.
+
+    Parameters
+    ----------
+    state : NodeState
+        State of the instance, which has just won the election of its term.
+    now : float
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, state: node_state.NodeState, now: float) -> None:
+        self._state = state
+        self._rounds = quorum_rounds.QuorumRounds(state.identity)
+        self._progress: dict[str, progress.Progress] = {}
+        self._proposals: dict[int, int] = {}
+        self._reads: list[tuple[int, int]] = []
+        self._since = now
+        self._first_index = state.log.last_index + 1
+        state.change_role(role.Role.LEADER, state.identity)
+        # Entries of earlier terms are accepted only together with one of this term.
+        self._append(((entry_kind.EntryKind.NOOP, b""),))
+        self._begin_round(now)
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether the leader has removed itself from the voters."""
+        state = self._state
+        return not state.is_voter() and state.members_index <= state.commit
+
+    def has_contact(self, now: float) -> bool:
+        """Return whether a quorum answered within the lease."""
+        last = max(self._since, self._rounds.confirmed_start)
+        return now - last <= timing.LEASE_SECONDS
+
+    def lease_remaining(self, now: float) -> float:
+        """Return the seconds left of the leader's lease.
+
+        A lease vouches for everything accepted before its round. A new leader knows
+        all of that only once an entry of its own term is accepted.
+        """
+        if not self._is_settled():
+            return 0.0
+        return max(0.0, self._rounds.lease_end() - now)
+
+    def tick(self, now: float) -> None:
+        """Start a heartbeat round if one is due or a read waits for it."""
+        due = self._rounds.started_at() + timing.HEARTBEAT_SECONDS
+        waiting = any(number > self._rounds.current for _, number in self._reads)
+        if now >= due or waiting:
+            self._begin_round(now)
+        self._repair(now)
+
+    def propose(self, now: float, event: propose.Propose) -> None:
+        """Append proposals and send them."""
+        state = self._state
+        waiting = state.log.last_index - state.commit
+        if waiting + len(event.proposals) > timing.MAX_UNCOMMITTED:
+            for item in event.proposals:
+                self._refuse(item.proposal_id, reason.Reason.OVERLOADED)
+            return
+        first = state.log.last_index + 1
+        for i, item in enumerate(event.proposals):
+            self._proposals[first + i] = item.proposal_id
+        kind = entry_kind.EntryKind.DATA
+        self._append(tuple((kind, p.data) for p in event.proposals))
+        self._send_new(now)
+        self._settle()
+
+    def change_members(
+        self, now: float, event: change_membership.ChangeMembership
+    ) -> None:
+        """Append a membership change."""
+        if not self._may_change():
+            self._refuse(event.proposal_id, reason.Reason.CONFLICT)
+            return
+        members = self._state.members
+        changed = membership_changes.change_of(members, event.change, event.member)
+        if isinstance(changed, reason.Reason):
+            self._refuse(event.proposal_id, changed)
+            return
+        self._proposals[self._state.log.last_index + 1] = event.proposal_id
+        self._append_members(now, changed)
+
+    def on_join_request(self, now: float, message: join_request.JoinRequest) -> None:
+        """Add an instance that lost its disk as a member without a vote."""
+        state = self._state
+        known = [m.incarnation for m in state.members if m.name == message.name]
+        # An unknown name is added only by an operator's command.
+        if not known or message.incarnation <= max(known) or not self._may_change():
+            return
+        new = type(state.members[0])(
+            message.name, message.incarnation, message.address, voting=False
+        )
+        self._append_members(now, (*state.members, new))
+
+    def read(self, read_id: int) -> None:
+        """Answer a read after a round that starts after it."""
+        self._reads.append((read_id, self._rounds.current + 1))
+
+    def on_append_reply(
+        self, now: float, sender: str, message: append_reply.AppendReply
+    ) -> None:
+        """Take an answer to a heartbeat."""
+        peer = self._heard(sender, message.round)
+        if peer is None:
+            return
+        known = self._progress_of(sender)
+        known.note_stamp(now, message.stamp)
+        if message.success:
+            known.accept(message.index)
+        else:
+            known.refuse(message.index, self._retry_index(message))
+        if known.snapshot is not None and known.match >= known.snapshot.index:
+            known.end_snapshot()
+        if known.snapshot is None and known.next_index <= self._state.log.last_index:
+            self._send(now, peer)
+        self._settle()
+
+    def on_snapshot_reply(
+        self, now: float, sender: str, message: snapshot_reply.SnapshotReply
+    ) -> None:
+        """Take an answer to a part of a snapshot."""
+        peer = self._heard(sender, message.round)
+        known = self._progress_of(sender)
+        if peer is None or known.snapshot is None:
+            return
+        if message.index == known.snapshot.index and message.offset != known.offset:
+            known.offset = message.offset
+            self._send(now, peer)
+        self._settle()
+
+    def finish(self) -> None:
+        """Answer what waits, since this instance no longer leads."""
+        unknown = failure.Failure(
+            reason.Reason.TIMEOUT,
+            "consensus.commit",
+            detail="leadership ended first; the outcome is unknown",
+        )
+        actions = self._state.actions
+        for proposal_id in self._proposals.values():
+            actions.append(proposal_result.ProposalResult(proposal_id, unknown))
+        for read_id, _ in self._reads:
+            stale = read_result.ReadResult(read_id, self._state.commit, False)
+            actions.append(stale)
+
+    def _is_settled(self) -> bool:
+        return self._state.commit >= self._first_index
+
+    def _may_change(self) -> bool:
+        # Two changes under way at once could have majorities that do not overlap,
+        # and so could a change of an earlier leader that is not known to be accepted.
+        return self._is_settled() and self._state.members_index <= self._state.commit
+
+    def _refuse(self, proposal_id: int, why: reason.Reason) -> None:
+        refused = failure.Failure(why, "consensus.propose")
+        result = proposal_result.ProposalResult(proposal_id, refused)
+        self._state.actions.append(result)
+
+    def _append(self, items: tuple[tuple[entry_kind.EntryKind, bytes], ...]) -> None:
+        state = self._state
+        first = state.log.last_index + 1
+        entries = tuple(
+            entry.Entry(first + i, state.term, kind, data)
+            for i, (kind, data) in enumerate(items)
+        )
+        if entries:
+            state.append(entries)
+
+    def _append_members(self, now: float, members: membership.Members) -> None:
+        data = membership.encode(members)
+        self._append(((entry_kind.EntryKind.MEMBERS, data),))
+        current = {m.identity for m in members}
+        for gone in [p for p in self._progress if p not in current]:
+            del self._progress[gone]
+        self._send_new(now)
+        self._settle()
+
+    def _repair(self, now: float) -> None:
+        """Let a caught-up member replace the lost one of its name, step by step."""
+        state = self._state
+        if not self._may_change():
+            return
+        caught_up = {
+            identity
+            for identity, known in self._progress.items()
+            if known.match >= state.commit
+        }
+        changed = membership_changes.next_repair(state.members, caught_up)
+        if changed is not None:
+            self._append_members(now, changed)
+
+    def _progress_of(self, identity: str) -> progress.Progress:
+        known = self._progress.get(identity)
+        if known is None:
+            known = progress.Progress(self._state.log.last_index + 1)
+            self._progress[identity] = known
+        return known
+
+    def _heard(self, sender: str, number: int) -> member.Member | None:
+        peer = membership.find(self._state.members, sender)
+        if peer is not None:
+            self._rounds.answer(sender, number)
+        return peer
+
+    def _retry_index(self, message: append_reply.AppendReply) -> int:
+        """Return where to try again, passing over a whole term at a time."""
+        log = self._state.log
+        if not message.hint_term:
+            return message.hint
+        agreed = log.last_not_after(message.index - 1, message.hint_term)
+        if agreed >= message.hint and log.term_at(agreed) == message.hint_term:
+            return agreed + 1
+        return message.hint
+
+    def _begin_round(self, now: float) -> None:
+        self._rounds.begin(now)
+        for peer in self._state.peers():
+            self._send(now, peer)
+        self._settle()
+
+    def _send_new(self, now: float) -> None:
+        for peer in self._state.peers():
+            known = self._progress_of(peer.identity)
+            if known.snapshot is None and self._has_room(known):
+                self._send(now, peer)
+
+    def _has_room(self, known: progress.Progress) -> bool:
+        return known.next_index - known.match <= timing.PIPELINE_ENTRIES
+
+    def _send(self, now: float, peer: member.Member) -> None:
+        known = self._progress_of(peer.identity)
+        if known.snapshot is None and known.next_index <= self._state.log.base_index:
+            known.begin_snapshot(self._state.snapshot)
+        if known.snapshot is not None:
+            self._send_chunk(peer, known)
+        else:
+            self._send_entries(now, peer, known)
+
+    def _send_chunk(self, peer: member.Member, known: progress.Progress) -> None:
+        item = known.snapshot
+        if item is None:
+            return
+        end = known.offset + timing.CHUNK_BYTES
+        chunk = snapshot_chunk.SnapshotChunk(
+            self._state.term,
+            item.index,
+            item.term,
+            item.members,
+            known.offset,
+            len(item.data),
+            item.data[known.offset : end],
+            self._rounds.current,
+        )
+        self._state.send(peer, chunk)
+
+    def _send_entries(
+        self, now: float, peer: member.Member, known: progress.Progress
+    ) -> None:
+        state = self._state
+        prev = known.next_index - 1
+        entries: tuple[entry.Entry, ...] = ()
+        if self._has_room(known):
+            entries = state.log.batch(known.next_index, timing.BATCH_BYTES)
+        has_lease = known.stamp is not None and self.lease_remaining(now) > 0
+        request = append_request.AppendRequest(
+            state.term,
+            prev,
+            state.log.term_at(prev) or 0,
+            entries,
+            state.commit,
+            self._rounds.current,
+            known.stamp if has_lease else None,
+            self._rounds.lease_end() - known.stamp_at if has_lease else 0.0,
+        )
+        known.next_index += len(entries)
+        state.send(peer, request)
+
+    def _settle(self) -> None:
+        """Accept what a quorum holds and answer reads that a quorum confirmed."""
+        state = self._state
+        self._rounds.settle(state.members)
+        held = {peer: known.match for peer, known in self._progress.items()}
+        held[state.identity] = state.log.last_index
+        reached = membership.quorum_value(state.members, held)
+        # An entry of an earlier term on a majority can still be replaced by a later
+        # leader, so only entries of the own term are accepted by counting.
+        if state.log.term_at(reached) == state.term:
+            for item in state.advance_commit(reached):
+                self._answer(item)
+        self._answer_reads()
+
+    def _answer(self, item: entry.Entry) -> None:
+        proposal_id = self._proposals.pop(item.index, None)
+        if proposal_id is not None:
+            result = proposal_result.ProposalResult(proposal_id, item.index)
+            self._state.actions.append(result)
+
+    def _answer_reads(self) -> None:
+        if not self._is_settled():
+            return
+        confirmed = self._rounds.confirmed
+        for read_id, number in self._reads:
+            if number <= confirmed:
+                current = read_result.ReadResult(read_id, self._state.commit, True)
+                self._state.actions.append(current)
+        self._reads = [r for r in self._reads if r[1] > confirmed]
--- /dev/null
+++ b/src/limpetreel/consensus/membership.py
@@ -0,0 +1,62 @@
+"""Pure functions on the members of the group."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.consensus import member
+
+Members = tuple[member.Member, ...]
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Members] = msgspec.msgpack.Decoder(Members)
+
+
+def encode(members: Members) -> bytes:
+    """Return the data of a log entry that sets the members."""
+    return _ENCODER.encode(members)
+
+
+def decode(data: bytes) -> Members:
+    """Return the members that a log entry sets."""
+    return _DECODER.decode(data)
+
+
+def voters(members: Members) -> list[str]:
+    """Return the identities that vote."""
+    return [m.identity for m in members if m.voting]
+
+
+def quorum_size(members: Members) -> int:
+    """Return how many voters are a majority."""
+    return len(voters(members)) // 2 + 1
+
+
+def has_quorum(members: Members, identities: set[str]) -> bool:
+    """Return whether a majority of the voters is among the identities."""
+    agreeing = identities & set(voters(members))
+    return len(agreeing) >= quorum_size(members)
+
+
+def quorum_value(members: Members, values: dict[str, int]) -> int:
+    """Return the highest value that a majority of the voters has reached."""
+    reached = sorted((values.get(v, 0) for v in voters(members)), reverse=True)
+    return reached[quorum_size(members) - 1] if reached else 0
+
+
+def find(members: Members, identity: str) -> member.Member | None:
+    """Return the member with the identity, None if there is none."""
+    return next((m for m in members if m.identity == identity), None)
+
+
+def removed(members: Members, identity: str) -> Members:
+    """Return the members without one."""
+    return tuple(m for m in members if m.identity != identity)
+
+
+def promoted(members: Members, identity: str) -> Members:
+    """Return the members with one of them made voting."""
+    return tuple(
+        msgspec.structs.replace(m, voting=True) if m.identity == identity else m
+        for m in members
+    )
--- /dev/null
+++ b/src/limpetreel/consensus/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between control instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/consensus/messages/envelope.py
@@ -0,0 +1,51 @@
+"""Message with its sender and target."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.consensus.messages import (
+    append_reply,
+    append_request,
+    join_request,
+    pre_vote_reply,
+    pre_vote_request,
+    snapshot_chunk,
+    snapshot_reply,
+    vote_reply,
+    vote_request,
+)
+
+Message = (
+    pre_vote_request.PreVoteRequest
+    | pre_vote_reply.PreVoteReply
+    | vote_request.VoteRequest
+    | vote_reply.VoteReply
+    | append_request.AppendRequest
+    | append_reply.AppendReply
+    | snapshot_chunk.SnapshotChunk
+    | snapshot_reply.SnapshotReply
+    | join_request.JoinRequest
+)
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """What travels between two instances.
+
+    Attributes
+    ----------
+    sender : str
+        Identity of the sender.
+    address : str
+        Where the sender is reached, for the reply.
+    target : str
+        Identity of the receiver. A receiver with another identity drops the
+        message, since it may stand in for one that lost its disk. Empty: any.
+    message : Message
+        The message.
+    """
+
+    sender: str
+    address: str
+    target: str
+    message: Message
--- /dev/null
+++ b/src/limpetreel/consensus/messages/snapshot_chunk.py
@@ -0,0 +1,40 @@
+"""Part of a snapshot."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.consensus import member
+
+
+class SnapshotChunk(msgspec.Struct, frozen=True, tag="snapshot_chunk"):
+    """Sent by the leader to a peer whose next entry it no longer has.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader.
+    index : int
+        Last entry that the snapshot includes.
+    last_term : int
+        Term of that entry.
+    members : tuple of Member
+        Members in effect at that entry.
+    offset : int
+        Position of `data` in the snapshot.
+    size : int
+        Size of the whole snapshot in bytes.
+    data : bytes
+        The part.
+    round : int
+        Heartbeat round, echoed in the reply.
+    """
+
+    term: int
+    index: int
+    last_term: int
+    members: tuple[member.Member, ...]
+    offset: int
+    size: int
+    data: bytes
+    round: int
--- /dev/null
+++ b/src/limpetreel/consensus/raft_core.py
@@ -0,0 +1,273 @@
+"""Decision core of the replicated log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel import exceptions
+from limpetreel.consensus import (
+    election,
+    following,
+    leadership,
+    membership,
+    node_state,
+    role,
+    timing,
+)
+from limpetreel.consensus.actions import proposal_result, read_result, send
+from limpetreel.consensus.events import (
+    change_membership,
+    message_received,
+    propose,
+    read,
+    snapshot_available,
+    tick,
+)
+from limpetreel.consensus.messages import (
+    append_reply,
+    append_request,
+    join_request,
+    pre_vote_reply,
+    pre_vote_request,
+    snapshot_chunk,
+    snapshot_reply,
+    vote_reply,
+    vote_request,
+)
+from limpetreel.core import core, failure, reason
+
+if TYPE_CHECKING:
+    import random as randoms
+    from collections.abc import Sequence
+
+    import msgspec
+
+    from limpetreel.consensus import durable_state
+    from limpetreel.consensus.messages import envelope
+
+
+class RaftCore(core.Core):
+    """Replicated log of one control instance.
+
+    Events are the types in `consensus.events`, actions those in
+    `consensus.actions`. The shell carries out the actions in order and completes
+    `Persist` and `SaveSnapshot` before it goes on; if one fails, the instance stops.
+
+    Parameters
+    ----------
+    durable : DurableState
+        What `storage.log_store.LogStore` recovered.
+    random : random.Random
+        Source of election timeouts.
+    address : str
+        Where other instances reach this one.
+    seeds : sequence of str
+        Addresses that an instance without members asks to be added.
+    """
+
+    def __init__(
+        self,
+        durable: durable_state.DurableState,
+        random: randoms.Random,
+        address: str,
+        seeds: Sequence[str] = (),
+    ) -> None:
+        self._state = node_state.NodeState(durable, random)
+        self._address = address
+        self._seeds = tuple(seeds)
+        self._election = election.Election(self._state)
+        self._following = following.Following(self._state)
+        self._leadership: leadership.Leadership | None = None
+        self._join_at = float("-inf")
+
+    @property
+    def identity(self) -> str:
+        """Return the identity under which this instance votes."""
+        return self._state.identity
+
+    @property
+    def role(self) -> role.Role:
+        """Return the present role."""
+        return self._state.role
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self._state.term
+
+    @property
+    def leader(self) -> str:
+        """Return the identity of the leader, empty if unknown."""
+        return self._state.leader
+
+    @property
+    def commit(self) -> int:
+        """Return the last entry known to be accepted; it has been applied."""
+        return self._state.commit
+
+    @property
+    def members(self) -> membership.Members:
+        """Return the members in effect."""
+        return self._state.members
+
+    def lease_remaining(self, now: float) -> float:
+        """Return for how many seconds this instance may still grant leases.
+
+        Whoever holds the applied state of this instance knows every entry that was
+        accepted more than ``2.0 - lease_remaining(now)`` seconds ago.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._leadership is not None:
+            return self._leadership.lease_remaining(now)
+        if self._state.role is role.Role.FOLLOWER:
+            return self._following.lease_remaining(now)
+        return 0.0
+
+    def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
+        """Take one event and return the actions that it causes, in order."""
+        state = self._state
+        state.actions = []
+        if state.election_at == float("inf"):
+            state.delay_election(now)
+        self._dispatch(now, event)
+        if self._leadership is not None and self._leadership.is_over:
+            self._follow(now, "")
+        return state.actions
+
+    def _dispatch(self, now: float, event: msgspec.Struct) -> None:
+        match event:
+            case tick.Tick():
+                self._tick(now)
+            case message_received.MessageReceived():
+                self._receive(now, event.envelope)
+            case propose.Propose():
+                self._propose(now, event)
+            case change_membership.ChangeMembership():
+                self._change_members(now, event)
+            case read.Read():
+                self._read(event)
+            case snapshot_available.SnapshotAvailable():
+                self._state.take_snapshot(event.index, event.data)
+            case _:
+                raise exceptions.ConsensusError(
+                    "consensus.handle", f"unknown event {type(event).__name__}"
+                )
+
+    def _tick(self, now: float) -> None:
+        state = self._state
+        if self._leadership is not None:
+            if self._leadership.has_contact(now):
+                self._leadership.tick(now)
+            else:
+                self._follow(now, "")
+            return
+        if not state.members:
+            self._ask_to_join(now)
+        elif now >= state.election_at and self._election.begin(now):
+            self._lead(now)
+
+    def _ask_to_join(self, now: float) -> None:
+        if now < self._join_at:
+            return
+        self._join_at = now + timing.JOIN_RETRY_SECONDS
+        state = self._state
+        request = join_request.JoinRequest(state.name, state.incarnation, self._address)
+        for address in self._seeds:
+            state.actions.append(send.Send("", address, request))
+
+    def _propose(self, now: float, event: propose.Propose) -> None:
+        if self._leadership is not None:
+            self._leadership.propose(now, event)
+            return
+        for item in event.proposals:
+            self._refuse(item.proposal_id)
+
+    def _change_members(
+        self, now: float, event: change_membership.ChangeMembership
+    ) -> None:
+        if self._leadership is not None:
+            self._leadership.change_members(now, event)
+        else:
+            self._refuse(event.proposal_id)
+
+    def _refuse(self, proposal_id: int) -> None:
+        refused = failure.Failure(
+            reason.Reason.NOT_LEADER, "consensus.propose", self._state.leader
+        )
+        result = proposal_result.ProposalResult(proposal_id, refused)
+        self._state.actions.append(result)
+
+    def _read(self, event: read.Read) -> None:
+        if self._leadership is not None:
+            self._leadership.read(event.read_id)
+            return
+        stale = read_result.ReadResult(event.read_id, self._state.commit, False)
+        self._state.actions.append(stale)
+
+    def _lead(self, now: float) -> None:
+        self._leadership = leadership.Leadership(self._state, now)
+
+    def _follow(self, now: float, leader: str) -> None:
+        if self._leadership is not None:
+            self._leadership.finish()
+            self._leadership = None
+        self._state.delay_election(now)
+        self._state.change_role(role.Role.FOLLOWER, leader)
+
+    def _receive(self, now: float, received: envelope.Envelope) -> None:
+        message = received.message
+        if received.target not in ("", self._state.identity):
+            return
+        if isinstance(message, join_request.JoinRequest):
+            if self._leadership is not None:
+                self._leadership.on_join_request(now, message)
+            return
+        if isinstance(message, pre_vote_request.PreVoteRequest):
+            # The term of a pre-vote has not started.
+            self._election.on_pre_vote_request(now, received, message)
+            return
+        if message.term > self._state.term:
+            self._state.enter_term(message.term)
+            self._follow(now, "")
+        self._receive_in_term(now, received)
+
+    def _receive_in_term(self, now: float, received: envelope.Envelope) -> None:
+        message = received.message
+        match message:
+            case pre_vote_reply.PreVoteReply():
+                if self._election.on_pre_vote_reply(now, received, message):
+                    self._lead(now)
+            case vote_request.VoteRequest():
+                self._election.on_vote_request(now, received, message)
+            case vote_reply.VoteReply():
+                if self._election.on_vote_reply(received, message):
+                    self._lead(now)
+            case append_request.AppendRequest() | snapshot_chunk.SnapshotChunk():
+                self._receive_from_leader(now, received, message)
+            case append_reply.AppendReply():
+                if self._leadership is not None and message.term == self._state.term:
+                    self._leadership.on_append_reply(now, received.sender, message)
+            case snapshot_reply.SnapshotReply():
+                if self._leadership is not None and message.term == self._state.term:
+                    self._leadership.on_snapshot_reply(now, received.sender, message)
+
+    def _receive_from_leader(
+        self,
+        now: float,
+        received: envelope.Envelope,
+        message: append_request.AppendRequest | snapshot_chunk.SnapshotChunk,
+    ) -> None:
+        state = self._state
+        stamp = state.make_stamp(now)
+        if message.term < state.term:
+            # The sender led an earlier term and learns of the present one.
+            refusal = append_reply.AppendReply(state.term, False, 0, 0, 0, 0, stamp)
+            state.reply(received, refusal)
+        elif isinstance(message, append_request.AppendRequest):
+            self._following.on_append(now, received, message)
+        else:
+            self._following.on_chunk(now, received, message)
--- /dev/null
+++ b/src/limpetreel/exceptions.py
@@ -0,0 +1,41 @@
+"""Exceptions for programming errors and at the external interfaces."""
+
+from __future__ import annotations
+
+
+class LimpetreelError(Exception):
+    """Base class of all exceptions of the project.
+
+    Parameters
+    ----------
+    step : str
+        The step that failed, such as ``"log_store.persist"``.
+    detail : str
+        What was found.
+    peer : str
+        The peer at which it failed, empty if there is none.
+    path : str
+        The file at which it failed, empty if there is none.
+    """
+
+    def __init__(
+        self, step: str, detail: str = "", *, peer: str = "", path: str = ""
+    ) -> None:
+        where = f" at {peer or path}" if peer or path else ""
+        super().__init__(f"{step}{where}: {detail}")
+        self.step = step
+        self.detail = detail
+        self.peer = peer
+        self.path = path
+
+
+class ConsensusError(LimpetreelError):
+    """The replicated log has reached a state that the protocol rules out."""
+
+
+class StorageError(LimpetreelError):
+    """A file could not be written or synced; the instance must stop."""
+
+
+class CorruptError(StorageError):
+    """Stored data is damaged in a way that a crash cannot explain."""
--- /dev/null
+++ b/src/limpetreel/storage/folder_disk.py
@@ -0,0 +1,98 @@
+"""Data folder in the file system."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from typing import TYPE_CHECKING
+
+from limpetreel import exceptions
+from limpetreel.storage import disk
+
+if TYPE_CHECKING:
+    import pathlib
+
+
+class FolderDisk(disk.Disk):
+    """Files in a folder that one process holds at a time.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        The data folder; it is created if it does not exist.
+
+    Raises
+    ------
+    StorageError
+        If another process holds the folder.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._files: dict[str, int] = {}
+        self._folder_fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            fcntl.flock(self._folder_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as exc:
+            os.close(self._folder_fd)
+            raise exceptions.StorageError(
+                "folder_disk.lock", "held by another process", path=str(folder)
+            ) from exc
+
+    def list_files(self) -> list[str]:
+        """Return the names of the files, sorted."""
+        return sorted(os.listdir(self._folder))
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return (self._folder / name).read_bytes()
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file, which is created if it does not exist."""
+        fd = self._open(name)
+        rest = memoryview(data)
+        while rest:
+            rest = rest[os.write(fd, rest) :]
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size."""
+        os.ftruncate(self._open(name), size)
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+        os.fsync(self._open(name))
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, replacing the one that has the new name."""
+        self._forget(old)
+        self._forget(new)
+        os.rename(self._folder / old, self._folder / new)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._forget(name)
+        os.remove(self._folder / name)
+
+    def sync_folder(self) -> None:
+        """Make the names of the files durable."""
+        os.fsync(self._folder_fd)
+
+    def close(self) -> None:
+        """Release the files and the folder."""
+        for name in list(self._files):
+            self._forget(name)
+        os.close(self._folder_fd)
+
+    def _open(self, name: str) -> int:
+        # A file stays open until it is renamed or removed, since some file systems
+        # report a failed write-back only to descriptors that were open then.
+        if name not in self._files:
+            flags = os.O_RDWR | os.O_CREAT | os.O_APPEND
+            self._files[name] = os.open(self._folder / name, flags, 0o600)
+        return self._files[name]
+
+    def _forget(self, name: str) -> None:
+        fd = self._files.pop(name, None)
+        if fd is not None:
+            os.close(fd)
--- /dev/null
+++ b/tests/storage/fake_disk.py
@@ -0,0 +1,126 @@
+"""Disk in memory that loses what was not synced."""
+
+from __future__ import annotations
+
+from limpetreel.storage import disk
+
+
+class Crashed(Exception):  # noqa: N818
+    """The instance died in the middle of a disk operation."""
+
+
+class _File:
+    """Content as the process sees it and as it is on the medium."""
+
+    def __init__(self):
+        self.data = bytearray()
+        self.synced = b""
+        self.holes = []
+
+
+class FakeDisk(disk.Disk):
+    """Files that tear, vanish and fail as set by the test.
+
+    `crash_in` counts down operations until `Crashed` is raised; `fail_sync_in`
+    counts down syncs until one fails and its data never reaches the medium.
+    """
+
+    def __init__(self):
+        self._names = {}
+        self._durable = {}
+        self._name_changes = []
+        self.crash_in = None
+        self.fail_sync_in = None
+
+    def list_files(self):
+        return sorted(self._names)
+
+    def read(self, name):
+        return bytes(self._names[name].data)
+
+    def append(self, name, data):
+        self._count()
+        if name not in self._names:
+            item = _File()
+            self._change_name(lambda names: names.update({name: item}))
+        self._names[name].data += data
+
+    def truncate(self, name, size):
+        self._count()
+        del self._names[name].data[size:]
+
+    def sync(self, name):
+        self._count()
+        item = self._names[name]
+        if self._sync_fails():
+            # The kernel marks the pages clean although they were not written.
+            item.holes.append((len(item.synced), len(item.data)))
+            raise OSError(5, "sync failed", name)
+        data = bytearray(item.data)
+        for start, end in item.holes:
+            data[start:end] = bytes(end - start)
+        item.synced = bytes(data)
+
+    def rename(self, old, new):
+        self._count()
+        self._change_name(lambda names: names.update({new: names.pop(old)}))
+
+    def remove(self, name):
+        self._count()
+        self._change_name(lambda names: names.pop(name))
+
+    def sync_folder(self):
+        self._count()
+        if self._sync_fails():
+            raise OSError(5, "sync failed", "folder")
+        self._durable = dict(self._names)
+        self._name_changes.clear()
+
+    def close(self):
+        pass
+
+    def crash(self, rng):
+        """Keep what was synced and a random part of the rest."""
+        for change in self._name_changes[: rng.randint(0, len(self._name_changes))]:
+            change(self._durable)
+        self._name_changes.clear()
+        for item in self._durable.values():
+            item.data = self._after_crash(item, rng)
+            item.synced = bytes(item.data)
+            item.holes.clear()
+        self._names = dict(self._durable)
+        self.crash_in = None
+        self.fail_sync_in = None
+
+    def damage(self, name, offset):
+        """Flip one bit of a file."""
+        item = self._names[name]
+        item.data[offset] ^= 1
+        item.synced = bytes(item.data)
+
+    def _after_crash(self, item, rng):
+        if item.holes:
+            return bytearray(item.synced)
+        if not item.data.startswith(item.synced):
+            return bytearray(rng.choice((item.synced, bytes(item.data))))
+        tail = item.data[len(item.synced) :]
+        kept = bytearray(tail[: rng.randint(0, len(tail))])
+        if kept and rng.random() < 0.3:
+            kept[rng.randrange(len(kept)) :] = bytes(1)
+        return bytearray(item.synced) + kept
+
+    def _change_name(self, change):
+        change(self._names)
+        self._name_changes.append(change)
+
+    def _count(self):
+        if self.crash_in is not None:
+            self.crash_in -= 1
+            if self.crash_in < 0:
+                raise Crashed
+
+    def _sync_fails(self):
+        if self.fail_sync_in is None:
+            return False
+        self.fail_sync_in -= 1
+        return self.fail_sync_in < 0
