--- a/src/limpetreel/exceptions.py
+++ b/src/limpetreel/exceptions.py
@@ -1,31 +1,44 @@
-"""Exceptions of limpetreel.
-
-Expected failures are values, see `limpetreel.core.failure`. Exceptions are for
-programming errors and for the external interfaces.
-"""
+"""Exceptions for programming errors and at the external interfaces."""
 
 from __future__ import annotations
 
 
 class LimpetreelError(Exception):
-    """Base class of all exceptions of limpetreel.
+    """Base class of all exceptions of the project.
 
     Parameters
     ----------
     step : str
-        The step that failed.
-    peer : str
-        The peer or path at which it failed, empty if there is none.
+        The step that failed, such as ``"log_store.persist"``.
     detail : str
-        What went wrong.
+        What was found.
+    peer : str
+        The peer at which it failed, empty if there is none.
+    path : str
+        The file at which it failed, empty if there is none.
     """
 
-    def __init__(self, step: str, peer: str, detail: str) -> None:
+    def __init__(
+        self, step: str, detail: str = "", *, peer: str = "", path: str = ""
+    ) -> None:
+        where = f" at {peer or path}" if peer or path else ""
+        super().__init__(f"{step}{where}: {detail}")
         self.step = step
-        self.peer = peer
         self.detail = detail
-        where = f" at {peer}" if peer else ""
-        super().__init__(f"{step}{where}: {detail}")
+        self.peer = peer
+        self.path = path
+
+
+class ConsensusError(LimpetreelError):
+    """The replicated log has reached a state that the protocol rules out."""
+
+
+class StorageError(LimpetreelError):
+    """A file could not be written or synced; the instance must stop."""
+
+
+class CorruptError(StorageError):
+    """Stored data is damaged in a way that a crash cannot explain."""
 
 
 class SettingError(LimpetreelError):
@@ -36,7 +49,7 @@
     name : str
         Name of the setting.
     value : str
-        The refused value.
+        The refused value; a placeholder for a secret one.
     allowed : str
         What is allowed.
     """
@@ -44,5 +57,5 @@
     def __init__(self, name: str, value: str, allowed: str) -> None:
         self.name = name
         super().__init__(
-            "settings.load", "", f"{name}={value!r} is not allowed; use {allowed}"
+            "settings.load", f"{name}={value!r} is not allowed; use {allowed}"
         )
