--- /dev/null
+++ b/src/limpetreel/control/share_watch.py
@@ -0,0 +1,30 @@
+"""Capacity reports of one agent."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class ShareWatch:
+    """Recent capacity reports of an agent.
+
+    Attributes
+    ----------
+    capacity : int
+        Last report, in open requests.
+    reported_at : float
+        Time of the last report in seconds.
+    differs_since : float or None
+        Since when each report has differed in the same direction.
+    nearest : int
+        The wanted share during that time that is nearest to the current one.
+    changed_at : float
+        Time of the last change of the share in seconds.
+    """
+
+    capacity: int = 0
+    reported_at: float = float("-inf")
+    differs_since: float | None = None
+    nearest: int = 0
+    changed_at: float = float("-inf")
