Answer renewals and deltas, and keep the tables of nodes up to date

Cause: nodes had no way to get the table, and leases did not depend on it.

TableSync renews, fetches, checks digests and passes leases and evidence to ServingRight only at the revision that they name. A delta is one compressed body in numbered parts of at most 1,200 bytes; recent deltas are kept, so that lost parts of an overtaken one can be sent again. Agents get the zones, the entries and the records of their own class, with a digest of that scope. A lease with the node's own digest raises the node's revision without a fetch, so changes of other classes cost an agent nothing. Message fields have short names on the wire.

--- /dev/null
+++ b/src/limpetreel/catalog/delta_source.py
@@ -0,0 +1,98 @@
+"""Deltas of a table, for the nodes that ask for them."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from limpetreel.catalog import delta_body
+from limpetreel.messages import delta
+
+if TYPE_CHECKING:
+    from limpetreel.catalog import table
+    from limpetreel.messages import delta_request
+
+PART_BYTES = 1_120
+"""With its fields, a part has at most 1,200 bytes of frame body."""
+
+MAX_PARTS_PER_REQUEST = 16
+CACHE_BYTES = 4 * 1024 * 1024
+CACHE_ENTRIES = 512
+
+
+class DeltaSource:
+    """Builds deltas and keeps the recent ones.
+
+    Nodes that hold the same revision share one delta. A delta that has been
+    overtaken stays available while it is kept, so that a node can ask for lost
+    parts; if it is not kept any more, the answer is a newer delta, which names
+    another revision.
+
+    Parameters
+    ----------
+    records : Table
+        The table.
+    """
+
+    def __init__(self, records: table.Table) -> None:
+        self._table = records
+        self._bytes = 0
+        self._kept: collections.OrderedDict[tuple[int, int, str], _Kept] = (
+            collections.OrderedDict()
+        )
+
+    def parts(self, request: delta_request.DeltaRequest) -> list[delta.Delta]:
+        """Return the parts that a request asks for.
+
+        The list is empty if this table is not newer than the node's, unless the
+        node asks for the whole table.
+        """
+        first = request.part
+        start = self._start(request.revision)
+        kept = self._kept.get((start, request.to_revision, request.scope))
+        if kept is None:
+            if self._table.revision <= request.revision:
+                return []
+            if request.to_revision not in (0, self._table.revision):
+                first = 0
+            kept = self._current(start, request.scope)
+        to_revision, digest, body = kept
+        total = max(1, -(-len(body) // PART_BYTES))
+        count = min(max(request.count, 1), MAX_PARTS_PER_REQUEST)
+        return [
+            delta.Delta(
+                from_revision=start,
+                to_revision=to_revision,
+                digest=digest,
+                part=part,
+                parts=total,
+                body=body[part * PART_BYTES : (part + 1) * PART_BYTES],
+            )
+            for part in range(max(first, 0), min(first + count, total))
+        ]
+
+    def _start(self, revision: int) -> int:
+        """Return the revision to start from; 0 if older removals are forgotten."""
+        return revision if revision >= self._table.floor else 0
+
+    def _current(self, start: int, scope: str) -> _Kept:
+        key = (start, self._table.revision, scope)
+        kept = self._kept.get(key)
+        if kept is None:
+            items = self._table.changed_after(start, scope)
+            if start == 0:
+                items = [item for item in items if not item.removed]
+            body = delta_body.encode(items)
+            kept = (self._table.revision, self._table.scope_digest(scope), body)
+            self._keep(key, kept)
+        return kept
+
+    def _keep(self, key: tuple[int, int, str], kept: _Kept) -> None:
+        self._kept[key] = kept
+        self._bytes += len(kept[2])
+        while self._bytes > CACHE_BYTES or len(self._kept) > CACHE_ENTRIES:
+            _, old = self._kept.popitem(last=False)
+            self._bytes -= len(old[2])
+
+
+_Kept = tuple[int, int, bytes]
--- /dev/null
+++ b/src/limpetreel/catalog/table_sync.py
@@ -0,0 +1,401 @@
+"""Table and serving right of a node, kept up to date from messages."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel.catalog import (
+    delta_body,
+    delta_source,
+    fetch,
+    member_record,
+    member_state,
+    outgoing,
+    peer,
+    record,
+    role,
+)
+from limpetreel.core import failure
+from limpetreel.messages import (
+    delta,
+    delta_request,
+    lease,
+    mismatch,
+    probe,
+    probe_answer,
+    renew,
+)
+from limpetreel.wire import address
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from limpetreel.catalog import node_identity, table
+    from limpetreel.serving import serving_right
+
+RENEW_SECONDS = 0.5
+PROBE_SECONDS = 0.5
+JITTER = 0.1
+"""Part of an interval by which it varies, so that nodes do not act in step."""
+
+REPEAT_SECONDS = 0.5
+"""Time without progress after which missing parts are asked for again."""
+
+MAX_ATTEMPTS = 6
+FIRST_FETCH_SECONDS = 3.0
+"""Largest delay of a fetch at start and after an outage, when all nodes fetch."""
+
+OUTAGE_SECONDS = 5.0
+CONTROL_SILENT_SECONDS = 1.0
+"""Two unanswered renewals; from then on deltas are fetched from other nodes."""
+
+MAX_OUTSTANDING = 16
+PEER_BYTES_PER_SECOND = 64_000
+
+
+class TableSync:
+    """Node side of the exchange with control and of probes.
+
+    Parameters
+    ----------
+    identity : NodeIdentity
+        This node.
+    controls : sequence of Address
+        Control instances.
+    records : Table
+        Table to keep up to date.
+    right : ServingRight
+        Receives leases and evidence that count.
+    seed : int
+        Seed of the jitter and of the choice of peers.
+    """
+
+    def __init__(
+        self,
+        identity: node_identity.NodeIdentity,
+        controls: Sequence[address.Address],
+        records: table.Table,
+        right: serving_right.ServingRight,
+        seed: int,
+    ) -> None:
+        self._identity = identity
+        self._controls = tuple(controls)
+        self._table = records
+        self._right = right
+        self._random = random.Random(seed)
+        self._source = delta_source.DeltaSource(records)
+        self._scope = identity.class_name
+        self._control = self._random.randrange(len(self._controls))
+        self._nonce = 0
+        self._renewals: dict[int, float] = {}
+        self._probes: dict[int, tuple[float, str]] = {}
+        self._renew_at = float("-inf")
+        self._probe_at = float("-inf")
+        self._answered_at = float("-inf")
+        self._is_answered = True
+        self._leases: list[tuple[int, float, int]] = []
+        self._evidence: list[tuple[int, float, str]] = []
+        self._fetch: fetch.Fetch | None = None
+        self._sent_second = 0
+        self._sent_bytes = 0
+        self.capacity = 0
+        self.is_draining = False
+        self.is_leaving = False
+        self.newest_incarnation = identity.incarnation
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether control knows a higher incarnation of this node's name."""
+        return self.newest_incarnation > self._identity.incarnation
+
+    def tick(self, now: float) -> list[outgoing.Outgoing]:
+        """Return what is due; to be called about every 0.1 s."""
+        found = []
+        if now >= self._renew_at:
+            found += self.renew_now(now)
+        if now >= self._probe_at:
+            self._probe_at = now + self._jittered(PROBE_SECONDS)
+            found += self._probe_zones(now)
+        return found + self._repeat_fetch(now)
+
+    def renew_now(self, now: float) -> list[outgoing.Outgoing]:
+        """Return a renewal, for example at once when the node drains or leaves."""
+        if not self._is_answered:
+            self._control = (self._control + 1) % len(self._controls)
+        self._is_answered = False
+        self._renew_at = now + self._jittered(RENEW_SECONDS)
+        nonce = self._next_nonce()
+        _remember(self._renewals, nonce, now)
+        message = renew.Renew(
+            **msgspec.structs.asdict(self._identity),
+            revision=self._table.revision,
+            digest=self._table.scope_digest(self._scope),
+            capacity=self.capacity,
+            draining=self.is_draining,
+            leaving=self.is_leaving,
+            nonce=nonce,
+        )
+        to = peer.Peer(self._controls[self._control])
+        return [outgoing.Outgoing(to, message)]
+
+    def receive(
+        self, now: float, source: peer.Peer, message: object
+    ) -> list[outgoing.Outgoing]:
+        """Take a control message and return the messages that it causes.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        source : Peer
+            Sender of the frame.
+        message
+            The message; types that concern other parts are ignored.
+        """
+        if isinstance(message, lease.Lease):
+            return self._take_lease(now, source, message)
+        if isinstance(message, delta.Delta):
+            return self._take_part(now, source, message)
+        if isinstance(message, delta_request.DeltaRequest):
+            return self._serve(now, source, message)
+        if isinstance(message, probe.Probe):
+            answer = probe_answer.ProbeAnswer(
+                message.nonce, self._identity.zone, self._table.revision
+            )
+            return [outgoing.Outgoing(source, answer)]
+        if isinstance(message, probe_answer.ProbeAnswer):
+            return self._take_probe_answer(now, source, message)
+        if isinstance(message, mismatch.Mismatch):
+            return self._catch_up(now, source, message.revision)
+        return []
+
+    def adopt(
+        self, now: float, source: peer.Peer, lease_ms: int, revision: int
+    ) -> list[outgoing.Outgoing]:
+        """Adopt the lease in a frame of an entry if this table is as new.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        source : Peer
+            Sender of the frame.
+        lease_ms : int
+            Remaining lease of the sender.
+        revision : int
+            Table revision of the sender.
+        """
+        if revision <= self._table.revision:
+            self._right.adopt(now, lease_ms)
+            return []
+        return self._catch_up(now, source, revision)
+
+    def _take_lease(
+        self, now: float, source: peer.Peer, message: lease.Lease
+    ) -> list[outgoing.Outgoing]:
+        sent_at = self._renewals.pop(message.nonce, None)
+        if sent_at is None:
+            return []
+        is_after_outage = now - self._answered_at > OUTAGE_SECONDS
+        self._answered_at = now
+        self._is_answered = True
+        self.newest_incarnation = max(self.newest_incarnation, message.incarnation)
+        if self.is_superseded:
+            return []
+        is_equal = message.digest == self._table.scope_digest(self._scope)
+        if is_equal and message.revision > self._table.revision:
+            # Changes outside the scope only: the same records are the newer table.
+            self._table.revision = message.revision
+            self._settle()
+        if is_equal or message.revision < self._table.revision:
+            self._right.renew(sent_at, message.lease_ms)
+            return []
+        self._leases.append((message.revision, sent_at, message.lease_ms))
+        self._leases = self._leases[-MAX_OUTSTANDING:]
+        is_same = message.revision == self._table.revision
+        delay = 0.0
+        if is_after_outage:
+            delay = self._random.uniform(0.0, FIRST_FETCH_SECONDS)
+        start = 0 if is_same else self._table.revision
+        return self._start_fetch(now, source, start, delay)
+
+    def _take_probe_answer(
+        self, now: float, source: peer.Peer, message: probe_answer.ProbeAnswer
+    ) -> list[outgoing.Outgoing]:
+        sent_at, zone = self._probes.pop(message.nonce, (now, ""))
+        if not zone or zone != message.zone:
+            return []
+        if message.revision <= self._table.revision:
+            self._right.hear_zone(sent_at, zone)
+            return []
+        self._evidence.append((message.revision, sent_at, zone))
+        self._evidence = self._evidence[-MAX_OUTSTANDING:]
+        return self._catch_up(now, source, message.revision)
+
+    def _catch_up(
+        self, now: float, source: peer.Peer, revision: int
+    ) -> list[outgoing.Outgoing]:
+        """Fetch from another node a revision that it has, if control is silent."""
+        if revision <= self._table.revision:
+            return []
+        if now - self._answered_at <= CONTROL_SILENT_SECONDS:
+            return []
+        return self._start_fetch(now, self._helper(source), self._table.revision, 0.0)
+
+    def _helper(self, source: peer.Peer) -> peer.Peer:
+        """Return a node that holds the scope: the source, or else some entry."""
+        entries = []
+        for member in self._reachable_members():
+            is_source = _address(member) == source.address
+            is_whole = member.role is role.Role.ENTRY
+            if is_source and (is_whole or member.class_name == self._scope):
+                return source
+            if is_whole and member.name != self._identity.name:
+                entries.append(member)
+        if not entries:
+            return source
+        chosen = self._random.choice(entries)
+        return peer.Peer(_address(chosen), chosen.incarnation)
+
+    def _start_fetch(
+        self, now: float, source: peer.Peer, revision: int, delay: float
+    ) -> list[outgoing.Outgoing]:
+        current = self._fetch
+        if current is not None and (current.revision == 0 or revision > 0):
+            return []
+        self._fetch = fetch.Fetch(source, revision, self._scope, now + delay)
+        if delay > 0:
+            # The repeat finds the fetch due once the delay has passed.
+            self._fetch.asked_at -= REPEAT_SECONDS
+            return []
+        return self._ask(now, self._fetch)
+
+    def _ask(self, now: float, current: fetch.Fetch) -> list[outgoing.Outgoing]:
+        current.asked_at = now
+        return [outgoing.Outgoing(current.source, r) for r in current.requests()]
+
+    def _repeat_fetch(self, now: float) -> list[outgoing.Outgoing]:
+        current = self._fetch
+        if current is None or now - current.asked_at < REPEAT_SECONDS:
+            return []
+        current.attempts += 1
+        if current.attempts > MAX_ATTEMPTS:
+            # The next lease or probe answer starts again with its own sender.
+            self._fetch = None
+            return []
+        return self._ask(now, current)
+
+    def _take_part(
+        self, now: float, source: peer.Peer, part: delta.Delta
+    ) -> list[outgoing.Outgoing]:
+        current = self._fetch
+        if current is None or source.address != current.source.address:
+            return []
+        if not current.add(part):
+            return []
+        current.asked_at = now
+        if current.is_complete():
+            self._fetch = None
+            before = (self._table.revision, self._table.digest)
+            if not self._install(current):
+                return self._start_fetch(now, source, 0, 0.0)
+            # A whole table of a lower revision is not installed, and must not
+            # count a lease that waits for this revision's records.
+            if before != (self._table.revision, self._table.digest):
+                self._settle()
+            return []
+        return self._ask(now, current) if current.is_window_complete() else []
+
+    def _install(self, done: fetch.Fetch) -> bool:
+        """Put a complete delta into the table; return False if it does not fit."""
+        head = done.head
+        items = delta_body.decode(done.body())
+        if head is None or isinstance(items, failure.Failure):
+            return False
+        if head.from_revision > 0:
+            if head.to_revision <= self._table.revision:
+                return True
+            if self._table.digest_after(items) != head.digest:
+                return False
+            self._table.apply(items, head.to_revision)
+            return True
+        digest = 0
+        for item in items:
+            digest ^= record.record_hash(item)
+        if digest != head.digest:
+            return False
+        # The whole table also replaces one of the same revision that differs.
+        if head.to_revision >= self._table.revision:
+            self._table.replace(items, head.to_revision, head.to_revision)
+        return True
+
+    def _settle(self) -> None:
+        """Count leases and evidence whose revision the table has reached."""
+        revision = self._table.revision
+        for needed, sent_at, lease_ms in self._leases:
+            if needed <= revision:
+                self._right.renew(sent_at, lease_ms)
+        self._leases = [item for item in self._leases if item[0] > revision]
+        for needed, sent_at, zone in self._evidence:
+            if needed <= revision:
+                self._right.hear_zone(sent_at, zone)
+        self._evidence = [item for item in self._evidence if item[0] > revision]
+
+    def _serve(
+        self, now: float, source: peer.Peer, request: delta_request.DeltaRequest
+    ) -> list[outgoing.Outgoing]:
+        """Answer a node that cannot reach control."""
+        if self._scope not in ("", request.scope):
+            return []
+        if int(now) != self._sent_second:
+            self._sent_second = int(now)
+            self._sent_bytes = 0
+        found = []
+        for part in self._source.parts(request):
+            if self._sent_bytes >= PEER_BYTES_PER_SECOND:
+                break
+            self._sent_bytes += len(part.body)
+            found.append(outgoing.Outgoing(source, part))
+        return found
+
+    def _probe_zones(self, now: float) -> list[outgoing.Outgoing]:
+        """Return a probe to one node in every other zone of the region."""
+        by_zone: dict[str, list[member_record.MemberRecord]] = {}
+        for member in self._reachable_members():
+            if member.region == self._identity.region:
+                by_zone.setdefault(member.zone, []).append(member)
+        by_zone.pop(self._identity.zone, None)
+        found = []
+        for zone in sorted(by_zone):
+            chosen = self._random.choice(by_zone[zone])
+            nonce = self._next_nonce()
+            _remember(self._probes, nonce, (now, zone))
+            to = peer.Peer(_address(chosen))
+            message = probe.Probe(nonce, self._identity.zone)
+            found.append(outgoing.Outgoing(to, message))
+        return found
+
+    def _reachable_members(self) -> list[member_record.MemberRecord]:
+        lost = member_state.MemberState.LOST
+        return [m for m in self._table.members() if m.state is not lost]
+
+    def _next_nonce(self) -> int:
+        self._nonce += 1
+        return self._nonce
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._random.uniform(1.0 - JITTER, 1.0 + JITTER)
+
+
+def _address(member: member_record.MemberRecord) -> address.Address:
+    return address.from_socket((member.host, member.port))
+
+
+def _remember(outstanding: dict, nonce: int, value: object) -> None:
+    """Note what is outstanding, and forget the oldest beyond a number."""
+    outstanding[nonce] = value
+    if len(outstanding) > MAX_OUTSTANDING:
+        del outstanding[next(iter(outstanding))]
--- a/src/limpetreel/messages/delta.py
+++ b/src/limpetreel/messages/delta.py
@@ -4,26 +4,26 @@
 
 import msgspec
 
-from limpetreel.catalog import class_record, member_record, zone_record
+from limpetreel.messages import short_names
 
 
-class Delta(msgspec.Struct, frozen=True, tag="delta"):
+class Delta(msgspec.Struct, frozen=True, tag="delta", rename=short_names.SHORT_NAMES):
     """One part of the records that changed between two revisions.
 
     Attributes
     ----------
     from_revision : int
-        The records changed after this revision.
+        The records changed after this revision; 0 for the whole table.
     to_revision : int
         The node holds this revision once all parts are applied.
     digest : int
-        Digest of the table at `to_revision`.
+        Digest of the receiver's scope at `to_revision`.
     part : int
         Number of this part, from 0.
     parts : int
         Number of parts.
-    records : tuple of Record
-        The records of this part, tombstones included.
+    body : bytes
+        This part of the compressed records, see `catalog.delta_body`.
     """
 
     from_revision: int
@@ -31,7 +31,4 @@
     digest: int
     part: int
     parts: int
-    records: tuple[
-        class_record.ClassRecord | zone_record.ZoneRecord | member_record.MemberRecord,
-        ...,
-    ]
+    body: bytes
--- a/src/limpetreel/messages/delta_request.py
+++ b/src/limpetreel/messages/delta_request.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
+from limpetreel.messages import short_names
 
-class DeltaRequest(msgspec.Struct, frozen=True, tag="delta_request"):
+
+class DeltaRequest(
+    msgspec.Struct, frozen=True, tag="delta_request", rename=short_names.SHORT_NAMES
+):
     """Sent by a node whose revision or digest differs from control's.
 
     Attributes
@@ -13,11 +17,18 @@
     revision : int
         Send every record changed after this revision; 0 fetches everything.
     part : int
-        Part to send, for a delta that does not fit into one datagram.
+        First part to send, for a delta that does not fit into one datagram.
     to_revision : int
-        Revision that part 0 named; 0 when asking for part 0.
+        Revision that part 0 named; 0 before the first answer. The
+        sender keeps answering for this revision for a while after it is overtaken.
+    count : int
+        How many parts to send.
+    scope : str
+        Class of an agent, which needs a part of the table; empty for all of it.
     """
 
     revision: int
     part: int = 0
     to_revision: int = 0
+    count: int = 1
+    scope: str = ""
--- a/src/limpetreel/messages/lease.py
+++ b/src/limpetreel/messages/lease.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from limpetreel.messages import short_names
 
-class Lease(msgspec.Struct, frozen=True, tag="lease"):
+
+class Lease(msgspec.Struct, frozen=True, tag="lease", rename=short_names.SHORT_NAMES):
     """Serving lease of a node.
 
     Attributes
@@ -18,7 +20,7 @@
     revision : int
         Revision of the control instance's table.
     digest : int
-        Digest of the control instance's table.
+        Digest of the node's scope of the control instance's table.
     incarnation : int
         Highest incarnation known for the node's name. A node whose own is lower
         restarts its identity with a higher one.
--- a/src/limpetreel/messages/probe.py
+++ b/src/limpetreel/messages/probe.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from limpetreel.messages import short_names
 
-class Probe(msgspec.Struct, frozen=True, tag="probe"):
+
+class Probe(msgspec.Struct, frozen=True, tag="probe", rename=short_names.SHORT_NAMES):
     """Asks a node of another zone to answer, as zone evidence.
 
     Attributes
--- a/src/limpetreel/messages/probe_answer.py
+++ b/src/limpetreel/messages/probe_answer.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
+from limpetreel.messages import short_names
 
-class ProbeAnswer(msgspec.Struct, frozen=True, tag="probe_answer"):
+
+class ProbeAnswer(
+    msgspec.Struct, frozen=True, tag="probe_answer", rename=short_names.SHORT_NAMES
+):
     """Shows that a node of a zone was reachable.
 
     Attributes
--- a/src/limpetreel/messages/renew.py
+++ b/src/limpetreel/messages/renew.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from limpetreel.catalog import role
+from limpetreel.messages import short_names
 
 
-class Renew(msgspec.Struct, frozen=True, tag="renew"):
+class Renew(msgspec.Struct, frozen=True, tag="renew", rename=short_names.SHORT_NAMES):
     """Sent by every node to a control instance twice a second.
 
     Attributes
--- /dev/null
+++ b/tests/control/net.py
@@ -0,0 +1,164 @@
+"""Control instances and nodes that exchange datagrams without a network."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.catalog import (
+    catalog,
+    node_identity,
+    outgoing,
+    peer,
+    role,
+    table,
+    table_sync,
+)
+from limpetreel.control import node_service
+from limpetreel.messages import delta_request, renew
+from limpetreel.serving import serving_right
+from limpetreel.wire import address, message_codec
+from tests.catalog import builders
+
+NEVER = float("-inf")
+
+
+class CheckedRight(serving_right.ServingRight):
+    """Serving right that fails on a lease for a revision not yet reached.
+
+    The lengths of leases name the revision that they were granted at.
+    """
+
+    def __init__(self, zone, region, records, named):
+        super().__init__(zone, region)
+        self.records = records
+        self.named = named
+        self.counted = []
+        self.heard = []
+
+    def renew(self, sent_at, lease_ms):
+        assert self.named.get(lease_ms, 0) <= self.records.revision
+        self.counted.append(lease_ms)
+        super().renew(sent_at, lease_ms)
+
+    def hear_zone(self, probe_sent_at, zone):
+        self.heard.append((self.records.revision, zone))
+        super().hear_zone(probe_sent_at, zone)
+
+
+class Net:
+    """Log, control instances at their own indexes, nodes and datagrams."""
+
+    def __init__(self, controls=2, log=None, tick=0.1):
+        self.log = log or builders.new_log()
+        self.now = 10.0
+        self.step = tick
+        self.queue = []
+        self.nodes = {}
+        self.named = {}
+        self.applied = [0] * controls
+        self.catalogs = [catalog.Catalog() for _ in range(controls)]
+        self.services = [
+            node_service.NodeService(self.now, c.table) for c in self.catalogs
+        ]
+        self.silent = set()
+        self.sent_bytes = {}
+        for number in range(controls):
+            self.follow(number)
+
+    def follow(self, number, count=None):
+        """Let a control instance apply the log, or some entries of it."""
+        end = len(self.log.entries)
+        end = end if count is None else min(end, self.applied[number] + count)
+        for index in range(self.applied[number] + 1, end + 1):
+            self.catalogs[number].apply(index, self.log.entries[index - 1])
+        self.applied[number] = end
+
+    def add(self, name, class_name="", zone="a", incarnation=1):
+        """Start a node with an empty table."""
+        port = 7000 + sum(name.encode())
+        identity = node_identity.NodeIdentity(
+            name=name,
+            role=role.Role.AGENT if class_name else role.Role.ENTRY,
+            class_name=class_name,
+            zone=zone,
+            region="r",
+            host="127.0.0.1",
+            port=port,
+            incarnation=incarnation,
+        )
+        records = table.Table()
+        right = CheckedRight(zone, "r", records, self.named)
+        node = table_sync.TableSync(
+            identity,
+            [_control(n) for n in range(len(self.services))],
+            records,
+            right,
+            seed=builders.SEED,
+        )
+        node.address = address.from_socket(("127.0.0.1", port))
+        node.table, node.right, node.highest = records, right, 0
+        self.nodes[name] = node
+        return node
+
+    def tick(self):
+        """Let 0.1 s pass; nodes send what is due."""
+        self.now += self.step
+        for node in self.nodes.values():
+            self._send(node.address, node.tick(self.now))
+
+    def deliver(self, number=0, keep=False):
+        """Deliver one queued datagram."""
+        source, item = self.queue[number] if keep else self.queue.pop(number)
+        message = message_codec.decode(message_codec.encode(item.message))
+        assert len(message_codec.encode(message)) <= 1200
+        port = item.to.address.port
+        if port <= len(self.services):
+            if port - 1 not in self.silent:
+                self._serve(port - 1, source, message)
+            return
+        for node in self.nodes.values():
+            if node.address == item.to.address:
+                before = node.table.revision
+                sent = node.receive(self.now, peer.Peer(source, 1), message)
+                assert node.table.revision >= before
+                self._send(node.address, sent)
+
+    def run(self, seconds):
+        """Let time pass without loss."""
+        for _ in range(round(seconds / self.step)):
+            self.tick()
+            while self.queue:
+                self.deliver()
+
+    def _serve(self, number, source, message):
+        service = self.services[number]
+        if isinstance(message, renew.Renew):
+            lease_ms = 1 + len(self.named) % 2000
+            self.named[lease_ms] = self.catalogs[number].table.revision
+            sent = [service.renewed(message, lease_ms)]
+        elif isinstance(message, delta_request.DeltaRequest):
+            sent = service.delta_requested(self.now, source.port, message)
+        else:
+            sent = []
+        for item in sent:
+            size = len(message_codec.encode(item)) + 42
+            self.sent_bytes[source] = self.sent_bytes.get(source, 0) + size
+        to = peer.Peer(source, 1)
+        self._send(_control(number), [outgoing.Outgoing(to, m) for m in sent])
+
+    def _send(self, source, items):
+        for item in items:
+            assert msgspec.structs.asdict(item)
+            self.queue.append((source, item))
+
+
+def _control(number):
+    return address.from_socket(("127.0.0.1", number + 1))
+
+
+def rebuilt_digest(records, scope):
+    """Return the digest of a table that is built anew from the live records."""
+    fresh = table.Table()
+    live = [r for r in records.changed_after(-1, scope) if not r.removed]
+    fresh.replace(live, records.revision, 0)
+    return fresh.digest
--- a/tests/control/test_member_tracker.py
+++ b/tests/control/test_member_tracker.py
@@ -38,6 +38,7 @@
     leader = renewals.Leader()
     leader.hear(incarnation=5)
     assert leader.hear(incarnation=4, leaving=True) == []
+    assert leader.hear(incarnation=4) == []
     leader.hear(incarnation=6, port=8000)
     assert leader.table.member("m").port == 8000
     leader.run(5.5, ("m", {"incarnation": 5}))
