Run three control instances on the replicated log

Cause: the control instance kept its state in memory only. Change: a control core joins log, catalog, member tracker and leases; the shell persists before it sends; `limpetreel init` puts a data folder into use once; nodes use the table synchronisation with leases, deltas and zone probes. The member record names its first incarnation, so that an agent knows for certain whether it has served before.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -45,7 +45,7 @@
 if TYPE_CHECKING:
     from limpetreel.agent import caller_protocol
     from limpetreel.catalog import class_record, member_record
-    from limpetreel.node import identity, table_link
+    from limpetreel.node import node_link
 
     Actions = list[msgspec.Struct]
 
@@ -57,10 +57,8 @@
 
     Parameters
     ----------
-    ident : Identity
-        The node.
-    link : TableLink
-        Table and serving right of the node.
+    link : NodeLink
+        Identity, table and serving right of the node.
     protocol : CallerProtocol
         Protocol of callers and the upstream.
     seed : int
@@ -69,13 +67,12 @@
 
     def __init__(
         self,
-        ident: identity.Identity,
-        link: table_link.TableLink,
+        link: node_link.NodeLink,
         protocol: caller_protocol.CallerProtocol,
         seed: int,
     ) -> None:
         self.link = link
-        self._ident = ident
+        self._ident = link.identity
         self._protocol = protocol
         self._seed = seed
         self._assignments = assignments.Assignments(link.table)
@@ -117,9 +114,9 @@
         if self._router is not None and self._requests is not None:
             actions += self._router.handle(now, flow_tick.Tick())
             actions += self._requests.tick(now)
-            self.link.capacity = self._requests.admission.capacity()
+            self.link.report_capacity(self._requests.admission.capacity())
             actions += self._close_idle_sockets(now)
-        if self.link.draining and not self._has_work(now):
+        if self.link.is_draining and not self._has_work(now):
             actions.append(drained.Drained())
         return actions
 
@@ -131,7 +128,7 @@
         return self._router.has_recent_flow(now)
 
     def _drain(self, now: float) -> Actions:
-        self.link.draining = True
+        self.link.drain()
         if self._requests is None:
             return []
         self._requests.admission.drain(now)
@@ -144,7 +141,7 @@
             return self._drop(reason.Reason.WRONG_CLASS)
         restarted = bool(self._run_id) and event.run_id != self._run_id
         self._run_id = event.run_id
-        if event.draining and not self.link.draining:
+        if event.draining and not self.link.is_draining:
             return self._drain(now)
         if restarted and self._requests is not None:
             return self._requests.upstream_restarted(now)
@@ -160,7 +157,7 @@
             return self._drop(message.reason)
         if isinstance(message, router_message.RouterMessage):
             return self._peer_message(now, event.frame, message)
-        sends = self.link.receive(now, event.source, message)
+        sends = self.link.receive(now, event.source, event.frame.incarnation, message)
         return [*sends, *self._follow_table(now)]
 
     def _peer_message(
@@ -185,9 +182,24 @@
             return self._drop(reason.Reason.NO_MEMBER)
         if found.class_id != self._class.class_id:
             return self._drop(reason.Reason.WRONG_CLASS)
-        self.link.hear_peer(now, event.source, found.revision, found.lease_ms)
+        actions: Actions = [
+            *self.link.hear_peer(
+                now,
+                event.source,
+                event.frame.incarnation,
+                found.lease_ms,
+                found.revision,
+            )
+        ]
         if not self.link.right.may_serve(now, self.link.table):
-            return self._drop(reason.Reason.NO_LEASE)
+            return actions + self._drop(reason.Reason.NO_LEASE)
+        return actions + self._route(now, event.frame, found)
+
+    def _route(
+        self, now: float, received: frame.Frame, found: packet.Packet
+    ) -> Actions:
+        if self._router is None or self._requests is None:
+            return self._drop(reason.Reason.NO_MEMBER)
         flow = flow_key.FlowKey(found.class_id, found.caller)
         if found.mode == mode.Mode.FIND and not self._router.owns(flow):
             again = self._requests.recorded_refusal(now, flow, found)
@@ -198,10 +210,10 @@
             flow=flow,
             mode=found.mode,
             hops=found.hops,
-            sender=event.frame.sender,
-            incarnation=event.frame.incarnation,
+            sender=received.sender,
+            incarnation=received.incarnation,
             accepts=self._requests.admission.can_accept_flow(now, is_last),
-            datagram=event.frame.body,
+            datagram=received.body,
         )
         return self._router.handle(now, arrived)
 
@@ -295,7 +307,7 @@
         return actions
 
     def _send(self, now: float, action: send.Send) -> Actions:
-        if action.target == self._ident.node_id:
+        if action.target == self.link.node_id:
             if action.incarnation != self._ident.incarnation:
                 return []
             own = frame.Frame(
@@ -326,20 +338,27 @@
         }
         if self._class is None:
             return []
-        if self._router is None:
-            self._start(now, self._class)
+        # Until the table holds this incarnation, it cannot tell whether an earlier
+        # one has served the class.
+        if self._router is None and self.link.own_record is not None:
+            self._start(now, self._class, self.link.own_record)
         if self._router is None:
             return []
         view = class_view.from_table(records, self._class, self._assignments)
         return self._router.handle(now, table_changed.TableChanged(view))
 
-    def _start(self, now: float, record: class_record.ClassRecord) -> None:
+    def _start(
+        self,
+        now: float,
+        record: class_record.ClassRecord,
+        own: member_record.MemberRecord,
+    ) -> None:
         """Build the parts that need the class."""
         self._router = flow_router.FlowRouter(
             record.class_id,
-            (self._ident.node_id, self._ident.incarnation),
+            (self.link.node_id, self._ident.incarnation),
             self._ident.region,
-            first_start=self.link.is_first_start,
+            first_start=own.first_incarnation == own.incarnation,
         )
         cfg = admission_settings.AdmissionSettings(
             answer_seconds=record.answer_ms / 1000, peer=self._ident.name
@@ -352,7 +371,7 @@
             self._back,
             self.link.right,
         )
-        if self.link.draining:
+        if self.link.is_draining:
             self._requests.admission.drain(now)
 
     def _close_idle_sockets(self, now: float) -> Actions:
--- a/src/limpetreel/agent/agent_shell.py
+++ b/src/limpetreel/agent/agent_shell.py
@@ -72,9 +72,8 @@
         while not self._is_drained and time.monotonic() < until:
             await asyncio.sleep(TICK_SECONDS)
             self._handle(tick.Tick())
-        self._core.link.leaving = True
-        self._core.link.renew_now()
-        self._handle(tick.Tick())
+        for action in self._core.link.leave(time.monotonic()):
+            self._do(action)
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
--- a/src/limpetreel/catalog/commands/member_joined.py
+++ b/src/limpetreel/catalog/commands/member_joined.py
@@ -43,6 +43,9 @@
                 detail=f"incarnation {self.incarnation} of {self.name} is not "
                 f"above {known}",
             )
+        first = self.incarnation
+        if isinstance(old, member_record.MemberRecord):
+            first = old.first_incarnation
         record = member_record.MemberRecord(
             node_id=xxhash.xxh64_intdigest(self.name.encode()),
             name=self.name,
@@ -56,6 +59,7 @@
             share=self.share,
             state=self.state,
             modified=index,
+            first_incarnation=first,
         )
         target.table.put(record)
         return result.Result(status.Status.APPLIED, index)
--- a/src/limpetreel/catalog/member_record.py
+++ b/src/limpetreel/catalog/member_record.py
@@ -41,6 +41,9 @@
         Revision of the last change.
     removed : bool
         True for a tombstone.
+    first_incarnation : int
+        Incarnation with which the name first joined. A node whose own incarnation
+        is this one has certainly never served before.
     """
 
     node_id: int
@@ -56,6 +59,7 @@
     state: member_state.MemberState
     modified: int
     removed: bool = False
+    first_incarnation: int = 0
 
     @property
     def key(self) -> str:
--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -19,6 +19,7 @@
     "entry": "entry_command.EntryCommand",
     "agent": "agent_command.AgentCommand",
     "control": "control_command.ControlCommand",
+    "init": "init_command.InitCommand",
     "class create": "class_create_command.ClassCreateCommand",
     "zone create": "zone_create_command.ZoneCreateCommand",
     "zone out": "zone_out_command.ZoneOutCommand",
--- /dev/null
+++ b/src/limpetreel/console/commands/init_command.py
@@ -0,0 +1,73 @@
+"""Command ``init``."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import time
+from typing import TYPE_CHECKING
+
+from limpetreel import exceptions
+from limpetreel.consensus import member
+from limpetreel.console import command, exit_code
+from limpetreel.settings import parsers
+from limpetreel.storage import folder_disk, log_store
+
+if TYPE_CHECKING:
+    import argparse
+
+FIRST_INCARNATION = 1
+
+
+class InitCommand(command.Command):
+    """Put the data folder of a control instance into use, once.
+
+    It is a command of its own because an empty folder may as well be a lost one: an
+    instance that lost its disk must join with a new incarnation.
+    """
+
+    name = "init"
+    help = "put the data folder of a control instance into use"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the flags."""
+        parser.add_argument("--data", type=pathlib.Path, required=True)
+        parser.add_argument("--name", type=parsers.name, required=True)
+        chosen = parser.add_mutually_exclusive_group(required=True)
+        chosen.add_argument(
+            "--new-cluster",
+            metavar="PEERS",
+            help="comma-separated NAME=IP:PORT of all instances of a new cluster; "
+            "give every instance the same list, and each only once",
+        )
+        chosen.add_argument(
+            "--join",
+            action="store_true",
+            help="join a cluster that exists, also after the loss of the disk",
+        )
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Create the first files of the folder."""
+        try:
+            store = log_store.LogStore(folder_disk.FolderDisk(args.data))
+            if store.recover() is not None:
+                print(f"limpetreel: {args.data} is in use already", file=sys.stderr)
+                return exit_code.ExitCode.FAILED
+            if args.join:
+                incarnation = time.time_ns() // 1_000_000
+                store.create(args.name, incarnation, ())
+            else:
+                members = _members(args.new_cluster)
+                store.create(args.name, FIRST_INCARNATION, members)
+            store.close()
+        except exceptions.StorageError as exc:
+            print(f"limpetreel: {exc}", file=sys.stderr)
+            return exit_code.ExitCode.FAILED
+        return exit_code.ExitCode.OK
+
+
+def _members(text: str) -> tuple[member.Member, ...]:
+    pairs = (part.partition("=") for part in text.split(",") if part)
+    return tuple(
+        member.Member(name, FIRST_INCARNATION, where) for name, _, where in pairs
+    )
--- a/src/limpetreel/console/operator_client.py
+++ b/src/limpetreel/console/operator_client.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import msgspec
 import pynng
 
-from limpetreel.control import operator_codec
+from limpetreel.control import operator_answers, operator_codec
 from limpetreel.core import failure, reason
 
 TIMEOUT_MS = 3000
+ELECTION_SECONDS = 3.0
+"""An election takes less than 1 s; until one ends nobody is leader."""
+RETRY_SECONDS = 0.1
 
 
 class OperatorClient:
@@ -38,12 +42,23 @@
         """
         data = self._codec.seal(msgspec.json.encode(body))
         found = failure.Failure(reason.Reason.TIMEOUT, "operator.call")
-        for host, port in self._addresses:
-            answer = self._ask(f"tcp://{host}:{port}", data)
-            if isinstance(answer, dict):
-                return answer
-            found = answer
-        return found
+        until = time.monotonic() + ELECTION_SECONDS
+        while True:
+            for host, port in self._addresses:
+                answer = self._ask(f"tcp://{host}:{port}", data)
+                if isinstance(answer, failure.Failure):
+                    found = answer
+                elif answer.get("status") == operator_answers.NOT_LEADER:
+                    found = failure.Failure(
+                        reason.Reason.NOT_LEADER, "operator.call", f"{host}:{port}"
+                    )
+                else:
+                    return answer
+            if found.reason is not reason.Reason.NOT_LEADER:
+                return found
+            if time.monotonic() > until:
+                return found
+            time.sleep(RETRY_SECONDS)
 
     def _ask(self, url: str, data: bytes) -> dict[str, Any] | failure.Failure:
         try:
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -1,4 +1,4 @@
-"""Sockets of a control instance."""
+"""Sockets and disk of a control instance."""
 
 from __future__ import annotations
 
@@ -6,42 +6,42 @@
 import time
 from typing import TYPE_CHECKING
 
-import msgspec
-import pynng
-
-from limpetreel.catalog import catalog, member_state, result
-from limpetreel.catalog.commands import (
-    bootstrap,
-    command_codec,
-    member_changed,
-    member_joined,
-    member_removed,
-)
+from limpetreel.consensus.actions import persist, save_snapshot
+from limpetreel.control import operator_server, peer_links
+from limpetreel.control.actions import answer_operator, send_peer
+from limpetreel.control.events import operator_call, peer_message
 from limpetreel.core import failure
-from limpetreel.messages import delta, delta_request, lease, renew
+from limpetreel.node import frame_arrived, send_frame, tick
 from limpetreel.runtime import udp_socket
-from limpetreel.serving import serving_right
-from limpetreel.wire import frame, kind, message_codec
+from limpetreel.wire import address
 
 if TYPE_CHECKING:
-    from limpetreel.control import operator_codec
+    import msgspec
+
+    from limpetreel.control import control_core, operator_codec
     from limpetreel.settings import control_settings
+    from limpetreel.storage import log_store
     from limpetreel.wire import frame_codec
 
-TICK_SECONDS = 0.1
-LOST_SECONDS = 5.0
-RECORDS_PER_PART = 8
+TICK_SECONDS = 0.02
 
 
 class ControlShell:
-    """Answers nodes and operators from a catalog.
+    """Turns messages into events of the core and carries out its actions.
 
     Parameters
     ----------
     cfg : ControlSettings
         Settings.
+    decisions : ControlCore
+        The core.
+    store : LogStore
+        Durable log. A failed write ends the process, since an acknowledgement
+        without a sync would be false.
     codec : FrameCodec
-        Codec of this instance's frames.
+        Codec of the frames of nodes.
+    peer_codec : FrameCodec
+        Codec of the frames of control instances.
     operators : OperatorCodec
         Authorisation of operators.
     """
@@ -49,149 +49,73 @@
     def __init__(
         self,
         cfg: control_settings.ControlSettings,
+        decisions: control_core.ControlCore,
+        store: log_store.LogStore,
         codec: frame_codec.FrameCodec,
+        peer_codec: frame_codec.FrameCodec,
         operators: operator_codec.OperatorCodec,
     ) -> None:
         self._cfg = cfg
+        self._core = decisions
+        self._store = store
         self._codec = codec
-        self._operators = operators
-        self._catalog = catalog.Catalog()
-        self._index = 0
-        self._heard: dict[str, float] = {}
+        self._peer_codec = peer_codec
+        self._operator_codec = operators
 
     async def serve(self, stopped: asyncio.Event) -> None:
-        """Answer until stopped."""
-        first, _, last = self._cfg.class_ports.partition("-")
-        self._propose(bootstrap.Bootstrap(int(first), int(last)))
+        """Answer nodes, operators and other instances until stopped."""
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
-        host, port = self._cfg.operator_listen
-        with pynng.Rep0(listen=f"tcp://{host}:{port}") as sock:
-            answering = asyncio.create_task(self._answer_operators(sock))
-            while not stopped.is_set():
-                self._mark_lost()
-                await asyncio.sleep(TICK_SECONDS)
-            answering.cancel()
+        self._peers = peer_links.PeerLinks(
+            self._peer_codec, self._peer, self._cfg.peer_listen
+        )
+        self._operators = operator_server.OperatorServer(
+            self._operator_codec, self._operator, self._cfg.operator_listen
+        )
+        tasks = [
+            asyncio.create_task(self._peers.receive()),
+            asyncio.create_task(self._operators.serve()),
+            asyncio.create_task(self._run_ticks(stopped)),
+        ]
+        # The first task to end, by a stop or a failure, ends the others.
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         self._nodes.close()
-
-    async def _answer_operators(self, sock: pynng.Rep0) -> None:
-        while True:
-            try:
-                data = await sock.arecv()
-            except pynng.Closed:
-                return
-            body = self._operators.open(data)
-            if isinstance(body, failure.Failure):
-                answer = msgspec.json.encode({"status": "denied"})
-            else:
-                answer = self._operator(body)
-            await sock.asend(self._operators.seal(answer))
-
-    def _operator(self, body: bytes) -> bytes:
-        if msgspec.json.decode(body).get("type") == "table":
-            table = self._catalog.table
-            records = [
-                {"type": r.key.partition("/")[0], **msgspec.structs.asdict(r)}
-                for r in table.records.values()
-                if not r.removed
-            ]
-            return msgspec.json.encode({"revision": table.revision, "records": records})
-        command = command_codec.read_request(body)
-        if isinstance(command, result.Result):
-            return msgspec.json.encode(command)
-        return msgspec.json.encode(self._propose(command))
-
-    def _propose(self, command: command_codec.Command) -> result.Result:
-        self._index += 1
-        return self._catalog.apply(self._index, command_codec.encode(command))
+        self._operators.close()
+        self._peers.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._store.close()
+        for task in done:
+            task.result()
+
+    async def _run_ticks(self, stopped: asyncio.Event) -> None:
+        while not stopped.is_set():
+            self._handle(tick.Tick())
+            await asyncio.sleep(TICK_SECONDS)
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
-        if isinstance(found, failure.Failure) or found.kind != kind.Kind.MESSAGE:
+        if isinstance(found, failure.Failure):
             return
-        message = message_codec.decode(found.body)
-        if isinstance(message, renew.Renew):
-            self._renew(found, message, source)
-        elif isinstance(message, delta_request.DeltaRequest):
-            self._delta(found, message, source)
-
-    def _renew(
-        self, received: frame.Frame, message: renew.Renew, source: tuple[str, int]
-    ) -> None:
-        self._heard[message.name] = time.monotonic()
-        table = self._catalog.table
-        known = table.member(message.name)
-        if known is None or known.incarnation < message.incarnation:
-            self._propose(
-                member_joined.MemberJoined(
-                    message.name,
-                    message.role,
-                    message.class_name,
-                    message.zone,
-                    message.region,
-                    message.host,
-                    message.port,
-                    message.incarnation,
-                    8,
-                )
-            )
-        elif message.leaving:
-            self._propose(
-                member_removed.MemberRemoved(message.name, message.incarnation)
-            )
-        else:
-            state = member_state.MemberState.ACTIVE
-            if message.draining:
-                state = member_state.MemberState.DRAINING
-            if known.state is not state:
-                self._propose(
-                    member_changed.MemberChanged(
-                        message.name, message.incarnation, state
-                    )
-                )
-        lease_ms = int(serving_right.LEASE_SECONDS * 1000)
-        answer = lease.Lease(
-            message.nonce, lease_ms, table.revision, table.digest, message.incarnation
-        )
-        self._send(received, answer, source)
-
-    def _delta(
-        self,
-        received: frame.Frame,
-        message: delta_request.DeltaRequest,
-        source: tuple[str, int],
-    ) -> None:
-        table = self._catalog.table
-        records = table.changed_after(message.revision)
-        size = RECORDS_PER_PART
-        parts = [records[i : i + size] for i in range(0, len(records), size)] or [[]]
-        for number, part in enumerate(parts):
-            answer = delta.Delta(
-                message.revision,
-                table.revision,
-                table.digest,
-                number,
-                len(parts),
-                tuple(part),
-            )
-            self._send(received, answer, source)
-
-    def _send(
-        self,
-        received: frame.Frame,
-        message: message_codec.Message,
-        source: tuple[str, int],
-    ) -> None:
-        body = message_codec.encode(message)
-        data = self._codec.encode(kind.Kind.MESSAGE, received.incarnation, body)
-        self._nodes.send(data, source)
-
-    def _mark_lost(self) -> None:
-        limit = time.monotonic() - LOST_SECONDS
-        for member in self._catalog.table.members():
-            silent = self._heard.get(member.name, limit) < limit
-            if silent and member.state is not member_state.MemberState.LOST:
-                self._propose(
-                    member_changed.MemberChanged(
-                        member.name, member.incarnation, member_state.MemberState.LOST
-                    )
-                )
+        self._handle(frame_arrived.FrameArrived(address.from_socket(source), found))
+
+    def _peer(self, kind: int, body: bytes) -> None:
+        self._handle(peer_message.PeerMessage(kind, body))
+
+    def _operator(self, call_id: int, body: bytes) -> None:
+        self._handle(operator_call.OperatorCall(call_id, body))
+
+    def _handle(self, event: msgspec.Struct) -> None:
+        for action in self._core.handle(time.monotonic(), event):
+            self._do(action)
+
+    def _do(self, action: msgspec.Struct) -> None:
+        if isinstance(action, send_frame.SendFrame):
+            data = self._codec.encode(action.kind, action.target, action.body)
+            self._nodes.send(data, address.to_socket(action.destination))
+        elif isinstance(action, send_peer.SendPeer):
+            self._peers.send(action.address, action.kind, action.body)
+        elif isinstance(action, persist.Persist):
+            self._store.persist(action)
+        elif isinstance(action, save_snapshot.SaveSnapshot):
+            self._store.save_snapshot(action)
+        elif isinstance(action, answer_operator.AnswerOperator):
+            self._operators.answer(action.call_id, action.body)
--- /dev/null
+++ b/src/limpetreel/control/events/__init__.py
@@ -0,0 +1,3 @@
+"""Events of the control core, one type a file."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/control/peer_links.py
@@ -0,0 +1,103 @@
+"""Connections to other control instances."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import pynng
+
+from limpetreel.core import failure
+
+if TYPE_CHECKING:
+    from limpetreel.wire import frame_codec
+
+SILENT_SECONDS = 1.0
+"""Ten heartbeats; a connection without a message for so long is dialled anew."""
+QUEUED_MESSAGES = 64
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+
+Handler = Callable[[int, bytes], None]
+
+
+class PeerLinks:
+    """Sends to and receives from other control instances over TCP.
+
+    Something between two instances can lose track of a connection that stays open
+    on both ends. New connections work then, so an outgoing one is replaced when
+    nothing has been heard from its peer.
+
+    Parameters
+    ----------
+    codec : FrameCodec
+        Codec of the frames between control instances.
+    handler : callable
+        Called with kind and body of each message.
+    listen : tuple of (str, int)
+        Own address.
+    """
+
+    def __init__(
+        self,
+        codec: frame_codec.FrameCodec,
+        handler: Handler,
+        listen: tuple[str, int],
+    ) -> None:
+        self._codec = codec
+        self._handler = handler
+        url = f"tcp://{listen[0]}:{listen[1]}"
+        self._pull = pynng.Pull0(
+            listen=url,
+            recv_max_size=MAX_MESSAGE_BYTES,
+            recv_buffer_size=QUEUED_MESSAGES,
+        )
+        self._push: dict[str, pynng.Push0] = {}
+        self._dialled_at: dict[str, float] = {}
+        self._heard_at = time.monotonic()
+        self.lost = 0
+
+    async def receive(self) -> None:
+        """Take messages until closed."""
+        while True:
+            try:
+                data = await self._pull.arecv()
+            except pynng.Closed:
+                return
+            found = self._codec.decode(data, "control")
+            if not isinstance(found, failure.Failure):
+                self._heard_at = time.monotonic()
+                self._handler(found.kind, found.body)
+
+    def send(self, address: str, kind: int, body: bytes) -> None:
+        """Send a message; one that finds no room is lost, the core repeats it."""
+        sock = self._connection(address)
+        try:
+            sock.send(self._codec.encode(kind, 0, body), block=False)
+        except pynng.NNGException:
+            self.lost += 1
+
+    def close(self) -> None:
+        """Close all connections."""
+        for sock in (self._pull, *self._push.values()):
+            sock.close()
+
+    def _connection(self, address: str) -> pynng.Push0:
+        now = time.monotonic()
+        sock = self._push.get(address)
+        if sock is not None:
+            heard = max(self._heard_at, self._dialled_at[address])
+            if now - heard < SILENT_SECONDS:
+                return sock
+            sock.close()
+        sock = pynng.Push0(send_buffer_size=QUEUED_MESSAGES)
+        sock.dial(f"tcp://{address}", block=False)
+        self._push[address] = sock
+        self._dialled_at[address] = now
+        return sock
+
+
+async def receive_in_background(links: PeerLinks) -> asyncio.Task[None]:
+    """Start to take messages and return the task."""
+    return asyncio.create_task(links.receive())
--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -11,8 +11,8 @@
 from limpetreel.core import core, failure, reason
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
-from limpetreel.node import frame_arrived, record_span, send_frame, table_link, tick
-from limpetreel.wire import address, frame, kind, message_codec, mode, packet
+from limpetreel.node import frame_arrived, node_link, record_span, send_frame, tick
+from limpetreel.wire import address, kind, message_codec, mode, packet
 
 if TYPE_CHECKING:
     import msgspec
@@ -27,7 +27,7 @@
 
     Parameters
     ----------
-    link : TableLink
+    link : NodeLink
         Table and serving right of the node.
     own_address : Address
         Address on which agents reach this entry.
@@ -36,7 +36,7 @@
     """
 
     def __init__(
-        self, link: table_link.TableLink, own_address: address.Address, trace_every: int
+        self, link: node_link.NodeLink, own_address: address.Address, trace_every: int
     ) -> None:
         self.link = link
         self._own_address = own_address
@@ -114,24 +114,33 @@
         self, now: float, event: frame_arrived.FrameArrived
     ) -> list[msgspec.Struct]:
         if event.frame.kind == kind.Kind.RETURN:
-            return self._return(now, event.frame)
+            return self._return(now, event)
         if event.frame.kind != kind.Kind.MESSAGE:
             return self._drop(reason.Reason.UNKNOWN_KIND)
         message = message_codec.decode(event.frame.body)
         if isinstance(message, failure.Failure):
             return self._drop(message.reason)
-        sends = self.link.receive(now, event.source, message)
+        sends = self.link.receive(now, event.source, event.frame.incarnation, message)
         return [*sends, *self._table_actions()]
 
-    def _return(self, now: float, received: frame.Frame) -> list[msgspec.Struct]:
+    def _return(
+        self, now: float, event: frame_arrived.FrameArrived
+    ) -> list[msgspec.Struct]:
         """Send an answer to its caller."""
-        found = packet.decode(received.body)
+        found = packet.decode(event.frame.body)
         if isinstance(found, failure.Failure):
             return self._drop(found.reason)
         if found.class_id not in self._open:
             return self._drop(reason.Reason.WRONG_CLASS)
         actions: list[msgspec.Struct] = [
-            send_caller.SendCaller(found.class_id, found.caller, found.datagram)
+            send_caller.SendCaller(found.class_id, found.caller, found.datagram),
+            *self.link.hear_peer(
+                now,
+                event.source,
+                event.frame.incarnation,
+                found.lease_ms,
+                found.revision,
+            ),
         ]
         if found.trace_id:
             actions.append(
--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -56,9 +56,8 @@
         while not stopped.is_set():
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
-        self._core.link.leaving = True
-        self._core.link.renew_now()
-        self._handle(tick.Tick())
+        for action in self._core.link.leave(time.monotonic()):
+            self._do(action)
         for sock in (self._frames, *self._classes.values()):
             sock.close()
 
--- /dev/null
+++ b/src/limpetreel/node/node_link.py
@@ -0,0 +1,139 @@
+"""Link of an entry or agent to control and to other nodes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from limpetreel.catalog import outgoing, peer, table, table_sync
+from limpetreel.node import send_frame
+from limpetreel.serving import serving_right
+from limpetreel.wire import address, kind, message_codec
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from limpetreel.catalog import member_record, node_identity
+
+
+class NodeLink:
+    """Table, serving right and the messages that keep both up to date.
+
+    Parameters
+    ----------
+    ident : NodeIdentity
+        The node.
+    control : sequence of Address
+        Control instances.
+    seed : int
+        Seed of jitter and choices.
+    """
+
+    def __init__(
+        self,
+        ident: node_identity.NodeIdentity,
+        control: Sequence[address.Address],
+        seed: int,
+    ) -> None:
+        self.identity = ident
+        self.node_id = xxhash.xxh64_intdigest(ident.name.encode())
+        self.table = table.Table()
+        self.right = serving_right.ServingRight(ident.zone, ident.region)
+        self._sync = table_sync.TableSync(ident, control, self.table, self.right, seed)
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether a newer process has taken this node's name."""
+        return self._sync.is_superseded
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the node has begun to leave."""
+        return self._sync.is_draining
+
+    @property
+    def own_record(self) -> member_record.MemberRecord | None:
+        """Record of this incarnation in the table, or None before it has joined."""
+        found = self.table.member(self.identity.name)
+        if found is None or found.incarnation != self.identity.incarnation:
+            return None
+        return found
+
+    def report_capacity(self, capacity: int) -> None:
+        """Set the capacity that renewals report."""
+        self._sync.capacity = capacity
+
+    def drain(self) -> None:
+        """Report from now on that the node is leaving."""
+        self._sync.is_draining = True
+
+    def leave(self, now: float) -> list[send_frame.SendFrame]:
+        """Return the last renewal of a planned stop."""
+        self._sync.is_leaving = True
+        return _frames(self._sync.renew_now(now))
+
+    def tick(self, now: float) -> list[send_frame.SendFrame]:
+        """Return renewals, probes and repeated requests that are due."""
+        return _frames(self._sync.tick(now))
+
+    def receive(
+        self,
+        now: float,
+        source: address.Address,
+        incarnation: int,
+        message: message_codec.Message,
+    ) -> list[send_frame.SendFrame]:
+        """Take a control message.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        source : Address
+            Where the frame came from.
+        incarnation : int
+            Incarnation of the sender.
+        message : Message
+            The message.
+        """
+        sender = peer.Peer(source, incarnation)
+        return _frames(self._sync.receive(now, sender, message))
+
+    def hear_peer(
+        self,
+        now: float,
+        source: address.Address,
+        incarnation: int,
+        lease_ms: int,
+        revision: int,
+    ) -> list[send_frame.SendFrame]:
+        """Take lease and revision in a packet of another node.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        source : Address
+            Where the packet came from.
+        incarnation : int
+            Incarnation of the sender.
+        lease_ms : int
+            Remaining lease of the sender in milliseconds.
+        revision : int
+            Table revision of the sender.
+        """
+        sender = peer.Peer(source, incarnation)
+        return _frames(self._sync.adopt(now, sender, lease_ms, revision))
+
+
+def _frames(messages: list[outgoing.Outgoing]) -> list[send_frame.SendFrame]:
+    return [
+        send_frame.SendFrame(
+            item.to.address,
+            item.to.incarnation,
+            kind.Kind.MESSAGE,
+            message_codec.encode(item.message),
+        )
+        for item in messages
+    ]
--- a/src/limpetreel/wire/frame_codec.py
+++ b/src/limpetreel/wire/frame_codec.py
@@ -22,14 +22,23 @@
         Id of this node.
     incarnation : int
         Incarnation of this node; frames for another incarnation are refused.
+    max_bytes : int
+        Size above which frames are refused.
     """
 
-    def __init__(self, key: bytes, node_id: int, incarnation: int) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        node_id: int,
+        incarnation: int,
+        max_bytes: int = frame.MAX_BYTES,
+    ) -> None:
         # BLAKE2b takes keys of up to 64 bytes; hashing admits any length.
         digest_key = hashlib.blake2b(key, digest_size=32).digest()
         self._mac = hashlib.blake2b(key=digest_key, digest_size=frame.TAG_BYTES)
         self._node_id = node_id
         self._incarnation = incarnation
+        self._max_bytes = max_bytes
         self._sequence = 0
         self._windows: dict[int, replay_window.ReplayWindow] = {}
         self.rejected: dict[reason.Reason, int] = {}
@@ -90,7 +99,7 @@
     def _check(self, data: bytes) -> frame.Frame | reason.Reason:
         if len(data) < frame.HEADER.size + frame.TAG_BYTES:
             return reason.Reason.TRUNCATED
-        if len(data) > frame.MAX_BYTES:
+        if len(data) > self._max_bytes:
             return reason.Reason.OVERSIZED
         if data[0] != frame.VERSION:
             return reason.Reason.WRONG_VERSION
--- a/src/limpetreel/wire/kind.py
+++ b/src/limpetreel/wire/kind.py
@@ -12,3 +12,5 @@
     RELAY = 2
     RETURN = 3
     MESSAGE = 16
+    CONSENSUS = 17
+    REPORT = 18
--- a/src/limpetreel/workload/site.py
+++ b/src/limpetreel/workload/site.py
@@ -43,27 +43,39 @@
     @property
     def operator_flags(self) -> list[str]:
         """Flags with which operator commands reach control."""
+        ports = [self._base_port + 3 * i + 1 for i in range(len(ZONES))]
+        addresses = ",".join(f"127.0.0.1:{p}" for p in ports)
         return [
-            f"--operator=127.0.0.1:{self._base_port + 1}",
+            f"--operator={addresses}",
             f"--operator-key={OPERATOR_KEY}",
         ]
 
     async def start_control(self) -> None:
-        """Start the control instance."""
+        """Start one control instance a zone."""
         first, last = self.class_ports
-        await self._start(
-            "control-1",
-            "control",
-            "--name=control-1",
-            f"--zone={ZONES[0]}",
-            f"--listen=127.0.0.1:{self._base_port}",
-            f"--operator-listen=127.0.0.1:{self._base_port + 1}",
-            f"--peer-listen=127.0.0.1:{self._base_port + 2}",
-            f"--data={self._folder / 'control-1'}",
-            f"--class-ports={first}-{last}",
-            f"--cluster-key={CLUSTER_KEY}",
-            f"--operator-key={OPERATOR_KEY}",
-        )
+        ports = {
+            f"control-{zone}": self._base_port + 3 * i for i, zone in enumerate(ZONES)
+        }
+        peers = ",".join(f"{n}=127.0.0.1:{p + 2}" for n, p in ports.items())
+        for zone, (name, port) in zip(ZONES, ports.items(), strict=True):
+            data = self._folder / "data" / name
+            await self._run(
+                "init", f"--data={data}", f"--name={name}", f"--new-cluster={peers}"
+            )
+            await self._start(
+                name,
+                "control",
+                f"--name={name}",
+                f"--zone={zone}",
+                f"--listen=127.0.0.1:{port}",
+                f"--operator-listen=127.0.0.1:{port + 1}",
+                f"--peer-listen=127.0.0.1:{port + 2}",
+                f"--peers={peers}",
+                f"--data={data}",
+                f"--class-ports={first}-{last}",
+                f"--cluster-key={CLUSTER_KEY}",
+                f"--operator-key={OPERATOR_KEY}",
+            )
 
     async def start_entries(self) -> list[str]:
         """Start one entry a zone and return their IP numbers."""
@@ -128,10 +140,12 @@
 
     async def operate(self, *words: str) -> tuple[int, str]:
         """Run an operator command and return exit code and output."""
+        return await self._run(*words, *self.operator_flags)
+
+    async def _run(self, *words: str) -> tuple[int, str]:
         proc = await asyncio.create_subprocess_exec(
             *self._program,
             *words,
-            *self.operator_flags,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
@@ -157,11 +171,13 @@
         return bad
 
     def _node_flags(self, name: str, zone: str, listen: str) -> list[str]:
+        ports = [self._base_port + 3 * i for i in range(len(ZONES))]
+        controls = ",".join(f"127.0.0.1:{p}" for p in ports)
         return [
             f"--name={name}",
             f"--zone={zone}",
             f"--listen={listen}",
-            f"--control=127.0.0.1:{self._base_port}",
+            f"--control={controls}",
             f"--cluster-key={CLUSTER_KEY}",
         ]
 
