Reset flow ages after a loss and add focused failure tests

Change: an agent that may have been lost counts its flows as new; parts have room for the largest claim; tests for every loss of owner, primary and deputy. Conclusion: the time a flow has been held counts only without interruption.

--- a/src/limpetreel/flows/bucket_state.py
+++ b/src/limpetreel/flows/bucket_state.py
@@ -5,7 +5,8 @@
 from limpetreel.flows import bucket_parts, bucket_role
 
 NOBODY = (0, 0)
-MAX_SEEN = 32
+MAX_SEEN = 16
+"""Bounded so that a claim with the largest copied answer fits into one message."""
 
 
 class BucketState:
--- a/src/limpetreel/flows/owned_flows.py
+++ b/src/limpetreel/flows/owned_flows.py
@@ -64,6 +64,14 @@
             if not in_bucket:
                 del self._by_bucket[flow.bucket()]
 
+    def restart_ages(self, now: float) -> None:
+        """Count the time for which flows have been owned from now on.
+
+        While this agent was lost, its flows may have had another owner.
+        """
+        for times in self._flows.values():
+            times[0] = now
+
     def clear(self) -> None:
         """Forget all flows."""
         self._flows.clear()
--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -119,6 +119,7 @@
             # While this agent was lost, others may have taken its buckets over
             # without asking it. Unseen revisions can hide that it was lost.
             self._leave_all()
+            self._owned.restart_ages(now)
         if own is not None and is_member:
             self._last_modified = own.modified
             if not own.serving:
--- /dev/null
+++ b/tests/flows/test_takeover.py
@@ -0,0 +1,373 @@
+"""Loss of each agent that knows of a request must not let it run twice."""
+
+from __future__ import annotations
+
+import random
+
+from limpetreel.flows import (
+    bucket_parts,
+    bucket_role,
+    bucket_state,
+    class_member,
+    flow_key,
+    flow_router,
+    message_arrived,
+    packet_arrived,
+    refuse,
+    relay,
+    serve,
+    table_changed,
+)
+from limpetreel.messages import bucket_part, claim_request, held_flow
+from limpetreel.requests import claim, outcome, request_key
+from limpetreel.wire import address, message_codec, mode
+from tests import fixtures
+from tests.flows import harness
+
+FLOW = harness.FLOWS[0]
+BUCKET = FLOW.bucket()
+ANSWERED = outcome.Outcome.ANSWERED
+UNKNOWN = outcome.Outcome.UNKNOWN
+
+
+def _cluster(nodes=4, regions=None):
+    cluster = harness.Cluster(random.Random(7), regions or ["r1"] * nodes)
+    cluster.advance(2)
+    return cluster
+
+
+def _candidates(cluster):
+    return cluster.history[-1].candidates[BUCKET]
+
+
+def _owner(cluster):
+    return next(i for i, a in cluster.agents.items() if a.router.owns(FLOW))
+
+
+def _ask(cluster, seconds=1.0):
+    req = cluster.ask(FLOW, idempotent=False)
+    cluster.advance(seconds)
+    return req
+
+
+def _outcomes(req):
+    return [said for said, _ in req.told]
+
+
+def _third_owner(cluster):
+    """Return (owner, primary, deputy) of a flow whose owner is a third agent."""
+    _ask(cluster)
+    owner = _owner(cluster)
+    cluster.drain(owner)
+    cluster.advance(2)
+    assert owner not in _candidates(cluster)
+    return (owner, *_candidates(cluster))
+
+
+def test_owner_survives_every_change_of_the_table():
+    """Guards against a second placement of a flow whose owner lives."""
+    cluster = _cluster(5)
+    owner, _, _ = _third_owner(cluster)
+    for node in (1, 2, 3, 4, 5) * 3:
+        if node != owner:
+            cluster.restart(node)
+            cluster.advance(2.5)
+        assert _outcomes(_ask(cluster)) in ([ANSWERED], [UNKNOWN])
+        assert _owner(cluster) == owner
+
+
+def test_result_of_a_lost_owner_is_returned():
+    """Guards against a second run after the loss of an owner without a role."""
+    cluster = _cluster()
+    owner, _, _ = _third_owner(cluster)
+    req = _ask(cluster)
+    assert req.runs == 1
+    cluster.crash(owner)
+    cluster.advance(6.5)
+    cluster.send(req)
+    cluster.advance(1)
+    assert _outcomes(req) == [ANSWERED, ANSWERED]
+
+
+def test_open_request_of_a_lost_owner_is_unknown():
+    """Guards against a second run of a request that was open at the loss."""
+    cluster = _cluster()
+    owner, _, _ = _third_owner(cluster)
+    req = cluster.ask(FLOW, idempotent=False)
+    while not req.runs:
+        cluster.advance(harness.TICK)
+    cluster.crash(owner)
+    cluster.advance(6.5)
+    cluster.send(req)
+    cluster.advance(1)
+    assert req.runs == 1
+    assert UNKNOWN in _outcomes(req) or ANSWERED in _outcomes(req)
+    assert ANSWERED in _outcomes(_ask(cluster))
+
+
+def test_owner_and_primary_lost_together_leave_the_deputy():
+    """Guards against a takeover that leaves out the deputy's claims."""
+    cluster = _cluster()
+    owner, primary, _ = _third_owner(cluster)
+    req = _ask(cluster)
+    cluster.crash(owner)
+    cluster.crash(primary)
+    cluster.advance(7)
+    cluster.send(req)
+    cluster.advance(1)
+    assert req.runs == 1
+    assert len(req.told) == 2
+    assert _outcomes(_ask(cluster)) == [ANSWERED]
+
+
+def test_bucket_is_in_doubt_after_loss_of_all_copies():
+    """Guards against a second run when primary, deputy and owner are lost."""
+    cluster = _cluster(5)
+    req = _ask(cluster)
+    for node in {*_candidates(cluster), _owner(cluster)}:
+        cluster.crash(node)
+    cluster.advance(7)
+    cluster.send(req)
+    cluster.advance(1)
+    assert _outcomes(req) == [ANSWERED, UNKNOWN]
+    assert _outcomes(_ask(cluster)) == [UNKNOWN]
+    cluster.advance(250)
+    assert _outcomes(_ask(cluster)) == [ANSWERED]
+
+
+def test_flow_placed_in_doubt_stays_in_doubt():
+    """Guards against a run on a flow that was placed again during the doubt."""
+    cluster = _cluster(5)
+    req = _ask(cluster)
+    for node in {*_candidates(cluster), _owner(cluster)}:
+        cluster.crash(node)
+    cluster.advance(7)
+    cluster.ask(FLOW, idempotent=True)
+    cluster.advance(1)
+    primary, _ = _candidates(cluster)
+    cluster.drain(primary)
+    cluster.advance(2)
+    cluster.send(req)
+    cluster.advance(1)
+    assert req.runs == 1
+
+
+def test_restarted_deputy_does_not_vouch_for_its_copy():
+    """Guards against a deputy that forgot its claims before the primary was lost."""
+    cluster = _cluster()
+    req = _ask(cluster)
+    primary, deputy = _candidates(cluster)
+    cluster.crash(primary)
+    cluster.restart(deputy)
+    cluster.advance(7)
+    cluster.send(req)
+    cluster.advance(1)
+    assert req.runs == 1
+    assert _outcomes(req)[-1] is UNKNOWN
+
+
+def test_second_takeover_right_after_the_first_loses_nothing():
+    """Guards against dropping a previous holder's copy too soon."""
+    cluster = _cluster(5)
+    req = _ask(cluster)
+    first = _owner(cluster)
+    cluster.drain(first)
+    cluster.advance(1.5)
+    _, second_deputy = _candidates(cluster)
+    cluster.crash(_candidates(cluster)[0])
+    cluster.crash(second_deputy)
+    cluster.advance(7)
+    cluster.crash(first)
+    cluster.advance(7)
+    cluster.send(req)
+    cluster.advance(1)
+    assert req.runs == 1
+    assert _outcomes(req)[-1] in (ANSWERED, UNKNOWN)
+
+
+def test_cut_off_region_keeps_the_bucket_in_doubt():
+    """Guards against a run on both sides of a cut that outlasts the doubt."""
+    primary, deputy = _candidates(_cluster())
+    regions = ["r2" if i in (primary, deputy) else "r1" for i in (1, 2, 3, 4)]
+    cluster = _cluster(regions=regions)
+    cluster.cut([primary, deputy, -1])
+    cluster.advance(600)
+    req = cluster.ask(FLOW, idempotent=False, entry=1)
+    cluster.advance(1)
+    cluster.send(req, entry=0)
+    cluster.advance(1)
+    assert req.runs == 1
+    assert _outcomes(req) == [ANSWERED, UNKNOWN]
+
+
+def test_fenced_agents_do_not_acknowledge():
+    """Guards against a grant by an agent whose bucket was taken over."""
+    cluster = _cluster(3)
+    _ask(cluster)
+    old = cluster.agents[_candidates(cluster)[0]]
+    cluster.drain(old.me[0])
+    cluster.advance(2)
+    assert old.router.role(BUCKET) is bucket_role.BucketRole.FENCED
+    request = claim_request.ClaimRequest(
+        harness.CLASS, BUCKET, 9, request_key.RequestKey(FLOW, 900), 0
+    )
+    event = message_arrived.MessageArrived(*cluster.agents[3].me, request)
+    assert not old.router.handle(cluster.now, event)
+
+
+def test_holder_waits_for_every_member():
+    """Guards against placing a flow that an unheard member owns."""
+    cluster = _cluster()
+    owner, primary, _ = _third_owner(cluster)
+    cluster.transit, transit = (
+        lambda a, b: [] if owner in (a, b) and min(a, b) > 0 else transit(a, b),
+        cluster.transit,
+    )
+    cluster.crash(primary)
+    cluster.advance(7)
+    req = cluster.ask(FLOW, idempotent=True)
+    cluster.advance(0.5)
+    assert req.told == []
+    del cluster.transit
+    cluster.advance(0.3)
+    cluster.send(req)
+    cluster.advance(1)
+    assert _outcomes(req)[:1] == [ANSWERED]
+    assert _owner(cluster) == owner
+
+
+def test_large_states_are_split_and_joined():
+    """Guards against parts that are lost, repeated or out of order."""
+    flows = tuple(
+        held_flow.HeldFlow(flow_key.FlowKey(1, address.Address(i, 1)), i)
+        for i in range(300)
+    )
+    claims = tuple(
+        claim.Claim(
+            request_key.RequestKey(FLOW, i, b"r" * 32),
+            2**63,
+            2**63,
+            i,
+            ANSWERED,
+            b"a" * 512,
+        )
+        for i in range(20)
+    )
+    epochs = tuple(range(2**62, 2**62 + bucket_state.MAX_SEEN))
+    whole = bucket_part.BucketPart(
+        1, 0, 0, 1, 2**62, epochs, epochs, 2**62, 0, False, flows, claims
+    )
+    parts = bucket_parts.split(whole)
+    for group in bucket_parts.pack(parts):
+        assert len(message_codec._ENCODER.encode(group)) < bucket_parts.MAX_BODY_BYTES
+    join = bucket_parts.PartJoin()
+    for part in [*parts[1:3], *reversed(parts[1:]), parts[2]]:
+        assert join.whole is None
+        join.add(part)
+    join.add(parts[0])
+    assert join.whole is not None
+    assert sorted(f.age_ms for p in join.whole for f in p.flows) == list(range(300))
+    assert sum(len(p.claims) for p in join.whole) == 20
+
+
+def test_takeover_of_many_flows_over_a_lossy_network():
+    """Guards against a handover whose parts never come together."""
+    cluster = _cluster(3)
+    for number in range(300):
+        flow = flow_key.FlowKey(1, address.Address(number, 7))
+        if flow.bucket() < harness.BUCKETS:
+            cluster.ask(flow, idempotent=True)
+    count = 0
+    for node in cluster.agents.values():
+        for ip in range(2_000_000):
+            flow = flow_key.FlowKey(1, address.Address(ip, 9))
+            if flow.bucket() == BUCKET:
+                node.router._owned.use(0.0, flow)
+                count += 1
+            if count >= 60 * node.me[0]:
+                break
+    cluster.loss = 0.2
+    primary, _ = _candidates(cluster)
+    cluster.drain(primary)
+    cluster.advance(4)
+    holder = cluster.agents[_candidates(cluster)[0]].router
+    assert holder.role(BUCKET) is bucket_role.BucketRole.PRIMARY
+
+
+def _alone(max_flows):
+    """Return the router of a class's only member."""
+    router = flow_router.FlowRouter(1, (1, 10), "r1", True, max_flows)
+    member = class_member.ClassMember(1, 10, harness.ACTIVE, "r1", 1)
+    router.handle(0.0, table_changed.TableChanged(harness.make_view(1, [member])))
+    return router
+
+
+def _packet(flow, sender=(0, 0), how=mode.Mode.FIND, hops=0):
+    return packet_arrived.PacketArrived(flow, how, hops, *sender, True, b"")
+
+
+def test_flood_of_flow_keys_is_bounded():
+    """Guards against unbounded memory, and against a flood ending other flows."""
+    router = _alone(max_flows=4)
+    results = [router.handle(1.0, _packet(f))[0] for f in harness.FLOWS]
+    assert [type(r) for r in results] == [serve.Serve] * 4 + [refuse.Refuse] * 2
+    assert isinstance(router.handle(2.0, _packet(FLOW))[0], serve.Serve)
+
+
+def test_packet_of_another_class_is_dropped():
+    """Guards against a packet that reaches another service."""
+    other = flow_key.FlowKey(2, FLOW.caller)
+    (action,) = _alone(4).handle(1.0, _packet(other))
+    assert type(action).__name__ == "Drop"
+
+
+def test_offer_of_an_agent_that_is_not_holder_is_not_taken():
+    """Guards against a second owner through a fenced holder's offer."""
+    cluster = _cluster(3)
+    _, deputy = _candidates(cluster)
+    third = ({1, 2, 3} - set(_candidates(cluster))).pop()
+    event = _packet(FLOW, cluster.agents[third].me, mode.Mode.OFFER)
+    (action,) = cluster.agents[deputy].router.handle(cluster.now, event)
+    assert isinstance(action, relay.Relay)
+    assert not cluster.agents[deputy].router.owns(FLOW)
+
+
+def test_relays_are_bounded():
+    """Guards against a packet that circles between agents with other tables."""
+    cluster = _cluster(3)
+    _, deputy = _candidates(cluster)
+    event = _packet(FLOW, hops=4)
+    (action,) = cluster.agents[deputy].router.handle(cluster.now, event)
+    assert type(action).__name__ == "Drop"
+
+
+def test_flow_is_not_relayed_to_an_earlier_incarnation():
+    """Guards against relays to a process that no longer exists."""
+    cluster = _cluster(3)
+    primary, deputy = _candidates(cluster)
+    cluster.agents[primary].accepts = False
+    _ask(cluster)
+    assert _owner(cluster) == deputy
+    cluster.agents[primary].accepts = True
+    cluster.restart(deputy)
+    cluster.advance(3)
+    req = cluster.ask(FLOW, idempotent=True)
+    cluster.advance(1)
+    assert _outcomes(req) == [ANSWERED]
+
+
+def test_early_refusal_is_not_certain_while_a_claim_is_known():
+    """Guards against "not run" for a request that a lost owner ran."""
+    cluster = _cluster(4)
+    owner, *_ = _third_owner(cluster)
+    req = _ask(cluster)
+    cluster.crash(owner)
+    cluster.advance(6.5)
+    for agent in cluster.agents.values():
+        agent.accepts = False
+    cluster.send(req)
+    cluster.advance(1)
+    assert outcome.Outcome.NOT_RUN not in _outcomes(req)
+
+
+load_tests = fixtures.load_functions(globals())
