Expire claims in order of their end

Change: a heap by end time; a claim is compared with its own end only. Conclusion: expiry ends at any time and in any order.

--- a/src/limpetreel/requests/claim_store.py
+++ b/src/limpetreel/requests/claim_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections
+import heapq
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -39,8 +39,8 @@
         self._max_claims = max_claims
         self._by_name: dict[int, dict[Name, claims.Claim]] = {}
         self._recorded: dict[tuple[request_key.RequestKey, int], float] = {}
-        self._queue: collections.deque[tuple[float, int, request_key.RequestKey]]
-        self._queue = collections.deque()
+        self._queue: list[tuple[float, int, int, request_key.RequestKey]] = []
+        self._count = 0
         self._answer_bytes = 0
 
     def __len__(self) -> int:
@@ -118,16 +118,12 @@
 
     def expire(self, now: float) -> None:
         """Forget claims whose request can no longer arrive."""
-        limit = now - lifetime.EXCHANGE_SECONDS
         while self._queue and self._queue[0][0] <= now:
-            _, bucket, key = self._queue.popleft()
+            due, _, bucket, key = heapq.heappop(self._queue)
             start = self._recorded.get((key, bucket))
-            if start is None:
-                continue
-            if start > limit:
-                self._enqueue(start, bucket, key)
-                continue
-            self._delete(bucket, key)
+            # A claim that was dropped and recorded again has a later item.
+            if start is not None and start + lifetime.EXCHANGE_SECONDS <= due:
+                self._delete(bucket, key)
 
     def _delete(self, bucket: int, key: request_key.RequestKey) -> None:
         named = self._by_name[bucket]
@@ -150,7 +146,8 @@
 
     def _enqueue(self, start: float, bucket: int, key: request_key.RequestKey) -> None:
         due = start + lifetime.EXCHANGE_SECONDS
-        self._queue.append((due, bucket, key))
+        self._count += 1
+        heapq.heappush(self._queue, (due, self._count, bucket, key))
 
     def _replace(self, bucket: int, old: claims.Claim, new: claims.Claim) -> None:
         new = msgspec.structs.replace(new, key=old.key)
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -109,6 +109,18 @@
     assert store.record(300, FLOW.bucket(), two) == two
 
 
+def test_claims_expire_at_any_time_and_in_any_order():
+    """Guards against an endless loop where the end of a claim is rounded."""
+    store = claim_store.ClaimStore()
+    starts = [i / 7 for i in range(100)]
+    for i, start in enumerate(reversed(starts)):
+        key = request_key.RequestKey(FLOW, i)
+        store.merge(start, 1, [claim.Claim(key, *OTHER, i)])
+    for left, start in enumerate(starts):
+        store.expire(start + lifetime.EXCHANGE_SECONDS)
+        assert len(store) == len(starts) - left - 1
+
+
 def test_claims_of_two_owners_become_unknown():
     """Guards against a result that belongs to one of two claims."""
     store = claim_store.ClaimStore()
