Fuzz the replicated log and add focused failure tests

Cause: the core had no tests, and fuzzing found that an instance that lost its disk is never repaired if the entry that added it is replaced by a new leader. Change: cluster of cores with fake network and disks and an oracle; focused tests; a test that kills a writing process; an instance without a vote asks to be added again whenever it hears no leader; a list of deliberate faults.

--- a/src/limpetreel/consensus/messages/join_request.py
+++ b/src/limpetreel/consensus/messages/join_request.py
@@ -6,7 +6,7 @@
 
 
 class JoinRequest(msgspec.Struct, frozen=True, tag="join_request"):
-    """Sent by an instance without members, such as one that lost its disk.
+    """Sent by an instance without a vote that hears no leader, as after a lost disk.
 
     Attributes
     ----------
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -62,7 +62,7 @@
     address : str
         Where other instances reach this one.
     seeds : sequence of str
-        Addresses that an instance without members asks to be added.
+        Addresses that an instance without a vote asks to be added.
     """
 
     def __init__(
@@ -165,16 +165,19 @@
             else:
                 self._follow(now, "")
             return
-        if not state.members:
+        if not state.is_voter():
             self._ask_to_join(now)
         elif now >= state.election_at and self._election.begin(now):
             self._lead(now)
 
     def _ask_to_join(self, now: float) -> None:
-        if now < self._join_at:
+        state = self._state
+        # An instance that has been added may have to ask again: the entry that added
+        # it can be replaced by a leader that does not know it.
+        silent_for = now - state.leader_heard_at
+        if now < self._join_at or silent_for < timing.JOIN_RETRY_SECONDS:
             return
         self._join_at = now + timing.JOIN_RETRY_SECONDS
-        state = self._state
         request = join_request.JoinRequest(state.name, state.incarnation, self._address)
         for address in self._seeds:
             state.actions.append(send.Send("", address, request))
--- /dev/null
+++ b/tests/consensus/mutants.py
@@ -0,0 +1,118 @@
+"""Deliberate faults that the tests must find.
+
+Each item holds a name, a file, the text to replace, the text that brings the fault
+in, and the id of a test that then fails.
+"""
+
+from __future__ import annotations
+
+CONSENSUS = "src/limpetreel/consensus"
+STORAGE = "src/limpetreel/storage"
+CORE_TESTS = "tests.consensus.test_raft_core"
+CLUSTER_TESTS = "tests.consensus.test_cluster"
+STORE_TESTS = "tests.storage.test_log_store"
+
+MUTANTS = [
+    (
+        "acknowledge before sync",
+        f"{STORAGE}/segments.py",
+        "        self._disk.append(name, data)\n        self._disk.sync(name)\n",
+        "        self._disk.append(name, data)\n",
+        f"{STORE_TESTS}.test_persisted_state_survives_a_crash",
+    ),
+    (
+        "answer before persist",
+        f"{CONSENSUS}/raft_core.py",
+        "        return state.actions\n",
+        "        return sorted(\n"
+        "            state.actions, key=lambda a: not isinstance(a, send.Send)\n"
+        "        )\n",
+        f"{CORE_TESTS}.test_persist_precedes_the_answer",
+    ),
+    (
+        "vote twice in a term",
+        f"{CONSENSUS}/election.py",
+        '            and state.vote in ("", request.sender)\n',
+        "",
+        f"{CORE_TESTS}.test_one_vote_a_term",
+    ),
+    (
+        "commit an entry of an earlier term by counting",
+        f"{CONSENSUS}/leadership.py",
+        "        if state.log.term_at(reached) == state.term:\n",
+        "        if reached:\n",
+        f"{CORE_TESTS}.test_entry_of_an_earlier_term_is_not_accepted_by_counting",
+    ),
+    (
+        "skip the checksum",
+        f"{STORAGE}/record_codec.py",
+        "    if _checksum(payload, name, offset) != checksum:\n",
+        "    if not checksum:\n",
+        f"{STORE_TESTS}.test_damaged_snapshot_and_marker_stop",
+    ),
+    (
+        "count a non-voting member to the quorum",
+        f"{CONSENSUS}/membership.py",
+        "    return [m.identity for m in members if m.voting]\n",
+        "    return [m.identity for m in members]\n",
+        f"{CORE_TESTS}.test_member_without_vote_does_not_count",
+    ),
+    (
+        "go on after a failed sync",
+        f"{STORAGE}/log_store.py",
+        "        except OSError as exc:\n            self._is_failed = True\n",
+        "        except OSError as exc:\n",
+        f"{STORE_TESTS}.test_failed_sync_is_final",
+    ),
+    (
+        "lease counted from the answer",
+        f"{CONSENSUS}/leadership.py",
+        "        self._settle()\n\n    def on_snapshot_reply(\n",
+        "        self._settle()\n"
+        "        self._rounds.confirmed_start = now\n\n"
+        "    def on_snapshot_reply(\n",
+        f"{CORE_TESTS}.test_lease_counts_from_the_start_of_the_round",
+    ),
+    (
+        "lease before the first entry of the term is accepted",
+        f"{CONSENSUS}/leadership.py",
+        "        if not self._is_settled():\n            return 0.0\n",
+        "",
+        f"{CORE_TESTS}.test_new_leader_has_no_lease_before_its_first_entry_is_accepted",
+    ),
+    (
+        "lease counted from the arrival of the heartbeat",
+        f"{CONSENSUS}/following.py",
+        "        end = message.echo.sent_at + message.lease\n",
+        "        end = self._state.leader_heard_at + message.lease\n",
+        f"{CORE_TESTS}.test_lease_of_a_late_heartbeat_counts_from_the_own_stamp",
+    ),
+    (
+        "lease for a follower that lags",
+        f"{CONSENSUS}/following.py",
+        "        if message.echo is None or state.commit < message.commit:\n",
+        "        if message.echo is None:\n",
+        f"{CORE_TESTS}.test_follower_that_lags_takes_no_lease",
+    ),
+    (
+        "lost identity replaced without catching up",
+        f"{CONSENSUS}/membership_changes.py",
+        "not m.voting and m.identity in caught_up]\n",
+        "not m.voting]\n",
+        f"{CORE_TESTS}.test_lost_identity_is_removed_before_the_new_one_votes",
+    ),
+    (
+        "message for a lost identity taken",
+        f"{CONSENSUS}/raft_core.py",
+        '        if received.target not in ("", self._state.identity):\n',
+        "        if received is None:\n",
+        f"{CORE_TESTS}.test_message_for_a_lost_identity_is_dropped",
+    ),
+    (
+        "join asked for only once",
+        f"{CONSENSUS}/raft_core.py",
+        "        if not state.is_voter():\n",
+        "        if not state.members:\n",
+        f"{CLUSTER_TESTS}.test_joining_instance_whose_addition_was_replaced_asks_again",
+    ),
+]
--- /dev/null
+++ b/tests/consensus/test_fuzz_cluster.py
@@ -0,0 +1,130 @@
+"""Random faults must not lose, fork or repeat entries, or stretch leases."""
+
+from __future__ import annotations
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests import fixtures
+from tests.consensus import cluster
+
+SEED = int(os.environ.get("LIMPETREEL_FUZZ_SEED", "20261204"))
+STEPS = int(os.environ.get("LIMPETREEL_FUZZ_STEPS", "1200"))
+"""Rules to run with each size of cluster."""
+
+RULES_PER_RUN = 40
+
+
+class ClusterMachine(stateful.RuleBasedStateMachine):
+    """Faults and load on a cluster."""
+
+    size = 3
+
+    @stateful.initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed):
+        self.cluster = cluster.Cluster(self.size, seed)
+        self.cluster.run(1.0)
+
+    def _pick(self, number):
+        return self.cluster.instances[f"c{number % self.size}"]
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.3, 1.0, 2.5]))
+    def run(self, seconds):
+        self.cluster.run(seconds)
+
+    @stateful.rule(count=st.integers(1, 5))
+    def propose_to_leaders(self, count):
+        for instance in self.cluster.live():
+            self.cluster.propose(instance, count)
+        self.cluster.run(0.04)
+
+    @stateful.rule(number=st.integers(0, 4))
+    def read(self, number):
+        self.cluster.read(self._pick(number))
+
+    @stateful.rule(numbers=st.sets(st.integers(0, 4), max_size=2))
+    def partition(self, numbers):
+        self.cluster.cut = {self._pick(n).name for n in numbers}
+
+    @stateful.rule()
+    def partition_leader(self):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.cut = {leader.name}
+
+    @stateful.rule(loss=st.sampled_from([0.0, 0.1, 0.3]))
+    def lose_messages(self, loss):
+        self.cluster.loss = loss
+
+    @stateful.rule(number=st.integers(0, 4))
+    def crash(self, number):
+        self._pick(number).crash()
+
+    @stateful.rule(number=st.integers(0, 4), after=st.integers(0, 12))
+    def crash_between_actions(self, number, after):
+        self._pick(number).crash_in = after
+
+    @stateful.rule(number=st.integers(0, 4), after=st.integers(0, 12))
+    def crash_in_disk(self, number, after):
+        self._pick(number).disk.crash_in = after
+
+    @stateful.rule(number=st.integers(0, 4), after=st.integers(0, 5))
+    def fail_sync(self, number, after):
+        self._pick(number).disk.fail_sync_in = after
+
+    @stateful.rule()
+    def restart_all(self):
+        for instance in self.cluster.instances.values():
+            if instance.core is None:
+                instance.start()
+
+    @stateful.rule(number=st.integers(0, 4))
+    def take_snapshot(self, number):
+        self.cluster.take_snapshot(self._pick(number))
+
+    @stateful.rule(number=st.integers(0, 4))
+    def lose_disk(self, number):
+        name = self._pick(number).name
+        if self.cluster.may_lose(name):
+            self.cluster.lose_disk(name)
+
+    def teardown(self):
+        if hasattr(self, "cluster"):
+            self.cluster.check_all_recover()
+
+
+class FiveMachine(ClusterMachine):
+    size = 5
+
+
+def _run(machine):
+    seeded = hypothesis.seed(SEED)(machine)
+    stateful.run_state_machine_as_test(
+        seeded,
+        settings=hypothesis.settings(
+            max_examples=max(1, STEPS // RULES_PER_RUN),
+            stateful_step_count=RULES_PER_RUN,
+            deadline=None,
+            database=None,
+            report_multiple_bugs=False,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
+
+
+def test_three_instances():
+    """Guards against lost, forked or repeated entries and overlong leases."""
+    _run(ClusterMachine)
+
+
+def test_five_instances():
+    """Guards against the same where two instances may fail at once."""
+    _run(FiveMachine)
+
+
+load_tests = fixtures.load_functions(
+    {k: v for k, v in globals().items() if not isinstance(v, type)}
+)
