Scan buckets of an agent only while one of them is unsettled

Cause: each tick of an agent walked all 1024 buckets of its class, which took most of the processor time in a profile of ten agents on fakes. Change: the takeover core remembers that a scan found nothing to do and scans again only after a message or a table. Copies and flows expire once a second.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -86,6 +86,7 @@
         self._sockets: dict[address.Address, None] = {}
         self._next_flow_check = 0.0
         self.dropped: dict[reason.Reason, int] = {}
+        self.relays = 0
 
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Take one event; see `core.Core.handle`."""
@@ -280,6 +281,7 @@
         found = packet.decode(action.datagram)
         if target is None or isinstance(found, failure.Failure):
             return self._drop(reason.Reason.NO_MEMBER)
+        self.relays += 1
         body = packet.encode(
             msgspec.structs.replace(
                 found,
--- a/src/limpetreel/flows/flow_router.py
+++ b/src/limpetreel/flows/flow_router.py
@@ -53,6 +53,7 @@
 QUIET_SECONDS = 10.0
 """A draining agent takes flows without a packet for so long as ended."""
 NOBODY = (0, 0)
+EXPIRY_SECONDS = 1.0
 
 
 class FlowRouter(core.Core):
@@ -94,6 +95,7 @@
         ] = {}
         self._next_refresh = 0.0
         self._refusals = 0
+        self._next_expiry = 0.0
 
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Take one event and return the actions that it causes, in order."""
@@ -371,9 +373,11 @@
         self._claims.settle(message.bucket, item)
 
     def _on_tick(self, now: float) -> list[Action]:
-        self._claims.expire(now)
-        self._owned.expire(now)
-        self._directory.expire(now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_SECONDS
+            self._claims.expire(now)
+            self._owned.expire(now)
+            self._directory.expire(now)
         actions: list[Action] = [*self._takeover.tick(now)]
         if now >= self._next_refresh:
             self._next_refresh = now + bucket_directory.REFRESH_SECONDS
--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -32,6 +32,7 @@
     Peer = tuple[int, int]
 
 REPEAT_SECONDS = 0.1
+CHECK_SECONDS = 1.0
 MAX_BUCKETS_PER_REQUEST = 256
 DOUBT_SECONDS = lifetime.EXCHANGE_SECONDS
 KEEP_SECONDS = lifetime.EXCHANGE_SECONDS
@@ -72,6 +73,8 @@
         self._states: dict[int, bucket_state.BucketState] = {}
         self._live: dict[int, class_member.ClassMember] = {}
         self._last_modified = 0
+        self._next_check = float("-inf")
+        self._is_settled = False
         self.view: class_view.ClassView | None = None
         self.changed: set[int] = set()
         """Buckets whose queued packets can be routed now."""
@@ -103,6 +106,7 @@
 
     def change_table(self, now: float, view: class_view.ClassView) -> list[send.Send]:
         """Take a table; an older one has no effect."""
+        self._is_settled = False
         if self.view is not None and view.revision <= self.view.revision:
             return []
         gap = self.view is not None and view.revision > self.view.revision + 1
@@ -132,6 +136,11 @@
 
     def advance(self, now: float) -> list[send.Send]:
         """Send what is due and finish takeovers that have all replies."""
+        if self._is_settled:
+            return []
+        # Messages and tables can change the role of a bucket; until the next one
+        # arrives, a scan that found nothing to do would find nothing again.
+        self._is_settled = True
         return self._step(now, self._states)
 
     def _step(self, now: float, buckets: Iterable[int]) -> list[send.Send]:
@@ -139,6 +148,13 @@
         actions: list[send.Send] = []
         for bucket in buckets:
             state = self._states[bucket]
+            role = state.role
+            # Most buckets are settled; this loop runs often and over all of them.
+            if role is not _Role.TAKING_OVER and (
+                role is not _Role.PRIMARY or state.is_open
+            ):
+                continue
+            self._is_settled = False
             if state.role is _Role.TAKING_OVER:
                 self._try_finish(now, bucket, state)
             if now < state.next_send:
@@ -157,6 +173,13 @@
 
     def tick(self, now: float) -> list[send.Send]:
         """Drop old copies, prolong doubt and repeat messages."""
+        if now >= self._next_check:
+            self._next_check = now + CHECK_SECONDS
+            self._check_copies(now)
+        return self.advance(now)
+
+    def _check_copies(self, now: float) -> None:
+        """Drop old copies and prolong doubt."""
         remote_lost = any(
             m.state is member_state.MemberState.LOST and m.region != self._region
             for m in (self.view.members if self.view else ())
@@ -168,12 +191,12 @@
             if now >= state.kept_until:
                 state.lose_copy()
                 self._claims.drop_bucket(bucket)
-        return self.advance(now)
 
     def on_request(
         self, now: float, sender: Peer, message: handover_request.HandoverRequest
     ) -> list[send.Send]:
         """Accept a higher epoch and reply with the own state."""
+        self._is_settled = False
         if self.is_replaced(sender):
             return []
         parts = []
@@ -204,6 +227,7 @@
         That holder may have fenced only a part of the members, so the primary may
         not know why its deputy acknowledges nothing.
         """
+        self._is_settled = False
         state = self.state(bucket)
         primary = self.primary(bucket)
         if self.is_live(state.holder) or primary in (self._me, bucket_state.NOBODY):
@@ -224,6 +248,7 @@
         self, now: float, sender: Peer, message: handover_reply.HandoverReply
     ) -> list[send.Send]:
         """Take parts of a member's state."""
+        self._is_settled = False
         touched: dict[int, None] = {}
         for part in message.items:
             state = self.state(part.bucket)
@@ -242,6 +267,7 @@
         self, now: float, sender: Peer, message: directory_update.DirectoryUpdate
     ) -> list[send.Send]:
         """Take parts of the holder's copy as its deputy."""
+        self._is_settled = False
         actions = []
         for part in message.items:
             state = self.state(part.bucket)
@@ -267,6 +293,7 @@
 
     def on_copy_ack(self, sender: Peer, message: directory_ack.DirectoryAck) -> None:
         """Note that the deputy has the copy."""
+        self._is_settled = False
         state = self.state(message.bucket)
         if state.role is _Role.PRIMARY and (state.epoch, state.deputy) == (
             message.epoch,
--- /dev/null
+++ b/src/limpetreel/measure/fake_site.py
@@ -0,0 +1,269 @@
+"""All cores of a site on fakes: callers, fabric, entries, agents, control."""
+
+from __future__ import annotations
+
+import functools
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel.agent import agent_core
+from limpetreel.agent.actions import send_upstream
+from limpetreel.agent.events import upstream_announced, upstream_datagram
+from limpetreel.catalog import node_identity, role
+from limpetreel.catalog.commands import bootstrap
+from limpetreel.coap import coap_protocol
+from limpetreel.consensus import durable_state, member, raft_core, snapshot
+from limpetreel.control import control_core
+from limpetreel.control.actions import answer_operator, send_peer
+from limpetreel.control.events import operator_call, peer_message
+from limpetreel.entry import entry_core
+from limpetreel.entry.actions import send_caller
+from limpetreel.entry.events import caller_datagram
+from limpetreel.measure import (
+    coap_upstream,
+    event_queue,
+    fake_caller,
+    fake_network,
+    fake_node,
+)
+from limpetreel.node import node_link
+from limpetreel.wire import address
+
+if TYPE_CHECKING:
+    from limpetreel.measure import upstream_profile
+
+CONTROL_COUNT = 3
+ANNOUNCE_SECONDS = 0.5
+CALLER_SECONDS = 0.003
+"""One way between callers and the site."""
+UPSTREAM_SECONDS = 0.0001
+
+
+class FakeSite:
+    """The processes of one site.
+
+    Parameters
+    ----------
+    zones : tuple of str
+        Zones; one entry each, and control instances in the first three.
+    one_way_s : float
+        Latency between zones in seconds.
+    seed : int
+        Seed of everything that is random.
+    loss : float
+        Probability that a frame is lost, and that it is duplicated.
+    """
+
+    def __init__(
+        self, zones: tuple[str, ...], one_way_s: float, seed: int, loss: float = 0.0
+    ) -> None:
+        self.queue = event_queue.EventQueue()
+        self.rng = random.Random(seed)
+        self.network = fake_network.FakeNetwork(
+            self.queue, random.Random(seed + 1), one_way_s, loss
+        )
+        self.zones = zones
+        self.controls: dict[str, fake_node.FakeNode] = {}
+        self.entries: dict[str, fake_node.FakeNode] = {}
+        self.agents: dict[str, fake_node.FakeNode] = {}
+        self.upstreams: dict[str, coap_upstream.CoapUpstream] = {}
+        self.callers: dict[address.Address, fake_caller.FakeCaller] = {}
+        self.answers: dict[int, tuple[float, dict[str, object]]] = {}
+        self.packets = 0
+        self.cut_controls: set[str] = set()
+        self._calls = 0
+        self._hosts = 0
+        self._incarnation = 1000
+        self._addresses: dict[str, address.Address] = {}
+        for i in range(CONTROL_COUNT):
+            self.start_control(f"control-{i}", zones[i % len(zones)])
+
+    def start_control(self, name: str, zone: str) -> None:
+        """Start a control instance of the new cluster."""
+        members = tuple(
+            member.Member(f"control-{i}", 1, f"control-{i}")
+            for i in range(CONTROL_COUNT)
+        )
+        durable = durable_state.DurableState(
+            name, 1, 0, "", snapshot.Snapshot(0, 0, members)
+        )
+        raft = raft_core.RaftCore(durable, random.Random(self.rng.random()), name)
+        decisions = control_core.ControlCore(
+            self.queue.now, raft, bootstrap.Bootstrap(20000, 20999), name
+        )
+        other = functools.partial(self._control_action, name)
+        self.controls[name] = self._node(name, zone, decisions, other)
+
+    def start_entry(self, name: str, zone: str) -> None:
+        """Start an entry, or start it again without memory."""
+        self._stop(self.entries, name)
+        link = self._link(name, zone, role.Role.ENTRY, "")
+        decisions = entry_core.EntryCore(link, self._address(name), trace_every=0)
+        self.entries[name] = self._node(name, zone, decisions, self._entry_action, link)
+
+    def start_agent(
+        self, class_name: str, name: str, zone: str, upstream: str = ""
+    ) -> None:
+        """Start an agent, or start it again without memory."""
+        self._stop(self.agents, name)
+        link = self._link(name, zone, role.Role.AGENT, class_name)
+        protocol = coap_protocol.CoapProtocol()
+        decisions = agent_core.AgentCore(link, protocol, self.rng.randrange(1 << 30))
+        other = functools.partial(self._agent_action, upstream or name)
+        node = self._node(name, zone, decisions, other, link)
+        self.agents[name] = node
+        self._announce(node, class_name)
+
+    def start_upstream(
+        self, name: str, profile: upstream_profile.UpstreamProfile
+    ) -> None:
+        """Start the upstream beside the agent of the same name."""
+        sender = functools.partial(self._from_upstream, name)
+        rng = random.Random(self.rng.random())
+        self.upstreams[name] = coap_upstream.CoapUpstream(
+            name, self.queue, profile, rng, sender
+        )
+
+    def add_caller(self, class_id: int) -> fake_caller.FakeCaller:
+        """Add a caller of a class."""
+        where = address.Address(0x0A000000 + len(self.callers) // 4, 40000)
+        where = address.Address(where.ip, where.port + len(self.callers) % 4)
+        made = fake_caller.FakeCaller(
+            self.queue, where, class_id, self._to_entry, self.rng
+        )
+        self.callers[where] = made
+        return made
+
+    def command(self, body: dict[str, object], control: str = "") -> int:
+        """Give an operator's request to a control instance, by default the leader."""
+        self._calls += 1
+        name = control or self.leader()
+        event = operator_call.OperatorCall(self._calls, msgspec.json.encode(body))
+        if name:
+            self.controls[name].handle(event)
+        return self._calls
+
+    def change(self, kind: str, name: str, **fields: object) -> int:
+        """Change a record with the revision that the leader holds now."""
+        leader = self.leader()
+        key = f"{kind.partition('_')[0]}/{name}"
+        expected = 0
+        if leader:
+            records = self._control(leader).catalog.table.records
+            expected = records[key].modified if key in records else 0
+        body = {"type": kind, "name": name, "expected": expected, **fields}
+        return self.command({**body, "command_id": f"command-{self._calls + 1}"})
+
+    def leader(self) -> str:
+        """Return the name of the leader, empty if there is none."""
+        for name, node in self.controls.items():
+            if node.is_up and self._control(name).raft.role == "leader":
+                return name
+        return ""
+
+    def relays(self) -> int:
+        """Return how many packets agents have relayed."""
+        return sum(_agent(n).relays for n in self.agents.values())
+
+    def _control(self, name: str) -> control_core.ControlCore:
+        found = self.controls[name].core
+        assert isinstance(found, control_core.ControlCore)
+        return found
+
+    def _link(
+        self, name: str, zone: str, kind: role.Role, class_name: str
+    ) -> node_link.NodeLink:
+        host, port = address.to_socket(self._address(name))
+        self._incarnation += 1
+        ident = node_identity.NodeIdentity(
+            name, kind, class_name, zone, "local", host, port, self._incarnation
+        )
+        controls = [self._address(c) for c in self.controls]
+        return node_link.NodeLink(ident, controls, self.rng.randrange(1 << 30))
+
+    def _node(
+        self,
+        name: str,
+        zone: str,
+        decisions: control_core.ControlCore
+        | entry_core.EntryCore
+        | agent_core.AgentCore,
+        other: fake_node.Other,
+        link: node_link.NodeLink | None = None,
+    ) -> fake_node.FakeNode:
+        node_id = link.node_id if link else len(self._addresses) + 1
+        incarnation = link.identity.incarnation if link else 1
+        return fake_node.FakeNode(
+            self.queue,
+            self.network,
+            self._address(name),
+            zone,
+            node_id,
+            incarnation,
+            decisions,
+            other,
+        )
+
+    def _address(self, name: str) -> address.Address:
+        if name not in self._addresses:
+            self._hosts += 1
+            self._addresses[name] = address.Address(0x7F010000 + self._hosts, 7000)
+        return self._addresses[name]
+
+    def _stop(self, nodes: dict[str, fake_node.FakeNode], name: str) -> None:
+        if name in nodes:
+            nodes[name].stop()
+
+    def _announce(self, node: fake_node.FakeNode, class_name: str) -> None:
+        if node.is_up:
+            node.handle(upstream_announced.UpstreamAnnounced(class_name, "run", False))
+            again = functools.partial(self._announce, node, class_name)
+            self.queue.after(ANNOUNCE_SECONDS, again)
+
+    def _to_entry(self, caller: fake_caller.FakeCaller, datagram: bytes) -> None:
+        """Spray a caller's datagram over the entries that are up."""
+        self.packets += 1
+        names = [n for n, e in self.entries.items() if e.is_up]
+        chosen = self.entries[self.rng.choice(names)]
+        event = caller_datagram.CallerDatagram(caller.class_id, caller.where, datagram)
+        delay = CALLER_SECONDS * self.rng.uniform(0.8, 1.4)
+        self.queue.after(delay, functools.partial(chosen.handle, event))
+
+    def _entry_action(self, action: msgspec.Struct) -> None:
+        if isinstance(action, send_caller.SendCaller):
+            found = self.callers[action.caller]
+            receive = functools.partial(found.receive, action.datagram)
+            self.queue.after(CALLER_SECONDS * self.rng.uniform(0.8, 1.4), receive)
+
+    def _agent_action(self, upstream: str, action: msgspec.Struct) -> None:
+        if isinstance(action, send_upstream.SendUpstream):
+            found = self.upstreams[upstream]
+            receive = functools.partial(found.receive, action.caller, action.datagram)
+            self.queue.after(UPSTREAM_SECONDS, receive)
+
+    def _from_upstream(
+        self, name: str, caller: address.Address, datagram: bytes
+    ) -> None:
+        event = upstream_datagram.UpstreamDatagram(caller, datagram)
+        self.queue.after(
+            UPSTREAM_SECONDS, functools.partial(self.agents[name].handle, event)
+        )
+
+    def _control_action(self, name: str, action: msgspec.Struct) -> None:
+        if isinstance(action, answer_operator.AnswerOperator):
+            body = msgspec.json.decode(action.body)
+            self.answers[action.call_id] = self.queue.now, body
+        elif isinstance(action, send_peer.SendPeer):
+            target = self.controls.get(action.address)
+            if target is None or {name, action.address} & self.cut_controls:
+                return
+            event = peer_message.PeerMessage(action.kind, action.body)
+            delay = self.network.delay(self.controls[name].zone, target.zone)
+            self.queue.after(delay, functools.partial(target.handle, event))
+
+
+def _agent(node: fake_node.FakeNode) -> agent_core.AgentCore:
+    assert isinstance(node.core, agent_core.AgentCore)
+    return node.core
--- a/src/limpetreel/measure/fake_upstream.py
+++ b/src/limpetreel/measure/fake_upstream.py
@@ -75,6 +75,10 @@
         self.cancel(now, request_id)
         return True
 
+    def holds(self, request_id: int) -> bool:
+        """Return whether a request runs or waits here."""
+        return request_id in self._sent_at
+
     def cancel(self, now: float, request_id: int) -> None:
         """Drop a request and start the next one of the backlog."""
         self._sent_at.pop(request_id, None)
