--- a/tests/flows/test_takeover.py
+++ b/tests/flows/test_takeover.py
@@ -167,22 +167,60 @@
 
 
 def test_second_takeover_right_after_the_first_loses_nothing():
-    """Guards against dropping a previous holder's copy too soon."""
+    """Guards against dropping a previous holder's copy too soon.
+
+    The deputy takes over and is lost before it has all replies, so that only the
+    previous holder has the claims; without them the bucket is in doubt.
+    """
+    cluster = _cluster()
+    _ask(cluster)
+    primary, deputy = _candidates(cluster)
+    cluster.drain(primary)
+    assert _candidates(cluster)[0] == deputy
+    cluster.crash(({1, 2, 3, 4} - {primary, *_candidates(cluster)}).pop())
+    cluster.advance(3)
+    cluster.crash(deputy)
+    cluster.advance(7)
+    flow = next(f for f in harness.FLOWS[1:] if f.bucket() == BUCKET)
+    req = cluster.ask(flow, idempotent=False)
+    cluster.advance(1)
+    assert _outcomes(req) == [ANSWERED]
+
+
+def test_claims_reach_a_holder_that_was_not_deputy():
+    """Guards against a takeover that forgets the claims of earlier holders."""
     cluster = _cluster(5)
+    owner, primary, deputy = _third_owner(cluster)
     req = _ask(cluster)
-    first = _owner(cluster)
-    cluster.drain(first)
-    cluster.advance(1.5)
-    _, second_deputy = _candidates(cluster)
-    cluster.crash(_candidates(cluster)[0])
-    cluster.crash(second_deputy)
-    cluster.advance(7)
-    cluster.crash(first)
-    cluster.advance(7)
+    cluster.drain(primary)
+    cluster.drain(deputy)
+    cluster.advance(2)
+    cluster.crash(owner)
+    cluster.advance(6.5)
     cluster.send(req)
     cluster.advance(1)
-    assert req.runs == 1
-    assert _outcomes(req)[-1] in (ANSWERED, UNKNOWN)
+    assert _outcomes(req) == [ANSWERED, ANSWERED]
+
+
+def test_returned_member_does_not_vouch_for_its_copy():
+    """Guards against a copy that is out of date since its agent was lost.
+
+    The other member served alone meanwhile and was lost before the return.
+    """
+    cluster = _cluster(2)
+    primary, deputy = _candidates(cluster)
+    cluster.cut([primary])
+    cluster.advance(300)
+    req = _ask(cluster)
+    assert _outcomes(req) == [ANSWERED]
+    cluster.crash(deputy)
+    cluster.advance(6)
+    cluster.cut([])
+    cluster.advance(1)
+    assert _candidates(cluster) == (primary, 0)
+    cluster.send(req)
+    cluster.advance(1)
+    assert _outcomes(req) == [ANSWERED, UNKNOWN]
 
 
 def test_cut_off_region_keeps_the_bucket_in_doubt():
@@ -211,8 +249,13 @@
     request = claim_request.ClaimRequest(
         harness.CLASS, BUCKET, 9, request_key.RequestKey(FLOW, 900), 0
     )
-    event = message_arrived.MessageArrived(*cluster.agents[3].me, request)
+    sender = next(a.me for a in cluster.agents.values() if a is not old)
+    event = message_arrived.MessageArrived(*sender, request)
     assert not old.router.handle(cluster.now, event)
+    flow = next(f for f in harness.FLOWS[1:] if f.bucket() == BUCKET)
+    (action,) = old.router.handle(cluster.now, _packet(flow))
+    assert isinstance(action, relay.Relay)
+    assert action.target == _candidates(cluster)[0]
 
 
 def test_holder_waits_for_every_member():
