Shorten handover messages

Cause: the first start of 7 agents with 1,024 buckets sent 780 replies of 721 kB. Change: parts travel as arrays, and a copy packs several buckets into a message.

--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -136,6 +136,7 @@
 
     def _step(self, now: float, buckets: Iterable[int]) -> list[send.Send]:
         wanted: dict[tuple[Peer, int, Peer], list[int]] = {}
+        copies: dict[tuple[Peer, int], list[bucket_part.BucketPart]] = {}
         actions: list[send.Send] = []
         for bucket in buckets:
             state = self._states[bucket]
@@ -150,7 +151,10 @@
                     wanted.setdefault(group, []).append(bucket)
             elif state.role is _Role.PRIMARY and not state.is_open:
                 state.next_send = now + REPEAT_SECONDS
-                actions.extend(self._send_copy(now, bucket, state))
+                parts = bucket_parts.split(self._whole(now, bucket, state))
+                copies.setdefault((state.deputy, state.epoch), []).extend(parts)
+        for (deputy, epoch), parts in copies.items():
+            actions.extend(self._copies(deputy, epoch, parts))
         for (peer, epoch, deputy), buckets in wanted.items():
             actions.extend(self._requests(peer, epoch, deputy, buckets))
         return actions
@@ -441,17 +445,12 @@
             claims=tuple(self._claims.export(now, bucket)),
         )
 
-    def _send_copy(
-        self, now: float, bucket: int, state: bucket_state.BucketState
+    def _copies(
+        self, deputy: Peer, epoch: int, parts: list[bucket_part.BucketPart]
     ) -> list[send.Send]:
         assert self.view is not None
-        parts = bucket_parts.split(self._whole(now, bucket, state))
+        class_id = self.view.class_id
         return [
-            send.Send(
-                *state.deputy,
-                directory_update.DirectoryUpdate(
-                    self.view.class_id, state.epoch, group
-                ),
-            )
+            send.Send(*deputy, directory_update.DirectoryUpdate(class_id, epoch, group))
             for group in bucket_parts.pack(parts)
         ]
--- a/src/limpetreel/messages/bucket_part.py
+++ b/src/limpetreel/messages/bucket_part.py
@@ -8,7 +8,7 @@
 from limpetreel.requests import claim
 
 
-class BucketPart(msgspec.Struct, frozen=True):
+class BucketPart(msgspec.Struct, frozen=True, array_like=True):
     """Part of what one agent knows about a bucket.
 
     Attributes
--- a/src/limpetreel/messages/held_flow.py
+++ b/src/limpetreel/messages/held_flow.py
@@ -7,7 +7,7 @@
 from limpetreel.flows import flow_key
 
 
-class HeldFlow(msgspec.Struct, frozen=True):
+class HeldFlow(msgspec.Struct, frozen=True, array_like=True):
     """Flow that the sender of a message owns.
 
     Attributes
