Require a lease at the start of a claim for a refusal as not run

Change: a claim that timed out is sole only if the owner held a lease at its start. Conclusion: a refusal needs the lease at both ends of the claim.

--- a/src/limpetreel/requests/claim_core.py
+++ b/src/limpetreel/requests/claim_core.py
@@ -43,7 +43,11 @@
         self._open: dict[int, _Pending] = {}
 
     def start(
-        self, now: float, key: request_key.RequestKey, held_ms: int
+        self,
+        now: float,
+        key: request_key.RequestKey,
+        held_ms: int,
+        has_lease: bool,
     ) -> list[send.Send]:
         """Ask holder and deputy for the right to run a request.
 
@@ -55,12 +59,15 @@
             The request.
         held_ms : int
             How long this agent has owned the flow, from `FlowRouter.held_ms`.
+        has_lease : bool
+            True if this agent holds its own lease from control. A grant by a holder
+            that was replaced would not show that nobody else runs the request.
         """
         self._next_id += 1
         request = claim_request.ClaimRequest(
             self._class_id, key.flow.bucket(), self._next_id, key, held_ms
         )
-        pending = _Pending(now, request)
+        pending = _Pending(now, request, has_lease)
         self._open[self._next_id] = pending
         return self._send_missing(pending)
 
@@ -141,11 +148,14 @@
 class _Pending:
     """One open claim."""
 
-    __slots__ = ("acks", "asked", "repeats", "request", "start")
+    __slots__ = ("acks", "asked", "has_lease", "repeats", "request", "start")
 
-    def __init__(self, start: float, request: claim_request.ClaimRequest) -> None:
+    def __init__(
+        self, start: float, request: claim_request.ClaimRequest, has_lease: bool
+    ) -> None:
         self.start = start
         self.request = request
+        self.has_lease = has_lease
         self.repeats = 0
         self.asked: set[Peer] = set()
         self.acks: dict[int, dict[Peer, claim_ack.ClaimAck]] = {}
@@ -154,8 +164,11 @@
         """Return whether no earlier owner can have run the request.
 
         Either the holder found no earlier claim, or this agent has owned the flow
-        for longer than any copy of the request lives.
+        for longer than any copy of the request lives. Both count only if this
+        agent held a lease, as otherwise its bucket may have been taken over.
         """
+        if not self.has_lease:
+            return False
         if self.request.held_ms >= lifetime.EXCHANGE_SECONDS * 1000:
             return True
         return any(a.is_holder for acks in self.acks.values() for a in acks.values())
--- a/tests/flows/harness.py
+++ b/tests/flows/harness.py
@@ -158,7 +158,7 @@
             self._run(req, 0)
         elif kind is verdict.Kind.NEW:
             held = self.router.held_ms(self.cluster.now, req.flow)
-            self._do(self.claims.start(self.cluster.now, req.key, held))
+            self._do(self.claims.start(self.cluster.now, req.key, held, self.is_leased))
 
     def _refuse(self, req):
         kind = self._begin(req)
--- a/tests/flows/mutants.py
+++ b/tests/flows/mutants.py
@@ -130,6 +130,13 @@
         "return True",
         CLAIMS + "test_time_out_without_holder_is_not_sole",
     ),
+    (
+        "trust a grant without a lease",
+        "requests/claim_core.py",
+        "        if not self.has_lease:\n",
+        "        if False:\n",
+        CLAIMS + "test_time_out_without_lease_at_the_start_is_not_sole",
+    ),
     (
         "refuse as not run without a lease",
         "requests/request_log.py",
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -21,9 +21,9 @@
 HOLDER, DEPUTY, OTHER = (1, 10), (2, 20), (3, 30)
 
 
-def _core():
+def _core(has_lease=True):
     core = claim_core.ClaimCore(1, lambda bucket: (HOLDER, DEPUTY))
-    return core, core.start(0.0, KEY, 0)
+    return core, core.start(0.0, KEY, 0, has_lease)
 
 
 def _ack(epoch, is_holder, claim_id=1, deputy=DEPUTY):
@@ -86,6 +86,13 @@
     assert [e.is_sole for e in core.tick(0.2)] == [False]
 
 
+def test_time_out_without_lease_at_the_start_is_not_sole():
+    """Guards against "not run" on the word of a holder that was replaced."""
+    core, _ = _core(has_lease=False)
+    core.acknowledge(0.01, HOLDER, _ack(5, True))
+    assert [e.is_sole for e in core.tick(0.2)] == [False]
+
+
 def test_requests_are_repeated_three_times():
     """Guards against a lost datagram that refuses a request."""
     core, _ = _core()
