--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -50,6 +50,7 @@
     Actions = list[msgspec.Struct]
 
 FLOW_CHECK_SECONDS = 5.0
+SECONDS_PER_MINUTE = 60
 
 
 class AgentCore(core.Core):
@@ -115,7 +116,10 @@
         if self._router is not None and self._requests is not None:
             actions += self._router.handle(now, flow_tick.Tick())
             actions += self._requests.tick(now)
-            self.link.report_capacity(self._requests.admission.capacity())
+            # Equal numbers of slots bear unequal rates where speeds differ, so
+            # shares follow the rate.
+            rate = self._requests.admission.throughput()
+            self.link.report_capacity(round(rate * SECONDS_PER_MINUTE))
             actions += self._close_idle_sockets(now)
         if self.link.is_draining and not self._has_work(now):
             actions.append(drained.Drained())
--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -125,7 +125,9 @@
         self._by_key[key] = pending
         if read.idempotent:
             return self._offer(now, pending)
-        return [*self._claims.start(now, key, self._router.held_ms(now, flow))]
+        held_ms = self._router.held_ms(now, flow)
+        has_lease = self._right.lease_ms(now) > 0
+        return [*self._claims.start(now, key, held_ms, has_lease)]
 
     def recorded_refusal(
         self, now: float, flow: flow_key.FlowKey, carrier: packet.Packet
--- a/src/limpetreel/control/share_controller.py
+++ b/src/limpetreel/control/share_controller.py
@@ -42,7 +42,7 @@
         self._class_changed_at: dict[str, float] = {}
 
     def report(self, now: float, name: str, capacity: int) -> None:
-        """Take the capacity that an agent reports, in open requests."""
+        """Take the capacity that an agent reports, in requests a minute."""
         watch = self._watches.setdefault(name, share_watch.ShareWatch())
         if now - watch.reported_at > MAX_GAP_SECONDS:
             watch.differs_since = None
--- a/src/limpetreel/measure/event_queue.py
+++ b/src/limpetreel/measure/event_queue.py
@@ -5,7 +5,7 @@
 import heapq
 from collections.abc import Callable
 
-Callback = Callable[[], None]
+Callback = Callable[[], object]
 
 
 class EventQueue:
--- a/src/limpetreel/messages/renew.py
+++ b/src/limpetreel/messages/renew.py
@@ -20,7 +20,8 @@
     digest : int
         Digest of the node's table.
     capacity : int
-        Open requests that the upstream can bear, as measured; 0 for an entry.
+        Requests a minute that the upstream bears, as measured; 0 for an entry and
+        until something has been measured.
     draining : bool
         True once the node has begun to leave.
     leaving : bool
--- a/src/limpetreel/node/node_link.py
+++ b/src/limpetreel/node/node_link.py
@@ -61,7 +61,7 @@
         return found
 
     def report_capacity(self, capacity: int) -> None:
-        """Set the capacity that renewals report."""
+        """Set the capacity that renewals report, in requests a minute."""
         self._sync.capacity = capacity
 
     def drain(self) -> None:
