Report capacity and throughput that slow start has proven

Cause: slow start without an earlier limit does not end at low load. An upstream in that state reported no throughput and kept its initial share. Change: each growth raises capacity and throughput to what the step has borne.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -368,16 +368,28 @@
         if self._detector.note_latency(latency):
             self._turn_cold(now, self._has_grown())
         elif self._slow_start.active:
+            limit = self._slow_start.limit
             self._slow_start.note_success(now, latency, ended.open_at_send)
-            if not self._slow_start.active:
-                self._limiter.restart_at(self._slow_start.limit)
-                self._proven = self._slow_start.limit
+            if self._slow_start.limit != limit or not self._slow_start.active:
+                self._note_growth(now)
         else:
             is_full_use = ended.open_at_send >= self._limiter.limit
             mean = self._blocks.note(now, latency, is_full_use)
             if mean is not None:
                 self._note_block(now, mean)
 
+    def _note_growth(self, now: float) -> None:
+        """Take over what slow start has found out."""
+        if not self._slow_start.active:
+            self._limiter.restart_at(self._slow_start.limit)
+            self._proven = self._slow_start.limit
+        # At low load the limit may never be fully used again, so that this is the
+        # only measurement of what the upstream bears.
+        limit, mean = self._slow_start.proven
+        if mean > 0.0:
+            self._capacity.raise_to(now, limit)
+            self._throughput.raise_to(now, limit / mean)
+
     def _note_block(self, now: float, mean: float) -> None:
         limit = self._limiter.limit
         baseline = self._blocks.baseline or mean
--- a/src/limpetreel/admission/capacity_estimate.py
+++ b/src/limpetreel/admission/capacity_estimate.py
@@ -15,6 +15,12 @@
         self._smoothed = 0.0
         self._updated: float | None = None
 
+    def raise_to(self, now: float, value: float) -> None:
+        """Report at least a value that has been borne while the limit still grew."""
+        if value > self._smoothed:
+            self._updated = None
+            self.note(now, value)
+
     def note(self, now: float, value: float) -> None:
         """Add a measured value."""
         if self._updated is None:
--- a/src/limpetreel/admission/slow_start.py
+++ b/src/limpetreel/admission/slow_start.py
@@ -113,6 +113,11 @@
         self._last_mean = mean
         self._start_step(now)
 
+    @property
+    def proven(self) -> tuple[int, float]:
+        """Limit of the last complete step and its mean latency, 0 if unknown."""
+        return self._limit_before, self._last_mean or 0.0
+
     def end(self) -> None:
         """End slow start; the limiter takes over."""
         self.active = False
