Wait for an answer at a lower suspicion

Cause: while an upstream has turned cold without notice, requests went on being sent next to open ones until an answer took more than three deviations longer. Change: suspicion at a score of 0.75 instead of 1.5, a latency of about twice the mean.

--- a/src/limpetreel/admission/cold_detector.py
+++ b/src/limpetreel/admission/cold_detector.py
@@ -12,8 +12,8 @@
 """Deviations above the mean that a single latency may have without being a sign."""
 
 COLD_SCORE = 4.0
-SUSPICION_SCORE = 1.5
-"""One latency three deviations above the mean, which one in 740 exceeds."""
+SUSPICION_SCORE = 0.75
+"""One latency 2.25 deviations above the mean, about twice the usual latency."""
 
 MIN_DEVIATION = 0.25
 MAX_DEVIATION = 0.6
