--- a/src/limpetreel/admission/cold_detector.py
+++ b/src/limpetreel/admission/cold_detector.py
@@ -12,6 +12,11 @@
 """Deviations above the mean that a single latency may have without being a sign."""
 
 COLD_SCORE = 4.0
+ANSWERED_COLD_SCORE = 6.0
+"""Score for answered requests, which are many: warm upstreams reached `COLD_SCORE` by
+chance in the measurement, and each time costs some seconds of slow start.
+"""
+
 SUSPICION_SCORE = 0.75
 """One latency 2.25 deviations above the mean, about twice the usual latency."""
 
@@ -56,7 +61,7 @@
         value = math.log(max(latency, MIN_LATENCY))
         if self._count >= MIN_SAMPLES:
             self._score = max(0.0, self._score + self._excess(value))
-            if self._score >= COLD_SCORE:
+            if self._score >= ANSWERED_COLD_SCORE:
                 return True
         self._learn(value)
         return False
