--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import struct
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from limpetreel.assignment import assignments, class_assignment
 from limpetreel.core import core, failure, reason
 from limpetreel.entry import owner_hints
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
+from limpetreel.flows import flow_key
 from limpetreel.node import frame_arrived, node_link, record_span, send_frame, tick
 from limpetreel.wire import address, kind, message_codec, mode, packet
 
 if TYPE_CHECKING:
     import msgspec
 
-_FLOW = struct.Struct("!IIH")
+_ODD_CONSTANT = 0x9E3779B97F4A7C15
+"""Spreads the packet number over 64 bits, so that traces of a flow differ."""
 
 
 class EntryCore(core.Core):
@@ -66,13 +65,13 @@
         if not self.link.right.may_forward(now, self.link.table):
             return self._drop(reason.Reason.NO_LEASE)
         caller = event.caller
-        flow = _FLOW.pack(event.class_id, caller.ip, caller.port)
-        bucket = xxhash.xxh64_intdigest(flow) % class_assignment.BUCKETS_PER_CLASS
+        flow_hash = flow_key.flow_hash(event.class_id, caller)
+        bucket = flow_hash % class_assignment.BUCKETS_PER_CLASS
         found = self._assignments.lookup(event.class_id, bucket)
         if found is None:
             return self._drop(reason.Reason.NO_MEMBER)
         target = self._hints.find((event.class_id, caller)) or found.primary
-        trace_id = self._sample(flow)
+        trace_id = self._sample(flow_hash)
         body = packet.encode(
             packet.Packet(
                 class_id=event.class_id,
@@ -105,12 +104,12 @@
             )
         return actions
 
-    def _sample(self, flow: bytes) -> int:
+    def _sample(self, flow_hash: int) -> int:
         """Return a trace id for every so many packets, else 0."""
         self._count += 1
         if not self._trace_every or self._count % self._trace_every:
             return 0
-        return xxhash.xxh64_intdigest(flow, seed=self._count) | 1
+        return (flow_hash ^ self._count * _ODD_CONSTANT) % 2**64 | 1
 
     def _receive(
         self, now: float, event: frame_arrived.FrameArrived
--- a/src/limpetreel/flows/flow_key.py
+++ b/src/limpetreel/flows/flow_key.py
@@ -29,9 +29,21 @@
 
     def hash64(self) -> int:
         """Return the 64-bit hash, equal on all nodes."""
-        packed = _PACKED.pack(self.caller.ip, self.caller.port, self.class_id)
-        return xxhash.xxh64_intdigest(packed)
+        return flow_hash(self.class_id, self.caller)
 
     def bucket(self) -> int:
         """Return the bucket of the flow."""
         return self.hash64() % class_assignment.BUCKETS_PER_CLASS
+
+
+def flow_hash(class_id: int, caller: address.Address) -> int:
+    """Return the 64-bit hash of a flow; entries and agents must agree on it.
+
+    Parameters
+    ----------
+    class_id : int
+        Number of the class.
+    caller : Address
+        Address of the caller.
+    """
+    return xxhash.xxh64_intdigest(_PACKED.pack(caller.ip, caller.port, class_id))
