Probe the latency baseline; add tests and deliberate faults

Cause: the tests found four faults. With 16 slots falling to 10 under full load the limit rose from 17 to 30 within 70 s, because the baseline rose with the queueing. Slow start that grew beyond the slots was taken for cold every 16 s for ever. A limit held back for up to three doubled hold times did not recover within 60 s. A displaced request that was then abandoned ended twice. Change: the limit falls to 0.7 of its value about every 12 s until 16 requests have been measured; slow start after a failed growth ends at the last limit that was borne; patience is 10 s; abandoning drops a pending refusal. Tests with an oracle, focused tests, 13 deliberate faults, all found by the listed tests.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -10,6 +10,7 @@
 from limpetreel.admission import (
     admitted,
     back_off,
+    baseline_probe,
     capacity_estimate,
     cold_detector,
     expired,
@@ -76,6 +77,7 @@
         self._limiter = limiter or gradient_limiter.GradientLimiter(config.max_limit)
         self._slow_start = slow_start.SlowStart()
         self._detector = cold_detector.ColdDetector()
+        self._probe = baseline_probe.BaselineProbe()
         self._blocks = latency_blocks.LatencyBlocks()
         self._queue = wait_queue.WaitQueue()
         self._budget = retry_budget.RetryBudget()
@@ -99,7 +101,7 @@
         """Number of requests that may be open at once."""
         if self._slow_start.active:
             return self._slow_start.limit
-        return self._limiter.limit
+        return self._probe.lowered(self._limiter.limit)
 
     @property
     def open_count(self) -> int:
@@ -216,6 +218,8 @@
         """
         self._advance(now)
         self._queue.remove(request_id)
+        # A displaced request must not end a second time by its refusal.
+        self._displaced = [d for d in self._displaced if d.request_id != request_id]
         if self._close(request_id) is not None:
             self._linger(now)
         return self._dispatch(now)
@@ -373,15 +377,30 @@
             if self._slow_start.limit != limit or not self._slow_start.active:
                 self._note_growth(now)
         else:
-            is_full_use = ended.open_at_send >= self._limiter.limit
-            mean = self._blocks.note(now, latency, is_full_use)
-            if mean is not None:
-                self._note_block(now, mean)
+            self._note_warm_answer(now, latency, ended)
+
+    def _note_warm_answer(
+        self, now: float, latency: float, ended: open_request.OpenRequest
+    ) -> None:
+        if self._probe.update(now):
+            self._blocks.restart_baseline_block()
+        if self._probe.active:
+            if self._probe.counts(ended.sent_at) and self._blocks.note_baseline(
+                now, latency
+            ):
+                self._probe.end(now)
+                self._blocks.restart_block()
+            return
+        is_full_use = ended.open_at_send >= self._limiter.limit
+        mean = self._blocks.note(now, latency, is_full_use)
+        if mean is not None:
+            self._note_block(now, mean)
 
     def _note_growth(self, now: float) -> None:
         """Take over what slow start has found out."""
         if not self._slow_start.active:
             self._limiter.restart_at(self._slow_start.limit)
+            self._probe.end(now)
             self._proven = self._slow_start.limit
         # At low load the limit may never be fully used again, so that this is the
         # only measurement of what the upstream bears.
@@ -427,7 +446,12 @@
             self._warm_latency = (
                 self._blocks.baseline or self._detector.service_seconds or None
             )
+        elif self._has_grown():
+            # Growth beyond the slots raises latencies as well. Stopping at the last
+            # limit that was borne keeps it from being taken for coldness for ever.
+            self._target = self._slow_start.proven[0]
         self._slow_start.begin(now, self._target, self._warm_latency, is_repeated)
+        self._probe.stop()
         self._detector.reset()
         self._blocks.clear()
         self._proven = 0
--- a/src/limpetreel/admission/latency_blocks.py
+++ b/src/limpetreel/admission/latency_blocks.py
@@ -42,7 +42,7 @@
         is_full_use : bool
             Whether the request was sent while the limit was fully used.
         """
-        self._note_baseline(now, latency)
+        self.note_baseline(now, latency)
         if not is_full_use:
             return None
         self._sum += latency
@@ -63,20 +63,25 @@
         self._sum = 0.0
         self._count = 0
 
-    def _note_baseline(self, now: float, latency: float) -> None:
+    def restart_baseline_block(self) -> None:
+        """Drop the block for the baseline that is being filled."""
+        self._all_sum = 0.0
+        self._all_count = 0
+
+    def note_baseline(self, now: float, latency: float) -> bool:
+        """Add a latency for the baseline; return whether its block is complete."""
         self._all_sum += latency
         self._all_count += 1
         if self._all_count < BLOCK_SIZE:
-            return
+            return False
         self._means.append((now, self._all_sum / self._all_count))
-        self._all_sum = 0.0
-        self._all_count = 0
+        self.restart_baseline_block()
         while self._means[0][0] < now - BASELINE_SECONDS:
             self._means.popleft()
+        return True
 
     def clear(self) -> None:
         """Drop all measurements."""
         self.restart_block()
-        self._all_sum = 0.0
-        self._all_count = 0
+        self.restart_baseline_block()
         self._means.clear()
--- a/src/limpetreel/admission/slow_start.py
+++ b/src/limpetreel/admission/slow_start.py
@@ -30,8 +30,8 @@
 slots bears a second request only when it is entirely warm.
 """
 
-PATIENCE = 3.0
-"""Hold times after which a lasting higher latency is accepted as the new normal."""
+PATIENCE_SECONDS = 10.0
+"""Time after which a lasting higher latency is accepted as the new normal."""
 
 
 class SlowStart:
@@ -128,7 +128,7 @@
         known = self._warm_latency
         if known is not None and mean <= known * WARM_RATIO:
             return True
-        if known is not None and now - self._began < PATIENCE * self._hold:
+        if known is not None and now - self._began < PATIENCE_SECONDS:
             return False
         last = self._last_mean
         return last is not None and mean >= last * FALLING_RATIO
--- /dev/null
+++ b/tests/admission/mutants.py
@@ -0,0 +1,104 @@
+"""Deliberate faults and the test that must find each of them.
+
+Each entry is (name, file, old text, new text, test id). The old text occurs exactly
+once in the file.
+"""
+
+from __future__ import annotations
+
+_SOURCE = "src/limpetreel/admission/"
+_TESTS = "tests.admission.test_admission_controller."
+
+MUTANTS = [
+    (
+        "no slow start on restart",
+        _SOURCE + "admission_controller.py",
+        "        self._turn_cold(now, is_repeated=False)\n        made: ",
+        "        made: ",
+        _TESTS + "test_restart_begins_slow_start_and_loses_open_requests",
+    ),
+    (
+        "no deadline check",
+        _SOURCE + "admission_controller.py",
+        "        return now + wait + service < deadline_at\n",
+        "        return True\n",
+        _TESTS + "test_request_that_cannot_make_its_deadline_is_refused",
+    ),
+    (
+        "unbounded queue",
+        _SOURCE + "admission_controller.py",
+        "return max(self._config.min_queue, self._config.queue_factor * self.limit)",
+        "return 1 << 60",
+        _TESTS + "test_queue_is_bounded",
+    ),
+    (
+        "unlimited retries",
+        _SOURCE + "retry_budget.py",
+        "            return False\n",
+        "            return True\n",
+        _TESTS + "test_retries_stay_within_their_budget",
+    ),
+    (
+        "limit never falls",
+        _SOURCE + "gradient_limiter.py",
+        "        gradient = min(1.0, LATENCY_TOLERANCE * baseline / mean)\n",
+        "        gradient = 1.0\n",
+        _TESTS + "test_limit_follows_falling_capacity",
+    ),
+    (
+        "coldness not noticed from latency",
+        _SOURCE + "cold_detector.py",
+        "        return (value - self._mean) / self._deviation() - ALLOWANCE\n",
+        "        return -ALLOWANCE\n",
+        _TESTS + "test_latency_jump_is_taken_for_coldness",
+    ),
+    (
+        "refusals of the upstream ignored",
+        _SOURCE + "admission_controller.py",
+        "            self._note_shed(now, ended)\n",
+        "            pass\n",
+        _TESTS + "test_refusal_at_a_proven_load_is_taken_for_coldness",
+    ),
+    (
+        "hold time counts from zero",
+        _SOURCE + "slow_start.py",
+        "        self._began = now\n",
+        "        self._began = 0.0\n",
+        _TESTS + "test_restart_begins_slow_start_and_loses_open_requests",
+    ),
+    (
+        "no fairness between callers",
+        _SOURCE + "wait_queue.py",
+        "return self._virtual_time + open_count + self._by_caller.get(caller, 0)\n",
+        "return self._virtual_time\n",
+        _TESTS + "test_flooding_caller_leaves_places_to_others",
+    ),
+    (
+        "no displacement of a flood",
+        _SOURCE + "wait_queue.py",
+        "        if count < self._by_caller.get(caller, 0) + 2:\n",
+        "        if count:\n",
+        _TESTS + "test_flooding_caller_leaves_places_to_others",
+    ),
+    (
+        "hints without jitter",
+        _SOURCE + "back_off.py",
+        "self._random.randint(low, high)",
+        "low",
+        _TESTS + "test_equal_waits_give_different_retry_hints",
+    ),
+    (
+        "displaced request ends twice",
+        _SOURCE + "admission_controller.py",
+        " if d.request_id != request_id]",
+        "]",
+        _TESTS + "test_abandoned_request_is_not_refused_after_it_was_displaced",
+    ),
+    (
+        "slow start overshoots again and again",
+        _SOURCE + "admission_controller.py",
+        "            self._target = self._slow_start.proven[0]\n",
+        "            pass\n",
+        _TESTS + "test_growth_beyond_the_slots_is_not_taken_for_coldness_for_ever",
+    ),
+]
--- /dev/null
+++ b/tests/admission/test_admission_controller.py
@@ -0,0 +1,251 @@
+"""An upstream must get neither more than it bears nor work that comes too late."""
+
+from __future__ import annotations
+
+from limpetreel.admission import back_off, expired, outcome, queued, refusal, refused
+from limpetreel.core import reason
+from tests import fixtures
+from tests.admission import builders
+
+
+def _end_all(load):
+    """End all requests and wait until no cancelled one holds a slot."""
+    while load.open:
+        for request_id in list(load.open):
+            del load.open[request_id]
+            load.take(load.controller.abandoned(load.now, request_id))
+    load.now += 1.5
+    load.take(load.controller.tick(load.now))
+
+
+def test_limit_finds_the_slots():
+    """Guards against a limit that stays far from what the upstream bears."""
+    assert 4 <= builders.warm_load(slots=4).controller.limit <= 8
+    assert 32 <= builders.warm_load(slots=64, seconds=30.0).controller.limit <= 128
+
+
+def test_limit_follows_falling_capacity():
+    """Guards against a limit that never falls."""
+    load = builders.warm_load(slots=16, seconds=30.0)
+    before = load.controller.limit
+    load.run(40.0, slots=10)
+    assert not load.controller.is_cold
+    assert load.controller.limit < 0.8 * before
+
+
+def test_fresh_upstream_gets_one_request():
+    """Guards against load on an upstream that has just started."""
+    load = builders.Load(builders.make_controller())
+    load.run(2.5)
+    assert load.highest_open == 1
+    load.run(10.0)
+    assert load.controller.limit > 1
+
+
+def test_slow_start_begins_when_the_controller_does():
+    """Guards against a hold time that counts from time zero."""
+    load = builders.Load(builders.make_controller(now=5000.0), now=5000.0)
+    load.run(2.5)
+    assert load.highest_open == 1
+
+
+def test_restart_begins_slow_start_and_loses_open_requests():
+    """Guards against full load on an upstream with a new run id."""
+    load = builders.warm_load()
+    lost = set(load.open)
+    got = load.controller.upstream_restarted(load.now)
+    ended = {d.request_id for d in got if isinstance(d, expired.Expired) and d.is_lost}
+    assert ended == lost
+    load.take(got)
+    load.run(2.5)
+    assert load.highest_open == 1
+
+
+def test_latency_jump_is_taken_for_coldness():
+    """Guards against an upstream that turns cold without notice."""
+    load = builders.warm_load()
+    assert not load.controller.is_cold
+    load.latency *= 6
+    load.run(1.5)
+    assert load.controller.is_cold
+    assert load.controller.limit == 1
+
+
+def test_silent_upstream_gets_no_more_requests():
+    """Guards against sending more to an upstream that has stopped answering."""
+    load = builders.warm_load()
+    load.latency = 100.0
+    load.run(0.3)
+    held = set(load.open)
+    load.run(0.5)
+    assert set(load.open) <= held
+    assert load.controller.is_cold
+
+
+def test_refusal_at_a_proven_load_is_taken_for_coldness():
+    """Guards against load on an upstream that refuses what it used to bear."""
+    load = builders.warm_load()
+    _end_all(load)
+    got = load.offer()
+    load.controller.finished(load.now, got.request_id, outcome.Outcome.SHED)
+    assert load.controller.is_cold
+
+
+def test_short_deadlines_do_not_make_the_upstream_cold():
+    """Guards against a caller that slows the upstream down for all others."""
+    load = builders.warm_load()
+    for _ in range(20):
+        load.offer(seconds=builders.SERVICE_SECONDS * 1.02)
+        load.run(0.1)
+    assert not load.controller.is_cold
+
+
+def test_request_that_cannot_make_its_deadline_is_refused():
+    """Guards against work whose answer nobody waits for."""
+    load = builders.warm_load()
+    got = load.offer(seconds=builders.SERVICE_SECONDS / 2)
+    assert isinstance(got, refusal.Refusal)
+    assert got.reason is reason.Reason.DEADLINE
+
+
+def test_queued_request_is_refused_once_its_deadline_is_out_of_reach():
+    """Guards against running a request that has waited too long."""
+    load = builders.warm_load()
+    while load.controller.open_count < load.controller.limit:
+        load.offer()
+    got = load.offer(seconds=0.35)
+    assert isinstance(got, queued.Queued)
+    ended = load.controller.tick(load.now + 0.3)
+    assert got.request_id in {
+        d.request_id for d in ended if isinstance(d, refused.Refused)
+    }
+
+
+def test_open_request_expires_and_holds_its_slot_for_the_cancellation():
+    """Guards against a late request without cancellation or with its slot reused."""
+    load = builders.Load(builders.make_controller())
+    first = load.offer(seconds=0.5)
+    got = load.controller.tick(0.5)
+    assert got == [expired.Expired(first.request_id)]
+    again = load.controller.finished(0.6, first.request_id, outcome.Outcome.ANSWERED)
+    assert again == []
+
+
+def test_queue_is_bounded():
+    """Guards against memory that grows with the requests of hostile callers."""
+    load = builders.Load(builders.make_controller(min_queue=8))
+    got = [load.offer(seconds=2.0) for _ in range(1000)]
+    assert sum(isinstance(g, queued.Queued) for g in got) == 8
+    assert got[-1].reason is reason.Reason.OVERLOADED
+    load.controller.tick(0.1)
+    assert load.controller.queued_count <= 8
+
+
+def test_flooding_caller_leaves_places_to_others():
+    """Guards against one caller that fills the queue."""
+    load = builders.Load(builders.make_controller(min_queue=8))
+    for _ in range(100):
+        load.offer(caller=7)
+    other = load.offer(caller=8)
+    assert isinstance(other, queued.Queued)
+    displaced = load.controller.tick(0.0)
+    assert len(displaced) == 1
+    load.take(displaced)
+    load.now = 0.1
+    load.answer(next(iter(load.open)))
+    assert list(load.open) == [other.request_id]
+
+
+def test_abandoned_request_is_not_refused_after_it_was_displaced():
+    """Guards against a request that ends twice."""
+    load = builders.Load(builders.make_controller(min_queue=4))
+    ids = [load.offer(caller=7).request_id for _ in range(5)]
+    assert isinstance(load.offer(caller=8), queued.Queued)
+    got = load.controller.abandoned(0.0, ids[-1])
+    assert got == []
+
+
+def test_growth_beyond_the_slots_is_not_taken_for_coldness_for_ever():
+    """Guards against slow start that overshoots in the same way again and again."""
+    load = builders.Load(builders.make_controller())
+    while load.controller.limit < 3:
+        load.run(0.1)
+    load.latency = 100.0
+    load.run(1.5)
+    assert load.controller.limit == 1
+    load.latency = builders.SERVICE_SECONDS
+    load.run(20.0)
+    assert not load.controller.is_cold, "slow start ends at the limit that was borne"
+
+
+def test_queue_is_first_in_first_out_between_equal_callers():
+    """Guards against callers overtaking each other."""
+    load = builders.Load(builders.make_controller())
+    wanted = [load.offer(caller=c).request_id for c in (1, 2, 3, 4)]
+    served = []
+    while load.open:
+        served.extend(load.open)
+        load.now += 0.1
+        load.answer(served[-1])
+    assert served == wanted
+
+
+def test_retries_stay_within_their_budget():
+    """Guards against retries that multiply an overload."""
+    load = builders.Load(builders.make_controller())
+    for _ in range(100):
+        load.offer()
+    steps = [getattr(load.offer(is_retry=True), "step", "") for _ in range(50)]
+    assert steps.count("admission.retry") == 40
+    load.now = 11.0
+    assert load.offer(is_retry=True).step == "admission.retry"
+
+
+def test_retry_hints_grow_with_the_overload_and_differ():
+    """Guards against refused callers that all return at once."""
+    load = builders.warm_load()
+    early = [g for g in (load.offer() for _ in range(60)) if not g][:5]
+    late = [load.offer().retry_after for _ in range(2000)][-500:]
+    assert len(set(late)) > 3
+    assert sum(late) / len(late) > max(e.retry_after for e in early)
+    assert max(late) <= 60
+
+
+def test_equal_waits_give_different_retry_hints():
+    """Guards against callers of different agents that return together."""
+    hints = {back_off.BackOff(s).retry_after(0.0, 10, 0.5) for s in range(20)}
+    assert len(hints) > 3
+
+
+def test_id_in_use_is_no_refusal_as_not_run():
+    """Guards against "not run" for a request that is open."""
+    load = builders.Load(builders.make_controller())
+    load.offer()
+    got = load.controller.offer(0.0, 1, 1, 1.0)
+    assert not got
+    assert not isinstance(got, refusal.Refusal)
+
+
+def test_new_flow_is_accepted_by_true_load_only():
+    """Guards against new flows at an agent that is busy or draining."""
+    load = builders.warm_load()
+    controller = load.controller
+    assert not controller.can_accept_flow(load.now)
+    _end_all(load)
+    assert controller.can_accept_flow(load.now)
+    controller.drain(load.now)
+    assert not controller.can_accept_flow(load.now, is_last=True)
+    assert load.offer(), "flows that the agent owns go on"
+
+
+def test_capacity_does_not_follow_a_short_cold_phase():
+    """Guards against a share that moves flows at each restart."""
+    load = builders.warm_load()
+    before = load.controller.capacity()
+    load.take(load.controller.upstream_restarted(load.now))
+    load.run(3.0)
+    assert load.controller.capacity() == before
+    assert load.controller.throughput() > 0
+
+
+load_tests = fixtures.load_functions(globals())
