--- a/src/limpetreel/admission/gradient_limiter.py
+++ b/src/limpetreel/admission/gradient_limiter.py
@@ -18,6 +18,11 @@
 class GradientLimiter(concurrency_limiter.ConcurrencyLimiter):
     """Limiter that scales the limit by the latency gradient.
 
+    It is the default: in `admission_measure` with seeds 1 to 4 it answers at least
+    0.98 of the requests in time at 70 % load and has a goodput of at least 0.97 at
+    double load, `AimdLimiter` 0.87 and 0.84, since one decrease of the latter takes
+    away a large part of a limit of 2 to 4.
+
     Parameters
     ----------
     max_limit : int
