Keep the role of a deputy in epochs that began after its return

Change: only epochs before the last change of the own record are given up. The fuzzing test now repairs the cluster at its end and asks every flow.

--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -289,14 +289,24 @@
         return (node_id, member.incarnation) if member else bucket_state.NOBODY
 
     def _leave_all(self) -> None:
+        """Give up all roles and copies from before the last change of the own record.
+
+        A later epoch was entered by a holder that knew this agent as a member.
+        """
+        record = self.view.member(self._me[0]) if self.view else None
+        known = record is not None and record.incarnation == self._me[1]
+        since = record.modified if record and known else float("inf")
         for bucket, state in self._states.items():
+            if state.copy_epoch < since:
+                state.lose_copy()
+            if state.epoch >= since:
+                continue
             if state.role in (_Role.TAKING_OVER, _Role.DEPUTY):
                 state.enter(state.epoch, state.holder, state.deputy, _Role.FENCED)
             state.role = _Role.FENCED
             state.is_serving = state.is_open = False
             if state.holder == self._me:
                 state.holder = bucket_state.NOBODY
-            state.lose_copy()
             self._directory.drop_bucket(bucket)
             self.changed.add(bucket)
 
--- a/tests/flows/harness.py
+++ b/tests/flows/harness.py
@@ -411,6 +411,17 @@
         """Cut some agents (and entries, as 0 and -1) off from all others."""
         self.sides = dict.fromkeys(nodes, 1)
 
+    def repair(self):
+        """End all faults and wait until every agent has the last table."""
+        self.loss = 0.0
+        self.cut([])
+        for node_id, record in self.records.items():
+            if node_id not in self.agents or record.state is not ACTIVE:
+                self.restart(node_id)
+        self.advance(12)
+        for agent in self.agents.values():
+            agent.accepts = True
+
     # Callers
 
     def request(self, datagram):
--- a/tests/flows/mutants.py
+++ b/tests/flows/mutants.py
@@ -123,6 +123,13 @@
         "            pass\n",
         TAKEOVER + "test_returned_member_does_not_vouch_for_its_copy",
     ),
+    (
+        "leave an epoch that began after the return",
+        "flows/takeover_core.py",
+        "            if state.epoch >= since:\n",
+        "            if False:\n",
+        TAKEOVER + "test_deputy_of_an_epoch_after_its_return_stays_deputy",
+    ),
     (
         "say not run without the holder",
         "requests/claim_core.py",
--- a/tests/flows/test_flows_fuzz.py
+++ b/tests/flows/test_flows_fuzz.py
@@ -90,6 +90,24 @@
     def wait_out_doubt(self):
         self.cluster.advance(260)
 
+    def teardown(self):
+        """Check that the class serves again once the faults have ended."""
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.repair()
+        reqs = [
+            self.cluster.ask(flow, idempotent)
+            for flow in harness.FLOWS
+            for idempotent in (True, False)
+        ]
+        self.cluster.advance(1)
+        for req in reqs:
+            said = [o for o, _ in req.told]
+            expected = [outcome.Outcome.ANSWERED]
+            if not req.idempotent:
+                expected.append(outcome.Outcome.UNKNOWN)
+            assert len(said) == 1 and said[0] in expected, (req.number, said)
+
 
 def test_random_faults_keep_every_promise():
     """Guards against faults that need several failures in one order."""
--- a/tests/flows/test_takeover.py
+++ b/tests/flows/test_takeover.py
@@ -223,6 +223,30 @@
     assert _outcomes(req) == [ANSWERED, UNKNOWN]
 
 
+def test_deputy_of_an_epoch_after_its_return_stays_deputy():
+    """Guards against a deputy that stops acknowledging without anybody's notice.
+
+    It returns with a table that is older than the epoch that it is deputy of.
+    """
+    cluster = _cluster(3)
+    _, deputy = _candidates(cluster)
+    cluster.cut([deputy])
+    cluster.advance(7)
+    agent = cluster.agents[deputy]
+    agent.feed, feed = lambda e: None if _is_table(e) else feed(e), agent.feed
+    cluster.cut([])
+    cluster.advance(1)
+    del agent.feed
+    cluster._publish()
+    cluster.advance(2)
+    assert _candidates(cluster)[1] == deputy
+    assert _outcomes(_ask(cluster)) == [ANSWERED]
+
+
+def _is_table(event):
+    return isinstance(event, table_changed.TableChanged)
+
+
 def test_cut_off_region_keeps_the_bucket_in_doubt():
     """Guards against a run on both sides of a cut that outlasts the doubt."""
     primary, deputy = _candidates(_cluster())
