--- a/tests/flows/test_flows_fuzz.py
+++ b/tests/flows/test_flows_fuzz.py
@@ -15,7 +15,7 @@
 
 SEED = int(os.environ.get("LIMPETREEL_FUZZ_SEED", "1"))
 STEPS = int(os.environ.get("LIMPETREEL_FUZZ_STEPS", "40"))
-EXAMPLES = 40
+EXAMPLES = 60
 NODES = st.integers(1, 4)
 ENTRIES = st.integers(0, 1)
 
@@ -66,6 +66,29 @@
     def drain(self, node):
         self.cluster.drain(self._node(node))
 
+    @stateful.rule(
+        flow=st.sampled_from(harness.FLOWS[:2]),
+        hit=st.lists(st.sampled_from(("owner", "primary", "deputy")), max_size=3),
+        fault=st.sampled_from(("crash", "restart", "drain")),
+        wait=st.sampled_from((0.04, 1.0, 3.0)),
+    )
+    def ask_and_lose(self, flow, hit, fault, wait):
+        """Hit agents that know of a request, and send the request again."""
+        cluster = self.cluster
+        req = cluster.ask(flow, idempotent=False)
+        cluster.advance(wait)
+        ids = cluster.history[-1].candidates[flow.bucket()]
+        nodes = {ids[0]} if "primary" in hit else set()
+        nodes |= {ids[1]} if "deputy" in hit else set()
+        if "owner" in hit:
+            nodes |= {i for i, a in cluster.agents.items() if a.router.owns(flow)}
+        for node in sorted(nodes - {0}):
+            getattr(cluster, fault)(node)
+        for seconds in (0.02, 2.0, 5.0):
+            cluster.advance(seconds)
+            cluster.send(req)
+        cluster.advance(0.5)
+
     @stateful.rule(node=NODES, accepts=st.booleans())
     def load(self, node, accepts):
         agent = self.cluster.agents.get(self._node(node))
