Call a refusal certain only under the agent's own lease

Cause: an adopted lease shows that the zone serves, but not that the agent has not been replaced; its successor may run the request that it refuses. Change: the serving right tells own from adopted leases.

--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -126,7 +126,7 @@
         if read.idempotent:
             return self._offer(now, pending)
         held_ms = self._router.held_ms(now, flow)
-        has_lease = self._right.lease_ms(now) > 0
+        has_lease = self._right.has_own_lease(now)
         return [*self._claims.start(now, key, held_ms, has_lease)]
 
     def recorded_refusal(
@@ -268,7 +268,7 @@
         if ended.timed_out:
             # Without a lease of its own this agent may have been replaced, and its
             # successor may run the request.
-            certain = ended.is_sole and self._right.lease_ms(now) > 0
+            certain = ended.is_sole and self._right.has_own_lease(now)
             told = self._log.refuse(now, ended.key, certain=certain)
             return self._end(now, pending, told or outcomes.Outcome.UNKNOWN)
         return self._end(now, pending, ended.outcome, ended.answer)
@@ -394,7 +394,7 @@
         carrier: packet.Packet,
         req: request.Request,
     ) -> Actions:
-        certain = self._right.lease_ms(now) > 0
+        certain = self._right.has_own_lease(now)
         told = self._log.refuse(now, key, certain=certain)
         return self._tell(now, carrier, req, told)
 
--- a/src/limpetreel/serving/serving_right.py
+++ b/src/limpetreel/serving/serving_right.py
@@ -29,6 +29,7 @@
         self._zone = zone
         self._region = region
         self._lease_until = float("-inf")
+        self._own_lease_until = float("-inf")
         self._zone_heard: dict[str, float] = {}
 
     def renew(self, sent_at: float, lease_ms: int) -> None:
@@ -45,6 +46,7 @@
         if lease_ms > 0:
             seconds = min(lease_ms / 1000, LEASE_SECONDS)
             self._lease_until = max(self._lease_until, sent_at + seconds)
+            self._own_lease_until = max(self._own_lease_until, sent_at + seconds)
 
     def adopt(self, now: float, lease_ms: int) -> None:
         """Take over what is left of the lease of a peer that sent a frame.
@@ -65,6 +67,14 @@
         """Return what is left of the lease in milliseconds, 0 if it has ended."""
         return max(0, int((self._lease_until - now) * 1000))
 
+    def has_own_lease(self, now: float) -> bool:
+        """Return whether control granted a lease to this node itself.
+
+        An adopted lease shows that the node's zone serves, but not that the node
+        has not been replaced.
+        """
+        return self._own_lease_until > now
+
     def has_evidence(self, now: float, records: table.Table) -> bool:
         """Return whether a majority of the region's zones is in contact."""
         zones = [z.name for z in records.zones() if z.region == self._region]
