--- a/src/limpetreel/workload/demo.py
+++ b/src/limpetreel/workload/demo.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import random
+import socket
 import tempfile
 import time
 from typing import TYPE_CHECKING
@@ -19,11 +20,14 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-BASE_PORT = 24000
+FIRST_BASE_PORT = 24000
+LAST_BASE_PORT = 31000
 CALLERS_PER_CLASS = 20
 REQUESTS_PER_SECOND_PER_CALLER = 4.0
 POST_RATIO = 0.3
 PHASE_SECONDS = 4.0
+SHOWN_REPLIES = 10
+REPORT_BYTES = 8192
 READY_SECONDS = 20.0
 CLASSES = {"bookings": 4, "briefings": 2}
 """Classes and the slots of each of their upstreams."""
@@ -38,10 +42,15 @@
         Command line that starts the program.
     seed : int
         Seed of the load.
+    phase_s : float
+        Length of each of the three phases, in seconds.
     """
 
-    def __init__(self, program: Sequence[str], seed: int) -> None:
+    def __init__(
+        self, program: Sequence[str], seed: int, phase_s: float = PHASE_SECONDS
+    ) -> None:
         self._program = program
+        self._phase_s = phase_s
         self._rng = random.Random(seed)
         self._seed = seed
         self._replies: list[tuple[str, str, reply.Reply]] = []
@@ -51,13 +60,16 @@
     async def run(self) -> int:
         """Run the demonstration and return the exit code."""
         with tempfile.TemporaryDirectory(prefix="limpetreel-") as name:
-            self._site = site.Site(self._program, pathlib.Path(name), BASE_PORT)
+            self._folder = pathlib.Path(name)
+            self._site = site.Site(self._program, self._folder, find_base_port())
             try:
                 await self._run()
                 self._check_runs(await self._fetch_runs())
             finally:
                 bad = await self._site.stop()
             self._problems += [f"did not stop gracefully: {b}" for b in bad]
+            self._show_replies()
+            await self._show_trace()
             for log in sorted(pathlib.Path(name).glob("*.log")):
                 if "Traceback" in log.read_text():
                     self._problems.append(f"exception in {log.name}")
@@ -72,11 +84,12 @@
             for name, port in ports.items()
             for _ in range(CALLERS_PER_CLASS)
         ]
-        await asyncio.sleep(PHASE_SECONDS)
+        await asyncio.sleep(self._phase_s)
+        await self._fetch_report(next(iter(ports.values())))
         await self._operate("zone", "out", site.ZONES[2])
-        await asyncio.sleep(PHASE_SECONDS)
+        await asyncio.sleep(self._phase_s)
         await self._operate("zone", "in", site.ZONES[2])
-        await asyncio.sleep(PHASE_SECONDS)
+        await asyncio.sleep(self._phase_s)
         self._stopping = True
         await asyncio.gather(*load)
 
@@ -132,6 +145,32 @@
             await asyncio.sleep(rng.expovariate(REQUESTS_PER_SECOND_PER_CALLER))
         sender.close()
 
+    async def _fetch_report(self, port: int) -> None:
+        """Fetch a long answer, which takes several blocks, with a stock client."""
+        context = await aiocoap.Context.create_client_context(transports=["simple6"])
+        req = aiocoap.Message(
+            code=aiocoap.GET, uri=f"coap://{site.PUBLIC_IP}:{port}/report"
+        )
+        answer = await context.request(req).response
+        size = len(answer.payload)
+        print(f"stock client: {answer.code}, {size} bytes in blocks")
+        if size != REPORT_BYTES:
+            self._problems.append(f"the report has {size} bytes")
+        await context.shutdown()
+
+    def _show_replies(self) -> None:
+        step = max(1, len(self._replies) // SHOWN_REPLIES)
+        shown = self._replies[::step][:SHOWN_REPLIES]
+        print(f"{len(shown)} of {len(self._replies)} requests")
+        for class_name, _, found in shown:
+            kind = "GET " if found.idempotent else "POST"
+            where = f" by {found.upstream}" if found.upstream else ""
+            took = f"{found.seconds * 1000:.0f} ms"
+            print(f"  {kind} {class_name} {found.key}: {found.outcome}{where}, {took}")
+
+    async def _show_trace(self) -> None:
+        """Print the spans of one traced request."""
+
     async def _fetch_runs(self) -> collections.Counter[str]:
         """Return how often each request ran, as the upstreams counted it."""
         context = await aiocoap.Context.create_client_context(transports=["simple6"])
@@ -182,3 +221,22 @@
         for problem in self._problems:
             print(f"problem: {problem}")
         return exit_code.ExitCode.FAILED if self._problems else exit_code.ExitCode.OK
+
+
+def find_base_port() -> int:
+    """Return the first of a range of ports that no other process uses now."""
+    for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, site.PORTS):
+        if all(_is_free(base + i) for i in (0, 1, 2)):
+            return base
+    raise OSError("no free range of ports for the demonstration")
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
--- a/src/limpetreel/workload/site.py
+++ b/src/limpetreel/workload/site.py
@@ -14,7 +14,9 @@
 PUBLIC_IP = "127.0.0.1"
 CLUSTER_KEY = "demonstration-cluster-key"
 OPERATOR_KEY = "demonstration-operator-key"
-STOP_SECONDS = 10.0
+STOP_SECONDS = 20.0
+PORTS = 1000
+"""Ports that one site uses from its base port on."""
 
 
 class Site:
