--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -2,34 +2,56 @@
 
 from __future__ import annotations
 
-import argparse
 import importlib
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from limpetreel import exceptions
-from limpetreel.console import exit_code
+from limpetreel.console import argument_parser, exit_code
 
 if TYPE_CHECKING:
+    import argparse
     from collections.abc import Sequence
 
     from limpetreel.console import command
 
+_Groups = dict[str, "argparse._SubParsersAction[Any]"]
+
 _COMMANDS = {
     "entry": "entry_command.EntryCommand",
     "agent": "agent_command.AgentCommand",
     "control": "control_command.ControlCommand",
     "class create": "class_create_command.ClassCreateCommand",
+    "class set": "class_set_command.ClassSetCommand",
+    "class show": "class_show_command.ClassShowCommand",
+    "class list": "class_list_command.ClassListCommand",
+    "class delete": "class_delete_command.ClassDeleteCommand",
     "zone create": "zone_create_command.ZoneCreateCommand",
     "zone out": "zone_out_command.ZoneOutCommand",
     "zone in": "zone_in_command.ZoneInCommand",
+    "zone list": "zone_list_command.ZoneListCommand",
+    "upstream list": "upstream_list_command.UpstreamListCommand",
     "status": "status_command.StatusCommand",
+    "explain": "explain_command.ExplainCommand",
+    "config check entry": "config_check_entry_command.ConfigCheckEntryCommand",
+    "config check agent": "config_check_agent_command.ConfigCheckAgentCommand",
+    "config check control": "config_check_control_command.ConfigCheckControlCommand",
+    "version": "version_command.VersionCommand",
     "demo": "demo_command.DemoCommand",
     "stand-in upstream": "stand_in_upstream_command.StandInUpstreamCommand",
     "stand-in fabric": "stand_in_fabric_command.StandInFabricCommand",
 }
 """Words of each command and where its class is, relative to `console.commands`."""
 
+_GROUPS = {
+    "class": "create, change and show classes of work",
+    "zone": "create zones and take them out of service or back in",
+    "upstream": "show upstreams",
+    "config": "check settings",
+    "config check": "check the settings of a role without starting it",
+    "stand-in": "stand-ins for what surrounds the system, for demonstrations",
+}
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the program.
@@ -55,6 +77,10 @@
     except exceptions.SettingError as exc:
         print(f"limpetreel: {exc.detail}", file=sys.stderr)
         return exit_code.ExitCode.USAGE
+    except BrokenPipeError:
+        # The reader of the output, such as head, has ended.
+        sys.stderr.close()
+        return exit_code.ExitCode.FAILED
 
 
 def _build_parser(words: Sequence[str]) -> argparse.ArgumentParser:
@@ -63,36 +89,49 @@
     Only the classes of commands that the words can select are imported, because
     each role may spend memory on its own libraries only.
     """
-    parser = argparse.ArgumentParser(
-        prog="limpetreel", description="Layer-4 load balancer that can be replayed."
+    parser = argument_parser.ArgumentParser(
+        prog="limpetreel",
+        description="Layer-4 load balancer whose decisions can be replayed.",
+        epilog=exit_code.HELP,
     )
     parser.set_defaults(command=None)
-    groups = {"": parser.add_subparsers(metavar="COMMAND")}
+    groups: _Groups = {"": parser.add_subparsers(metavar="COMMAND")}
+    first_words = {name.split()[0] for name in _COMMANDS}
+    # Other first words lead to the help text or an error, which name all commands.
+    chosen = words[0] if words and words[0] in first_words else ""
     for name, location in _COMMANDS.items():
-        group, _, leaf = name.rpartition(" ")
-        if group not in groups:
-            sub = groups[""].add_parser(group, help=f"commands for {group}")
-            groups[group] = sub.add_subparsers(metavar="COMMAND", required=True)
-        _add_command(groups[group], leaf, name, location, words)
+        if not chosen or name.split()[0] == chosen:
+            _add_command(groups, name, location)
+        elif name.split()[0] not in groups[""].choices:
+            groups[""].add_parser(name.split()[0])
     return parser
 
 
 def _add_command(
-    group: argparse._SubParsersAction[argparse.ArgumentParser],
-    leaf: str,
+    groups: _Groups,
     name: str,
     location: str,
-    words: Sequence[str],
 ) -> None:
-    if words and words[0] != name.split()[0]:
-        group.add_parser(leaf)
-        return
+    parent, _, leaf = name.rpartition(" ")
+    group = _add_group(groups, parent)
     found = _load(location)
-    sub = group.add_parser(leaf, help=found.help, description=found.help)
+    sub = group.add_parser(
+        leaf, help=found.help, description=found.help, epilog=exit_code.HELP
+    )
     found.add_arguments(sub)
     sub.set_defaults(command=found)
 
 
+def _add_group(groups: _Groups, name: str) -> argparse._SubParsersAction[Any]:
+    """Return the subcommands of a group, which is added with its parents."""
+    if name not in groups:
+        parent, _, leaf = name.rpartition(" ")
+        text = _GROUPS[name]
+        sub = _add_group(groups, parent).add_parser(leaf, help=text, description=text)
+        groups[name] = sub.add_subparsers(metavar="COMMAND", required=True)
+    return groups[name]
+
+
 def _load(location: str) -> command.Command:
     module_name, _, class_name = location.partition(".")
     module = importlib.import_module(f"limpetreel.console.commands.{module_name}")
--- a/src/limpetreel/console/commands/agent_command.py
+++ b/src/limpetreel/console/commands/agent_command.py
@@ -2,31 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 from typing import TYPE_CHECKING
 
 from limpetreel import factory
-from limpetreel.console import command, exit_code
-from limpetreel.runtime import process
-from limpetreel.settings import agent_settings, loader
+from limpetreel.console import role_command
+from limpetreel.settings import agent_settings
 
 if TYPE_CHECKING:
-    import argparse
+    from limpetreel.agent import agent_shell
 
 
-class AgentCommand(command.Command):
+class AgentCommand(role_command.RoleCommand):
     """Run an agent."""
 
     name = "agent"
     help = "run an agent until SIGTERM"
+    settings_class = agent_settings.AgentSettings
 
-    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Add a flag for each setting."""
-        loader.add_arguments(parser, agent_settings.AgentSettings)
-
-    def run(self, args: argparse.Namespace) -> int:
-        """Serve until SIGTERM."""
-        cfg = loader.load(agent_settings.AgentSettings, args, os.environ)
-        asyncio.run(process.run_until_signal(factory.build_agent(cfg).serve))
-        return exit_code.ExitCode.OK
+    def build(self, cfg: agent_settings.AgentSettings) -> agent_shell.AgentShell:
+        """Return the shell."""
+        return factory.build_agent(cfg)
--- a/src/limpetreel/console/commands/control_command.py
+++ b/src/limpetreel/console/commands/control_command.py
@@ -2,31 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 from typing import TYPE_CHECKING
 
 from limpetreel import factory
-from limpetreel.console import command, exit_code
-from limpetreel.runtime import process
-from limpetreel.settings import control_settings, loader
+from limpetreel.console import role_command
+from limpetreel.settings import control_settings
 
 if TYPE_CHECKING:
-    import argparse
+    from limpetreel.control import control_shell
 
 
-class ControlCommand(command.Command):
+class ControlCommand(role_command.RoleCommand):
     """Run a control instance."""
 
     name = "control"
     help = "run a control instance until SIGTERM"
+    settings_class = control_settings.ControlSettings
 
-    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Add a flag for each setting."""
-        loader.add_arguments(parser, control_settings.ControlSettings)
-
-    def run(self, args: argparse.Namespace) -> int:
-        """Serve until SIGTERM."""
-        cfg = loader.load(control_settings.ControlSettings, args, os.environ)
-        asyncio.run(process.run_until_signal(factory.build_control(cfg).serve))
-        return exit_code.ExitCode.OK
+    def build(
+        self, cfg: control_settings.ControlSettings
+    ) -> control_shell.ControlShell:
+        """Return the shell."""
+        return factory.build_control(cfg)
--- a/src/limpetreel/console/commands/entry_command.py
+++ b/src/limpetreel/console/commands/entry_command.py
@@ -2,31 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 from typing import TYPE_CHECKING
 
 from limpetreel import factory
-from limpetreel.console import command, exit_code
-from limpetreel.runtime import process
-from limpetreel.settings import entry_settings, loader
+from limpetreel.console import role_command
+from limpetreel.settings import entry_settings
 
 if TYPE_CHECKING:
-    import argparse
+    from limpetreel.entry import entry_shell
 
 
-class EntryCommand(command.Command):
+class EntryCommand(role_command.RoleCommand):
     """Run an entry."""
 
     name = "entry"
     help = "run an entry until SIGTERM"
+    settings_class = entry_settings.EntrySettings
 
-    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Add a flag for each setting."""
-        loader.add_arguments(parser, entry_settings.EntrySettings)
-
-    def run(self, args: argparse.Namespace) -> int:
-        """Serve until SIGTERM."""
-        cfg = loader.load(entry_settings.EntrySettings, args, os.environ)
-        asyncio.run(process.run_until_signal(factory.build_entry(cfg).serve))
-        return exit_code.ExitCode.OK
+    def build(self, cfg: entry_settings.EntrySettings) -> entry_shell.EntryShell:
+        """Return the shell."""
+        return factory.build_entry(cfg)
--- /dev/null
+++ b/src/limpetreel/console/commands/explain_command.py
@@ -0,0 +1,67 @@
+"""Command ``explain``."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel.console import (
+    exit_code,
+    explanation,
+    operator_command,
+    table_reader,
+    text_table,
+)
+from limpetreel.core import failure
+from limpetreel.settings import parsers
+
+if TYPE_CHECKING:
+    import argparse
+
+
+class ExplainCommand(operator_command.OperatorCommand):
+    """Explain where the packets of a flow go."""
+
+    name = "explain"
+    help = "explain which agents a flow goes to, with costs and shares"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the flow."""
+        super().add_arguments(parser)
+        parser.add_argument("class_name", metavar="CLASS")
+        parser.add_argument("caller", metavar="IP:PORT", type=parsers.address)
+
+    def run(self, args: argparse.Namespace) -> int:
+        """Recompute the choice from the current table."""
+        answer = self.call(args, {"type": "table"})
+        if isinstance(answer, failure.Failure):
+            return operator_command.report_unreachable(answer)
+        records = table_reader.read(answer)
+        if isinstance(records, failure.Failure):
+            return operator_command.report_unreachable(records)
+        found = explanation.explain(records, args.class_name, args.caller)
+        if isinstance(found, failure.Failure):
+            print(f"limpetreel: no class {args.class_name}", file=sys.stderr)
+            return exit_code.ExitCode.FAILED
+        if args.json:
+            print(msgspec.json.encode(found).decode())
+        else:
+            _print(found)
+        return exit_code.ExitCode.OK
+
+
+def _print(found: explanation.Explanation) -> None:
+    print(f"class     {found.class_name} (number {found.class_id})")
+    print(f"caller    {found.caller}")
+    print(f"bucket    {found.bucket} = flow hash mod 1024")
+    print(f"revision  {found.revision}")
+    print(f"primary   {found.primary or 'none: no agent may serve'}")
+    print(f"deputy    {found.deputy or 'none'}")
+    if found.members:
+        titles = ("agent", "zone", "state", "share", "cost", "part")
+        rows = [msgspec.structs.astuple(m) for m in found.members]
+        print(text_table.render(titles, rows))
+    print("The lowest cost wins; the deputy is the next one in another zone.")
+    print("An established flow stays with the owner that its primary recorded.")
--- a/src/limpetreel/console/commands/status_command.py
+++ b/src/limpetreel/console/commands/status_command.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from limpetreel.console import exit_code, operator_command
+from limpetreel.catalog import member_state
+from limpetreel.console import exit_code, operator_command, table_reader, text_table
 from limpetreel.core import failure
 
 if TYPE_CHECKING:
     import argparse
 
+    from limpetreel.catalog import table
+
 
 class StatusCommand(operator_command.OperatorCommand):
-    """Show the table of a control instance."""
+    """Show the state of the system as a control instance knows it."""
 
     name = "status"
-    help = "show classes, zones and members"
+    help = "show revision, zones, classes and states of members"
 
     def run(self, args: argparse.Namespace) -> int:
         """Fetch and print the table."""
@@ -27,8 +31,37 @@
         if args.json:
             print(msgspec.json.encode(answer).decode())
             return exit_code.ExitCode.OK
-        print(f"revision {answer['revision']}")
-        for record in answer["records"]:
-            fields = " ".join(f"{k}={v}" for k, v in record.items() if k != "type")
-            print(f"{record['type']:7} {fields}")
+        records = table_reader.read(answer)
+        if isinstance(records, failure.Failure):
+            return operator_command.report_unreachable(records)
+        stale = " (stale: this instance has no quorum)" if answer.get("stale") else ""
+        print(f"revision {records.revision}{stale}")
+        print(_zones(records))
+        print(_classes(records))
         return exit_code.ExitCode.OK
+
+
+def _zones(records: table.Table) -> str:
+    states = collections.Counter((m.zone, m.state) for m in records.members())
+    titles = ("zone", "region", "serving", *map(str, member_state.MemberState))
+    rows = [
+        (
+            z.name,
+            z.region,
+            z.serving,
+            *(states[z.name, state] for state in member_state.MemberState),
+        )
+        for z in records.zones()
+    ]
+    return text_table.render(titles, rows)
+
+
+def _classes(records: table.Table) -> str:
+    titles = ("class", "port", "agents", *map(str, member_state.MemberState))
+    rows = []
+    for item in records.classes():
+        agents = records.agents_of(item.name)
+        states = collections.Counter(a.state for a in agents)
+        counts = (states[state] for state in member_state.MemberState)
+        rows.append((item.name, item.port, len(agents), *counts))
+    return text_table.render(titles, rows)
--- /dev/null
+++ b/src/limpetreel/console/explained_member.py
@@ -0,0 +1,28 @@
+"""One member in the explanation of a flow."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ExplainedMember(msgspec.Struct, frozen=True):
+    """What a member's part in the choice was.
+
+    Attributes
+    ----------
+    name, zone, state : str
+        The member.
+    share : int
+        Its share.
+    cost : int
+        Its cost for the bucket; the lowest cost wins.
+    part : str
+        ``primary``, ``deputy``, ``candidate``, or why it is no candidate.
+    """
+
+    name: str
+    zone: str
+    state: str
+    share: int
+    cost: int
+    part: str
--- /dev/null
+++ b/src/limpetreel/console/explanation.py
@@ -0,0 +1,125 @@
+"""Explanation of where the packets of a flow go."""
+
+from __future__ import annotations
+
+import struct
+
+import msgspec
+import xxhash
+
+from limpetreel.assignment import assignments, class_assignment, rendezvous
+from limpetreel.catalog import class_record, member_record, member_state, table
+from limpetreel.console import explained_member
+from limpetreel.core import failure, reason
+from limpetreel.wire import address
+
+_FLOW = struct.Struct("!IIH")
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """The choice for one flow at one revision.
+
+    Attributes
+    ----------
+    class_name : str
+        Class of the flow.
+    class_id : int
+        Its number.
+    caller : str
+        Caller address.
+    bucket : int
+        Bucket of the flow.
+    revision : int
+        Revision of the table.
+    primary, deputy : str
+        Names of the agents, empty if there is none.
+    members : tuple of ExplainedMember
+        All agents of the class, the cheapest first.
+    """
+
+    class_name: str
+    class_id: int
+    caller: str
+    bucket: int
+    revision: int
+    primary: str
+    deputy: str
+    members: tuple[explained_member.ExplainedMember, ...]
+
+
+def explain(
+    records: table.Table, class_name: str, caller: tuple[str, int]
+) -> Explanation | failure.Failure:
+    """Recompute the choice for a flow from the table.
+
+    Parameters
+    ----------
+    records : Table
+        The table.
+    class_name : str
+        Class that the caller addresses.
+    caller : tuple of (str, int)
+        IP number and port of the caller.
+    """
+    found = records.class_by_name(class_name)
+    if found is None:
+        return failure.Failure(reason.Reason.WRONG_CLASS, "explain", class_name)
+    bucket = bucket_of(found.class_id, address.from_socket(caller))
+    chosen = assignments.Assignments(records).lookup(found.class_id, bucket)
+    names = ("", "")
+    if chosen is not None:
+        names = chosen.primary.name, chosen.deputy.name if chosen.deputy else ""
+    members = [
+        _member(records, found, bucket, m, names) for m in records.agents_of(class_name)
+    ]
+    members.sort(key=lambda m: m.cost)
+    return Explanation(
+        class_name=class_name,
+        class_id=found.class_id,
+        caller=f"{caller[0]}:{caller[1]}",
+        bucket=bucket,
+        revision=records.revision,
+        primary=names[0],
+        deputy=names[1],
+        members=tuple(members),
+    )
+
+
+def bucket_of(class_id: int, caller: address.Address) -> int:
+    """Return the bucket of a flow as entries compute it."""
+    flow = _FLOW.pack(class_id, caller.ip, caller.port)
+    return xxhash.xxh64_intdigest(flow) % class_assignment.BUCKETS_PER_CLASS
+
+
+def _member(
+    records: table.Table,
+    item: class_record.ClassRecord,
+    bucket: int,
+    member: member_record.MemberRecord,
+    names: tuple[str, str],
+) -> explained_member.ExplainedMember:
+    return explained_member.ExplainedMember(
+        name=member.name,
+        zone=member.zone,
+        state=str(member.state),
+        share=member.share,
+        cost=rendezvous.cost(item.class_id, bucket, member.node_id, member.share),
+        part=_part(records, item, member, names),
+    )
+
+
+def _part(
+    records: table.Table,
+    item: class_record.ClassRecord,
+    member: member_record.MemberRecord,
+    names: tuple[str, str],
+) -> str:
+    if member.name in names:
+        return ("primary", "deputy")[names.index(member.name)]
+    if member.state is not member_state.MemberState.ACTIVE:
+        return f"excluded: {member.state}"
+    if not records.is_zone_serving(member.zone):
+        return f"excluded: zone {member.zone} is not in service"
+    if item.zones and member.zone not in item.zones:
+        return f"excluded: class may not run in zone {member.zone}"
+    return "candidate"
--- a/src/limpetreel/console/operator_client.py
+++ b/src/limpetreel/console/operator_client.py
@@ -57,4 +57,9 @@
             )
         if isinstance(body, failure.Failure):
             return body
-        return msgspec.json.decode(body, type=dict[str, Any])
+        try:
+            return msgspec.json.decode(body, type=dict[str, Any])
+        except (msgspec.DecodeError, RecursionError) as exc:
+            return failure.Failure(
+                reason.Reason.MALFORMED, "operator.call", url, str(exc)
+            )
--- a/src/limpetreel/console/operator_command.py
+++ b/src/limpetreel/console/operator_command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import os
 import sys
 import uuid
@@ -9,13 +10,23 @@
 
 import msgspec
 
-from limpetreel.console import command, exit_code, operator_client
+from limpetreel.console import (
+    command,
+    confirmation_wait,
+    confirmations,
+    exit_code,
+    operator_client,
+    progress,
+)
 from limpetreel.core import failure
-from limpetreel.settings import loader, operator_settings
+from limpetreel.settings import loader, operator_settings, parsers
 
 if TYPE_CHECKING:
     import argparse
 
+DEFAULT_WAIT_SECONDS = 13.0
+"""Every accepted change is required to be in force everywhere within 13 s."""
+
 
 class OperatorCommand(command.Command):
     """A command that sends requests to control and prints the answer."""
@@ -47,21 +58,34 @@
         answer = self.call(args, {**body, "command_id": command_id})
         if isinstance(answer, failure.Failure):
             return report_unreachable(answer, command_id)
+        is_applied = answer.get("status") == "applied"
+        waited = None
+        if is_applied and args.wait:
+            waited = self._wait(args, answer.get("revision", 0))
         if args.json:
-            print(msgspec.json.encode(answer).decode())
+            shown = {} if waited is None else {"confirmed": _json(waited, answer)}
+            print(msgspec.json.encode({**answer, **shown}).decode())
         else:
-            detail = f": {answer['detail']}" if answer.get("detail") else ""
-            revision = answer.get("revision", 0)
-            print(f"{answer['status']} at revision {revision}{detail}")
-        done = answer["status"] == "applied"
-        return exit_code.ExitCode.OK if done else exit_code.ExitCode.FAILED
+            _print_answer(answer)
+        if waited is not None:
+            return _report_wait(waited, answer["revision"])
+        return exit_code.ExitCode.OK if is_applied else exit_code.ExitCode.FAILED
+
+    def _wait(
+        self, args: argparse.Namespace, revision: int
+    ) -> confirmations.Confirmations | failure.Failure:
+        call = functools.partial(self.call, args)
+        line = progress.Progress(sys.stderr)
+        return confirmation_wait.ConfirmationWait(call, line).run(
+            revision, args.wait_seconds
+        )
 
 
 def add_change_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the flags of commands that change a record."""
     parser.add_argument(
         "--expected",
-        type=int,
+        type=parsers.number(0, 2**53),
         default=None,
         help="revision of the record that you saw; default: the current one",
     )
@@ -70,6 +94,17 @@
         default="",
         help="id of an earlier attempt whose answer was lost; default: a new id",
     )
+    parser.add_argument(
+        "--wait",
+        action="store_true",
+        help="wait until every member that renews has confirmed the change",
+    )
+    parser.add_argument(
+        "--wait-seconds",
+        type=parsers.seconds(0, 3600),
+        default=DEFAULT_WAIT_SECONDS,
+        help=f"longest wait in seconds; default {DEFAULT_WAIT_SECONDS:g}",
+    )
 
 
 def report_unreachable(problem: failure.Failure, command_id: str = "") -> int:
@@ -79,3 +114,47 @@
         hint = f"resend with --command-id {command_id}"
         print(f"limpetreel: the outcome is unknown; {hint}", file=sys.stderr)
     return exit_code.ExitCode.UNREACHABLE
+
+
+def _print_answer(answer: dict[str, Any]) -> None:
+    detail = f": {answer['detail']}" if answer.get("detail") else ""
+    status = answer.get("status", "no status")
+    print(f"{status} at revision {answer.get('revision', 0)}{detail}")
+    for item in answer.get("differences") or ():
+        print("  " + " ".join(f"{k}={v}" for k, v in item.items()))
+
+
+def _json(
+    waited: confirmations.Confirmations | failure.Failure, answer: dict[str, Any]
+) -> dict[str, Any]:
+    if isinstance(waited, failure.Failure):
+        return {"problem": str(waited)}
+    revision = answer["revision"]
+    return {
+        "missing": msgspec.to_builtins(waited.missing(revision)),
+        "silent": msgspec.to_builtins(waited.silent(revision)),
+        "cut_off_regions": waited.cut_off_regions(revision),
+    }
+
+
+def _report_wait(
+    waited: confirmations.Confirmations | failure.Failure, revision: int
+) -> int:
+    """Say on standard error who has not confirmed, return the exit code."""
+    if isinstance(waited, failure.Failure):
+        text = f"accepted, but control does not report confirmations: {waited}"
+        print(f"limpetreel: {text}", file=sys.stderr)
+        return exit_code.ExitCode.UNCONFIRMED
+    silent, missing = waited.silent(revision), waited.missing(revision)
+    if silent:
+        where = confirmations.places(silent)
+        print(f"limpetreel: no contact with members in {where}", file=sys.stderr)
+    if missing or waited.revision < revision:
+        where = confirmations.places(missing) or "control"
+        text = f"revision {revision} is not confirmed by {where}"
+        print(f"limpetreel: {text}", file=sys.stderr)
+        return exit_code.ExitCode.UNCONFIRMED
+    if waited.cut_off_regions(revision):
+        return exit_code.ExitCode.UNCONFIRMED
+    print(f"limpetreel: revision {revision} is confirmed", file=sys.stderr)
+    return exit_code.ExitCode.OK
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -61,8 +61,8 @@
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Answer until stopped."""
-        first, _, last = self._cfg.class_ports.partition("-")
-        self._propose(bootstrap.Bootstrap(int(first), int(last)))
+        ports = self._cfg.class_ports
+        self._propose(bootstrap.Bootstrap(ports.first, ports.last))
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         host, port = self._cfg.operator_listen
         with pynng.Rep0(listen=f"tcp://{host}:{port}") as sock:
--- a/src/limpetreel/settings/agent_settings.py
+++ b/src/limpetreel/settings/agent_settings.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from limpetreel import exceptions
 from limpetreel.settings import node_settings, parsers, setting
 
 
@@ -15,7 +16,7 @@
         parsers.name, parsers.NAME_ALLOWED, "class that the upstream serves"
     )
     upstream: tuple[str, int] = setting.setting(
-        parsers.address, parsers.ADDRESS_ALLOWED, "address of the upstream"
+        parsers.reachable_address, parsers.REACHABLE_ALLOWED, "address of the upstream"
     )
     announce: tuple[str, int] = setting.setting(
         parsers.address,
@@ -28,3 +29,19 @@
         "longest time for flows to end in a planned stop",
         30.0,
     )
+
+    def check(self) -> None:
+        """Check that the three UDP addresses differ."""
+        super().check()
+        taken = {self.listen: "--listen"}
+        for flag, value in (
+            ("--announce", self.announce),
+            ("--upstream", self.upstream),
+        ):
+            if value in taken:
+                raise exceptions.SettingError(
+                    flag,
+                    f"{value[0]}:{value[1]}",
+                    f"another address than {taken[value]}",
+                )
+            taken[value] = flag
--- a/src/limpetreel/settings/control_settings.py
+++ b/src/limpetreel/settings/control_settings.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
+import pathlib  # noqa: TC003 - msgspec reads the annotations at run time
 
-from limpetreel.settings import parsers, setting
+from limpetreel import exceptions
+from limpetreel.settings import (
+    parsers,
+    peer,
+    port_range,
+    setting,
+    telemetry_settings,
+)
 
-if TYPE_CHECKING:
-    import pathlib
+_ANY_HOST = "0.0.0.0"
+_DEFAULT_PORTS = port_range.PortRange(20000, 29999)
 
 
 @dataclasses.dataclass(frozen=True)
-class ControlSettings:
+class ControlSettings(telemetry_settings.TelemetrySettings):
     """Settings of a control instance."""
 
     name: str = setting.setting(
@@ -25,7 +32,9 @@
         parsers.name, parsers.NAME_ALLOWED, "region of the zone", "local"
     )
     listen: tuple[str, int] = setting.setting(
-        parsers.address, parsers.ADDRESS_ALLOWED, "address for nodes, over UDP"
+        parsers.reachable_address,
+        parsers.REACHABLE_ALLOWED,
+        "address for nodes, over UDP",
     )
     operator_listen: tuple[str, int] = setting.setting(
         parsers.address, parsers.ADDRESS_ALLOWED, "address for operators, over TCP"
@@ -35,17 +44,20 @@
         parsers.ADDRESS_ALLOWED,
         "address for other control instances, over TCP",
     )
-    peers: str = setting.setting(
-        str,
-        "comma-separated NAME=IP:PORT of all control instances, this one included",
-        "control instances of a new cluster",
-        "",
+    peers: tuple[peer.Peer, ...] = setting.setting(
+        parsers.peers,
+        parsers.PEERS_ALLOWED,
+        "control instances of a new cluster, this one included",
+        (),
     )
     data: pathlib.Path = setting.setting(
-        parsers.path, "a folder", "folder for all files of this instance"
+        parsers.path, parsers.PATH_ALLOWED, "folder for all files of this instance"
     )
-    class_ports: str = setting.setting(
-        str, "FIRST-LAST", "UDP ports for the classes' addresses", "20000-29999"
+    class_ports: port_range.PortRange = setting.setting(
+        parsers.ports,
+        parsers.PORTS_ALLOWED,
+        "UDP ports for the classes' addresses",
+        _DEFAULT_PORTS,
     )
     cluster_key: bytes = setting.setting(
         parsers.key, parsers.KEY_ALLOWED, "key shared by all processes", secret=True
@@ -53,3 +65,45 @@
     operator_key: bytes = setting.setting(
         parsers.key, parsers.KEY_ALLOWED, "key that authorises commands", secret=True
     )
+
+    def check(self) -> None:
+        """Check values that depend on each other."""
+        self.check_files(has_data=True)
+        self._check_tcp_addresses()
+        if self.operator_key == self.cluster_key:
+            # Every node holds the cluster key; it must not authorise commands.
+            raise exceptions.SettingError(
+                "--operator-key", "(secret)", "another key than --cluster-key"
+            )
+        if self.peers:
+            self._check_own_peer()
+
+    def _check_tcp_addresses(self) -> None:
+        taken: dict[tuple[str, int], str] = {}
+        for flag, value in (
+            ("--operator-listen", self.operator_listen),
+            ("--peer-listen", self.peer_listen),
+            ("--metrics", self.metrics),
+        ):
+            if value is not None and value[1] and value in taken:
+                raise exceptions.SettingError(
+                    flag,
+                    f"{value[0]}:{value[1]}",
+                    f"another address than {taken[value]}",
+                )
+            if value is not None:
+                taken[value] = flag
+
+    def _check_own_peer(self) -> None:
+        """Check that the cluster names this instance at its own address."""
+        shown = ",".join(str(p) for p in self.peers)
+        own = next((p for p in self.peers if p.name == self.name), None)
+        if own is None:
+            raise exceptions.SettingError(
+                "--peers", shown, f"a list that names this instance, {self.name}"
+            )
+        host, port = self.peer_listen
+        if own.address[1] != port or host not in (_ANY_HOST, own.address[0]):
+            raise exceptions.SettingError(
+                "--peer-listen", f"{host}:{port}", f"the address in --peers, {own}"
+            )
--- a/src/limpetreel/settings/operator_settings.py
+++ b/src/limpetreel/settings/operator_settings.py
@@ -4,11 +4,11 @@
 
 import dataclasses
 
-from limpetreel.settings import parsers, setting
+from limpetreel.settings import base_settings, parsers, setting
 
 
 @dataclasses.dataclass(frozen=True)
-class OperatorSettings:
+class OperatorSettings(base_settings.BaseSettings):
     """How operator commands reach control."""
 
     operator: tuple[tuple[str, int], ...] = setting.setting(
--- a/src/limpetreel/settings/parsers.py
+++ b/src/limpetreel/settings/parsers.py
@@ -7,15 +7,26 @@
 import re
 from typing import TYPE_CHECKING
 
+from limpetreel.settings import peer, port_range
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+_NUMBER = re.compile(r"[0-9]{1,18}")
+_FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 _MIN_KEY_BYTES = 16
+_MAX_PEERS = 9
+_MAX_PORT = 65535
 NAME_ALLOWED = "1 to 63 of a-z, 0-9, '.', '_' and '-', not starting with a sign"
 ADDRESS_ALLOWED = "an IPv4 number and a port, such as 127.0.0.1:7000"
-ADDRESSES_ALLOWED = "comma-separated IPv4 numbers with ports"
+REACHABLE_ALLOWED = "the IPv4 number of one machine and a port from 1 to 65535"
+ADDRESSES_ALLOWED = "comma-separated IPv4 numbers with ports, each one once"
 KEY_ALLOWED = f"at least {_MIN_KEY_BYTES} bytes"
+PEERS_ALLOWED = f"up to {_MAX_PEERS} comma-separated NAME=IP:PORT, each one once"
+PORTS_ALLOWED = "FIRST-LAST with 1 <= FIRST <= LAST <= 65535"
+FILE_NAME_ALLOWED = "a file name in the data folder, without '/'"
+PATH_ALLOWED = "a path"
 
 
 def name(text: str) -> str:
@@ -35,18 +46,66 @@
     host, separator, port = text.rpartition(":")
     if not separator:
         raise ValueError
-    return ip_number(host), number(0, 65535)(port)
+    return ip_number(host), number(0, _MAX_PORT)(port)
+
+
+def reachable_address(text: str) -> tuple[str, int]:
+    """Return host and port at which others can reach one machine.
+
+    Wildcard, multicast and broadcast addresses and port 0 can be bound but not
+    sent to.
+    """
+    host, port = address(text)
+    parsed = ipaddress.IPv4Address(host)
+    if port == 0 or parsed.is_unspecified or parsed.is_multicast:
+        raise ValueError
+    if parsed == ipaddress.IPv4Address("255.255.255.255"):
+        raise ValueError
+    return host, port
 
 
 def addresses(text: str) -> tuple[tuple[str, int], ...]:
     """Return several hosts and ports."""
-    return tuple(address(part.strip()) for part in text.split(","))
+    found = tuple(reachable_address(part.strip()) for part in text.split(","))
+    if len(set(found)) < len(found):
+        raise ValueError
+    return found
+
+
+def peers(text: str) -> tuple[peer.Peer, ...]:
+    """Return the control instances of a cluster; an empty text names none."""
+    if not text:
+        return ()
+    found = tuple(_peer(part.strip()) for part in text.split(","))
+    names = {p.name for p in found}
+    places = {p.address for p in found}
+    if len(found) > _MAX_PEERS or len(names) < len(found) or len(places) < len(found):
+        raise ValueError
+    return found
+
+
+def _peer(text: str) -> peer.Peer:
+    peer_name, separator, place = text.partition("=")
+    if not separator:
+        raise ValueError
+    return peer.Peer(name(peer_name), reachable_address(place))
+
+
+def ports(text: str) -> port_range.PortRange:
+    """Return a range of ports."""
+    first, separator, last = text.partition("-")
+    if not separator:
+        raise ValueError
+    low = number(1, _MAX_PORT)(first)
+    return port_range.PortRange(low, number(low, _MAX_PORT)(last))
 
 
 def number(low: int, high: int) -> Callable[[str], int]:
     """Return a parser of whole numbers in a range, both ends included."""
 
     def parse(text: str) -> int:
+        if not _NUMBER.fullmatch(text):
+            raise ValueError
         value = int(text)
         if not low <= value <= high:
             raise ValueError
@@ -67,6 +126,17 @@
     return parse
 
 
+def choice(*words: str) -> Callable[[str], str]:
+    """Return a parser that accepts some words."""
+
+    def parse(text: str) -> str:
+        if text not in words:
+            raise ValueError
+        return text
+
+    return parse
+
+
 def key(text: str) -> bytes:
     """Return a key."""
     if len(text.encode()) < _MIN_KEY_BYTES:
@@ -76,6 +146,13 @@
 
 def path(text: str) -> pathlib.Path:
     """Return a path."""
-    if not text:
+    if not text or "\0" in text:
         raise ValueError
     return pathlib.Path(text)
+
+
+def file_name(text: str) -> str:
+    """Return the name of a file, which must not lead out of its folder."""
+    if not _FILE_NAME.fullmatch(text):
+        raise ValueError
+    return text
--- /dev/null
+++ b/src/limpetreel/settings/peer.py
@@ -0,0 +1,24 @@
+"""Name and address of a control instance."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """A control instance as other control instances reach it.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    address : tuple of (str, int)
+        Its address for other control instances.
+    """
+
+    name: str
+    address: tuple[str, int]
+
+    def __str__(self) -> str:
+        """Return the form that the setting takes."""
+        return f"{self.name}={self.address[0]}:{self.address[1]}"
--- /dev/null
+++ b/src/limpetreel/settings/telemetry_settings.py
@@ -0,0 +1,68 @@
+"""Settings of logs, metrics, traces and the decision log."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from limpetreel import exceptions
+from limpetreel.settings import base_settings, parsers, setting
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+@dataclasses.dataclass(frozen=True)
+class TelemetrySettings(base_settings.BaseSettings):
+    """What a process reports about itself; all of it is off but the log."""
+
+    log_level: str = setting.setting(
+        parsers.choice(*LEVELS), "one of " + ", ".join(LEVELS), "lowest level", "info"
+    )
+    log_file: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "log to this file instead of standard error",
+        "",
+    )
+    metrics: tuple[str, int] | None = setting.setting(
+        parsers.address, parsers.ADDRESS_ALLOWED, "address of /metrics, over HTTP", None
+    )
+    trace_file: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "write the spans of sampled packets to this file",
+        "",
+    )
+    decision_log: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "record events and decisions in this file, for replay",
+        "",
+    )
+    file_mb: int = setting.setting(
+        parsers.number(1, 10_000),
+        "1 to 10000",
+        "size in MB at which log, spans and decision log begin a new file; one "
+        "earlier file of each is kept",
+        64,
+    )
+
+    def check_files(self, has_data: bool) -> None:
+        """Check that files have a folder and names of their own.
+
+        Parameters
+        ----------
+        has_data : bool
+            Whether a data folder is set.
+        """
+        chosen = ("log_file", "trace_file", "decision_log")
+        taken: dict[str, str] = {}
+        for field in chosen:
+            value = getattr(self, field)
+            flag = "--" + field.replace("_", "-")
+            if value and not has_data:
+                raise exceptions.SettingError(flag, value, "it together with --data")
+            if value in taken:
+                allowed = f"another name than {taken[value]}"
+                raise exceptions.SettingError(flag, value, allowed)
+            if value:
+                taken[value] = flag
