Report logs, metrics and traces, and replay decisions

Cause: refused input, drops and spans were invisible, and no decision could be replayed although the cores are deterministic. Change: one Telemetry object for the shells: JSON log lines with a rate limit and without secrets, counters served as /metrics, spans as JSON lines and a reader that prints them as a tree; a decision log of bounded size whose every file begins with the state of the core; commands trace and replay. The last renewal of a node is an event now: it changed the core outside of handle and could not be replayed. Frames without a target incarnation are refused unless they are control messages; packets with an unknown mode or bucket, deeply nested messages, announcements of another class or host and datagrams that do not fit into a frame are refused.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -21,6 +21,7 @@
 from limpetreel.node import (
     drained,
     frame_arrived,
+    leave_requested,
     record_span,
     send_frame,
     table_link,
@@ -74,6 +75,8 @@
         if isinstance(event, drain_requested.DrainRequested):
             self.link.draining = True
             return []
+        if isinstance(event, leave_requested.LeaveRequested):
+            return [*self.link.leave(now)]
         raise TypeError(type(event))
 
     def _tick(self, now: float) -> list[msgspec.Struct]:
--- a/src/limpetreel/agent/agent_shell.py
+++ b/src/limpetreel/agent/agent_shell.py
@@ -4,20 +4,27 @@
 
 import asyncio
 import functools
-import json
 import time
 from typing import TYPE_CHECKING
 
+from limpetreel.agent import announcement
 from limpetreel.agent.actions import close_flow, send_upstream
 from limpetreel.agent.events import (
     drain_requested,
-    upstream_announced,
     upstream_datagram,
 )
-from limpetreel.core import failure
-from limpetreel.node import drained, frame_arrived, send_frame, tick
+from limpetreel.core import failure, reason
+from limpetreel.node import (
+    drained,
+    frame_arrived,
+    leave_requested,
+    record_span,
+    send_frame,
+    tick,
+)
 from limpetreel.runtime import udp_socket
-from limpetreel.wire import address
+from limpetreel.telemetry import telemetry
+from limpetreel.wire import address, packet
 
 if TYPE_CHECKING:
     import msgspec
@@ -40,6 +47,8 @@
         The core.
     codec : FrameCodec
         Codec of this node's frames.
+    watch : Telemetry or None
+        Takes what there is to report; None for nothing.
     """
 
     def __init__(
@@ -47,15 +56,18 @@
         cfg: agent_settings.AgentSettings,
         decisions: agent_core.AgentCore,
         codec: frame_codec.FrameCodec,
+        watch: telemetry.Telemetry | None = None,
     ) -> None:
         self._cfg = cfg
         self._core = decisions
         self._codec = codec
+        self._watch = watch or telemetry.disabled()
         self._flows: dict[address.Address, udp_socket.UdpSocket] = {}
         self._is_drained = False
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Serve flows until stopped and drained."""
+        await self._watch.start()
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         announce = udp_socket.UdpSocket(self._announced, *self._cfg.announce)
         while not stopped.is_set():
@@ -64,6 +76,7 @@
         await self._drain()
         for sock in (self._frames, announce, *self._flows.values()):
             sock.close()
+        await self._watch.close()
 
     async def _drain(self) -> None:
         """Wait until the core holds no work, or the time limit passes."""
@@ -72,36 +85,38 @@
         while not self._is_drained and time.monotonic() < until:
             await asyncio.sleep(TICK_SECONDS)
             self._handle(tick.Tick())
-        self._core.link.leaving = True
-        self._core.link.renew_now()
-        self._handle(tick.Tick())
+        self._handle(leave_requested.LeaveRequested())
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
+            self._watch.refuse(found.step, source, found.reason)
             return
         self._handle(frame_arrived.FrameArrived(address.from_socket(source), found))
 
     def _announced(self, data: bytes, source: tuple[str, int]) -> None:
-        payload = data.partition(b"\xff")[2]
-        try:
-            body = json.loads(payload)
-            event = upstream_announced.UpstreamAnnounced(
-                class_name=str(body["class"]),
-                run_id=str(body["run_id"]),
-                draining=body["state"] == "draining",
-            )
-        except (ValueError, KeyError, TypeError):
+        host = self._cfg.upstream[0]
+        found = announcement.read(data, self._cfg.class_name)
+        if source[0] != host:
+            found = failure.Failure(reason.Reason.DENIED, announcement.STEP)
+        if isinstance(found, failure.Failure):
+            self._watch.refuse(found.step, source, found.reason)
             return
-        self._handle(event)
+        self._handle(found)
 
     def _upstream(
-        self, caller: address.Address, data: bytes, _: tuple[str, int]
+        self, caller: address.Address, data: bytes, source: tuple[str, int]
     ) -> None:
+        if len(data) > packet.MAX_DATAGRAM_BYTES:
+            self._watch.refuse("agent.upstream", source, reason.Reason.OVERSIZED)
+            return
         self._handle(upstream_datagram.UpstreamDatagram(caller, data))
 
     def _handle(self, event: msgspec.Struct) -> None:
-        for action in self._core.handle(time.monotonic(), event):
+        now = time.monotonic()
+        actions = self._core.handle(now, event)
+        self._watch.decided(now, event, actions)
+        for action in actions:
             self._do(action)
 
     def _do(self, action: msgspec.Struct) -> None:
@@ -114,6 +129,8 @@
             sock = self._flows.pop(action.caller, None)
             if sock is not None:
                 sock.close()
+        elif isinstance(action, record_span.RecordSpan):
+            self._watch.span(action)
         elif isinstance(action, drained.Drained):
             self._is_drained = True
 
--- a/src/limpetreel/catalog/commands/command_codec.py
+++ b/src/limpetreel/catalog/commands/command_codec.py
@@ -84,7 +84,7 @@
     """
     try:
         fields = msgspec.json.decode(body, type=dict)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return result.Result(status.Status.REJECTED, detail=f"not an object: {exc}")
     command_id = str(fields.get("command_id", ""))
     for name in sorted(fields):
--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -36,6 +36,8 @@
     "config check entry": "config_check_entry_command.ConfigCheckEntryCommand",
     "config check agent": "config_check_agent_command.ConfigCheckAgentCommand",
     "config check control": "config_check_control_command.ConfigCheckControlCommand",
+    "trace": "trace_command.TraceCommand",
+    "replay": "replay_command.ReplayCommand",
     "version": "version_command.VersionCommand",
     "demo": "demo_command.DemoCommand",
     "stand-in upstream": "stand_in_upstream_command.StandInUpstreamCommand",
--- a/src/limpetreel/console/role_command.py
+++ b/src/limpetreel/console/role_command.py
@@ -5,6 +5,7 @@
 import abc
 import asyncio
 import os
+import sys
 from typing import TYPE_CHECKING, Any
 
 from limpetreel.console import command, exit_code
@@ -33,7 +34,12 @@
     def run(self, args: argparse.Namespace) -> int:
         """Check the settings and serve until SIGTERM."""
         cfg = loader.load(self.settings_class, args, os.environ)
-        asyncio.run(process.run_until_signal(self.build(cfg).serve))
+        try:
+            asyncio.run(process.run_until_signal(self.build(cfg).serve))
+        except OSError as exc:
+            # For example an address in use, or a data folder without permission.
+            print(f"limpetreel: {self.name} has stopped: {exc}", file=sys.stderr)
+            return exit_code.ExitCode.FAILED
         return exit_code.ExitCode.OK
 
     @abc.abstractmethod
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import pynng
 
-from limpetreel.catalog import catalog, member_state, result
+from limpetreel.catalog import catalog, member_state, result, status
 from limpetreel.catalog.commands import (
     bootstrap,
     command_codec,
@@ -17,10 +17,11 @@
     member_joined,
     member_removed,
 )
-from limpetreel.core import failure
+from limpetreel.core import failure, reason
 from limpetreel.messages import delta, delta_request, lease, renew
 from limpetreel.runtime import udp_socket
 from limpetreel.serving import serving_right
+from limpetreel.telemetry import telemetry
 from limpetreel.wire import frame, kind, message_codec
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
         Codec of this instance's frames.
     operators : OperatorCodec
         Authorisation of operators.
+    watch : Telemetry or None
+        Takes what there is to report; None for nothing.
     """
 
     def __init__(
@@ -51,16 +54,19 @@
         cfg: control_settings.ControlSettings,
         codec: frame_codec.FrameCodec,
         operators: operator_codec.OperatorCodec,
+        watch: telemetry.Telemetry | None = None,
     ) -> None:
         self._cfg = cfg
         self._codec = codec
         self._operators = operators
+        self._watch = watch or telemetry.disabled()
         self._catalog = catalog.Catalog()
         self._index = 0
         self._heard: dict[str, float] = {}
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Answer until stopped."""
+        await self._watch.start()
         ports = self._cfg.class_ports
         self._propose(bootstrap.Bootstrap(ports.first, ports.last))
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
@@ -72,6 +78,7 @@
                 await asyncio.sleep(TICK_SECONDS)
             answering.cancel()
         self._nodes.close()
+        await self._watch.close()
 
     async def _answer_operators(self, sock: pynng.Rep0) -> None:
         while True:
@@ -81,13 +88,27 @@
                 return
             body = self._operators.open(data)
             if isinstance(body, failure.Failure):
+                self._watch.refuse(body.step, "", body.reason)
                 answer = msgspec.json.encode({"status": "denied"})
             else:
                 answer = self._operator(body)
-            await sock.asend(self._operators.seal(answer))
+            try:
+                await sock.asend(self._operators.seal(answer))
+            except pynng.NNGException as exc:
+                # The operator has gone; the next one must still be answered.
+                self._watch.refuse("operator.answer", "", type(exc).__name__)
 
     def _operator(self, body: bytes) -> bytes:
-        if msgspec.json.decode(body).get("type") == "table":
+        try:
+            request = msgspec.json.decode(body, type=dict)
+            return self._answer_request(request, body)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            self._watch.refuse("operator.request", "", reason.Reason.MALFORMED)
+            answer = result.Result(status.Status.REJECTED, detail=str(exc))
+            return msgspec.json.encode(answer)
+
+    def _answer_request(self, request: dict[str, Any], body: bytes) -> bytes:
+        if request.get("type") == "table":
             table = self._catalog.table
             records = [
                 {"type": r.key.partition("/")[0], **msgspec.structs.asdict(r)}
@@ -106,9 +127,16 @@
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
-        if isinstance(found, failure.Failure) or found.kind != kind.Kind.MESSAGE:
+        if isinstance(found, failure.Failure):
+            self._watch.refuse(found.step, source, found.reason)
+            return
+        if found.kind != kind.Kind.MESSAGE:
+            self._watch.refuse("control.frame", source, reason.Reason.UNKNOWN_KIND)
             return
         message = message_codec.decode(found.body)
+        if isinstance(message, failure.Failure):
+            self._watch.refuse(message.step, source, message.reason)
+            return
         if isinstance(message, renew.Renew):
             self._renew(found, message, source)
         elif isinstance(message, delta_request.DeltaRequest):
--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -11,7 +11,14 @@
 from limpetreel.core import core, failure, reason
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
-from limpetreel.node import frame_arrived, record_span, send_frame, table_link, tick
+from limpetreel.node import (
+    frame_arrived,
+    leave_requested,
+    record_span,
+    send_frame,
+    table_link,
+    tick,
+)
 from limpetreel.wire import address, frame, kind, message_codec, mode, packet
 
 if TYPE_CHECKING:
@@ -56,8 +63,14 @@
             return self._receive(now, event)
         if isinstance(event, tick.Tick):
             return [*self.link.tick(now), *self._table_actions()]
+        if isinstance(event, leave_requested.LeaveRequested):
+            return [*self.link.leave(now)]
         raise TypeError(type(event))
 
+    def skip(self, packets: int) -> None:
+        """Count packets that a decision log left out, so that samples agree."""
+        self._count += packets
+
     def _forward(
         self, now: float, event: caller_datagram.CallerDatagram
     ) -> list[msgspec.Struct]:
--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import functools
-import logging
 import time
 from typing import TYPE_CHECKING
 
-from limpetreel.core import failure
+from limpetreel.core import failure, reason
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
-from limpetreel.node import frame_arrived, record_span, send_frame, tick
+from limpetreel.node import (
+    frame_arrived,
+    leave_requested,
+    record_span,
+    send_frame,
+    tick,
+)
 from limpetreel.runtime import udp_socket
-from limpetreel.wire import address
+from limpetreel.telemetry import telemetry
+from limpetreel.wire import address, packet
 
 if TYPE_CHECKING:
     import msgspec
@@ -23,7 +29,6 @@
     from limpetreel.wire import frame_codec
 
 TICK_SECONDS = 0.02
-_LOG = logging.getLogger(__name__)
 
 
 class EntryShell:
@@ -37,6 +42,8 @@
         The core.
     codec : FrameCodec
         Codec of this node's frames.
+    watch : Telemetry or None
+        Takes what there is to report; None for nothing.
     """
 
     def __init__(
@@ -44,36 +51,45 @@
         cfg: entry_settings.EntrySettings,
         decisions: entry_core.EntryCore,
         codec: frame_codec.FrameCodec,
+        watch: telemetry.Telemetry | None = None,
     ) -> None:
         self._cfg = cfg
         self._core = decisions
         self._codec = codec
+        self._watch = watch or telemetry.disabled()
         self._classes: dict[int, udp_socket.UdpSocket] = {}
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Forward packets until stopped."""
+        await self._watch.start()
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         while not stopped.is_set():
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
-        self._core.link.leaving = True
-        self._core.link.renew_now()
-        self._handle(tick.Tick())
+        self._handle(leave_requested.LeaveRequested())
         for sock in (self._frames, *self._classes.values()):
             sock.close()
+        await self._watch.close()
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
+            self._watch.refuse(found.step, source, found.reason)
             return
         self._handle(frame_arrived.FrameArrived(address.from_socket(source), found))
 
     def _caller(self, class_id: int, data: bytes, source: tuple[str, int]) -> None:
+        if len(data) > packet.MAX_DATAGRAM_BYTES:
+            self._watch.refuse("entry.caller", source, reason.Reason.OVERSIZED)
+            return
         caller = address.from_socket(source)
         self._handle(caller_datagram.CallerDatagram(class_id, caller, data))
 
     def _handle(self, event: msgspec.Struct) -> None:
-        for action in self._core.handle(time.monotonic(), event):
+        now = time.monotonic()
+        actions = self._core.handle(now, event)
+        self._watch.decided(now, event, actions)
+        for action in actions:
             self._do(action)
 
     def _do(self, action: msgspec.Struct) -> None:
@@ -92,4 +108,4 @@
         elif isinstance(action, close_class.CloseClass):
             self._classes.pop(action.class_id).close()
         elif isinstance(action, record_span.RecordSpan):
-            _LOG.info("span %s", action)
+            self._watch.span(action)
--- /dev/null
+++ b/src/limpetreel/node/leave_requested.py
@@ -0,0 +1,9 @@
+"""End of a node's membership."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class LeaveRequested(msgspec.Struct, frozen=True, tag="leave_requested"):
+    """The process is about to end; the core tells control at once."""
--- a/src/limpetreel/node/table_link.py
+++ b/src/limpetreel/node/table_link.py
@@ -69,9 +69,11 @@
         )
         return [self._send(self._rng.choice(self._control), message)]
 
-    def renew_now(self) -> None:
-        """Make the next tick send a renewal."""
+    def leave(self, now: float) -> list[send_frame.SendFrame]:
+        """Return a last renewal, which ends the membership."""
+        self.leaving = True
         self._next_renewal = 0.0
+        return self.tick(now)
 
     def receive(
         self, now: float, source: address.Address, message: message_codec.Message
--- /dev/null
+++ b/src/limpetreel/replay/core_state.py
@@ -0,0 +1,61 @@
+"""State of a core as bytes."""
+
+from __future__ import annotations
+
+import io
+import pickle
+from typing import Any
+
+from limpetreel.core import core, failure, reason
+from limpetreel.replay import known_type
+
+
+def save(target: core.Core) -> bytes | failure.Failure:
+    """Return the state of a core.
+
+    Parameters
+    ----------
+    target : Core
+        The core.
+
+    Returns
+    -------
+    bytes or Failure
+        Failure if the core holds something that cannot be written, such as a
+        function.
+    """
+    try:
+        return pickle.dumps(target, protocol=pickle.HIGHEST_PROTOCOL)
+    except (pickle.PicklingError, AttributeError, TypeError, RecursionError) as exc:
+        return failure.Failure(reason.Reason.MALFORMED, "replay.save", detail=str(exc))
+
+
+def load(data: bytes) -> core.Core | failure.Failure:
+    """Return the core of a state.
+
+    Only the types in `known_type` are created, since the bytes come from a file
+    that somebody else may have written.
+
+    Parameters
+    ----------
+    data : bytes
+        State from `save`.
+    """
+    try:
+        found = _Unpickler(io.BytesIO(data)).load()
+    # Damaged data can raise almost anything in the constructors that it names.
+    except Exception as exc:
+        return failure.Failure(reason.Reason.CORRUPT, "replay.load", detail=str(exc))
+    if not isinstance(found, core.Core):
+        return failure.Failure(reason.Reason.CORRUPT, "replay.load", detail="no core")
+    return found
+
+
+class _Unpickler(pickle.Unpickler):
+    """Unpickler that creates known types only."""
+
+    def find_class(self, module: str, name: str) -> Any:
+        found = known_type.find(module, name)
+        if found is None:
+            raise pickle.UnpicklingError(f"{module}.{name} is not allowed")
+        return found
--- /dev/null
+++ b/src/limpetreel/replay/entry_filter.py
@@ -0,0 +1,55 @@
+"""Filter for the log of an entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.entry.events import caller_datagram
+from limpetreel.node import frame_arrived, record_span, tick
+from limpetreel.replay import event_filter
+from limpetreel.wire import kind
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.entry import entry_core
+
+
+class EntryFilter(event_filter.EventFilter):
+    """Keeps changes of table and lease, messages and sampled packets.
+
+    The choice for any other packet follows from the table and the flow alone.
+
+    Parameters
+    ----------
+    core : EntryCore
+        The core whose events are recorded.
+    """
+
+    def __init__(self, core: entry_core.EntryCore) -> None:
+        self._link = core.link
+        self._state = self._read_state()
+
+    def is_kept(self, event: msgspec.Struct, actions: list[msgspec.Struct]) -> bool:
+        """Return whether an event changed the core or is a sampled packet."""
+        state = self._read_state()
+        if state != self._state:
+            self._state = state
+            return True
+        if isinstance(event, caller_datagram.CallerDatagram):
+            return _is_sampled(actions)
+        if isinstance(event, frame_arrived.FrameArrived):
+            return event.frame.kind == kind.Kind.MESSAGE or _is_sampled(actions)
+        # A tick that causes nothing leaves the core as it was.
+        return bool(actions) or not isinstance(event, tick.Tick)
+
+    def is_counted(self, event: msgspec.Struct, actions: list[msgspec.Struct]) -> bool:
+        """Return True for forwarded packets, every so many of which is sampled."""
+        return bool(actions) and isinstance(event, caller_datagram.CallerDatagram)
+
+    def _read_state(self) -> tuple[int, float]:
+        return self._link.table.revision, self._link.right.lease_until
+
+
+def _is_sampled(actions: list[msgspec.Struct]) -> bool:
+    return any(isinstance(a, record_span.RecordSpan) for a in actions)
--- /dev/null
+++ b/src/limpetreel/replay/recorder.py
@@ -0,0 +1,123 @@
+"""Writer of a decision log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel.core import failure
+from limpetreel.replay import (
+    checkpoint,
+    core_state,
+    event_kind,
+    record_codec,
+    recorded_event,
+)
+
+if TYPE_CHECKING:
+    from limpetreel.core import core
+    from limpetreel.replay import event_filter, header
+    from limpetreel.telemetry import rotating_file
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Recorder:
+    """Appends decisions to a file of bounded size.
+
+    Every file begins with the header and the state of the core, so that it can be
+    replayed without the files before it.
+
+    Parameters
+    ----------
+    file : RotatingFile
+        The file.
+    first : Header
+        Header of every file.
+    target : Core
+        The core; it must not have taken any event yet.
+    chosen : EventFilter
+        Which events are recorded.
+    """
+
+    def __init__(
+        self,
+        file: rotating_file.RotatingFile,
+        first: header.Header,
+        target: core.Core,
+        chosen: event_filter.EventFilter,
+    ) -> None:
+        self._file = file
+        self._header = first
+        self._core = target
+        self._filter = chosen
+        self._kinds: dict[type, int] = {}
+        self._skipped = 0
+        self.problem: failure.Failure | None = None
+        self._begin_file(b"")
+
+    def record(
+        self, now: float, event: msgspec.Struct, actions: list[msgspec.Struct]
+    ) -> None:
+        """Record one decision, or leave it out if the filter says so.
+
+        Parameters
+        ----------
+        now : float
+            Time that the core was given.
+        event : msgspec.Struct
+            Event that the core was given.
+        actions : list of msgspec.Struct
+            What it returned.
+        """
+        if self.problem is not None:
+            return
+        if not self._filter.is_kept(event, actions):
+            self._skipped += self._filter.is_counted(event, actions)
+            return
+        number = self._kinds.get(type(event))
+        if number is None:
+            number = self._add_kind(type(event))
+        item = recorded_event.RecordedEvent(
+            now=now,
+            kind=number,
+            event=_ENCODER.encode(event),
+            digest=record_codec.digest(actions),
+            skipped=self._skipped,
+        )
+        self._skipped = 0
+        data = record_codec.encode(item)
+        is_full = not self._file.has_room(len(data))
+        self._file.write_whole(data)
+        if is_full:
+            self._begin_next_file()
+
+    def flush(self) -> None:
+        """Hand buffered records to the operating system."""
+        self._file.flush()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+    def _add_kind(self, kind: type) -> int:
+        number = len(self._kinds)
+        self._kinds[kind] = number
+        name = f"{kind.__module__}:{kind.__qualname__}"
+        self._file.write_whole(record_codec.encode(event_kind.EventKind(number, name)))
+        return number
+
+    def _begin_next_file(self) -> None:
+        state = core_state.save(self._core)
+        if isinstance(state, failure.Failure):
+            self.problem = state
+            return
+        self._begin_file(state)
+
+    def _begin_file(self, state: bytes) -> None:
+        self._file.rotate()
+        self._kinds.clear()
+        first = record_codec.encode(self._header)
+        second = record_codec.encode(checkpoint.Checkpoint(state))
+        self._file.write_whole(record_codec.MAGIC + first + second)
--- a/src/limpetreel/serving/serving_right.py
+++ b/src/limpetreel/serving/serving_right.py
@@ -61,6 +61,11 @@
         heard = self._zone_heard.get(zone, float("-inf"))
         self._zone_heard[zone] = max(heard, probe_sent_at)
 
+    @property
+    def lease_until(self) -> float:
+        """End of the lease in seconds on the node's clock."""
+        return self._lease_until
+
     def lease_ms(self, now: float) -> int:
         """Return what is left of the lease in milliseconds, 0 if it has ended."""
         return max(0, int((self._lease_until - now) * 1000))
--- /dev/null
+++ b/src/limpetreel/settings/settings_codec.py
@@ -0,0 +1,48 @@
+"""Encoding of settings for the decision log."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any, TypeVar
+
+import msgspec
+
+from limpetreel.core import failure, reason
+from limpetreel.settings import base_settings
+
+SettingsT = TypeVar("SettingsT", bound=base_settings.BaseSettings)
+
+
+def encode(cfg: base_settings.BaseSettings) -> bytes:
+    """Return settings in MessagePack; the caller has removed the secrets."""
+    return msgspec.msgpack.encode(cfg, enc_hook=_encode_other)
+
+
+def decode(data: bytes, kind: type[SettingsT]) -> SettingsT | failure.Failure:
+    """Return the settings of a header.
+
+    Parameters
+    ----------
+    data : bytes
+        Settings from `encode`.
+    kind : type
+        Their class.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=kind, dec_hook=_decode_other)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        return failure.Failure(
+            reason.Reason.MALFORMED, "settings.decode", detail=str(exc)
+        )
+
+
+def _encode_other(value: Any) -> Any:
+    if isinstance(value, pathlib.PurePath):
+        return str(value)
+    raise NotImplementedError(type(value))
+
+
+def _decode_other(kind: type, value: Any) -> Any:
+    if issubclass(kind, pathlib.PurePath):
+        return pathlib.Path(value)
+    raise NotImplementedError(kind)
--- /dev/null
+++ b/src/limpetreel/telemetry/rotating_file.py
@@ -0,0 +1,91 @@
+"""File of bounded size."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING, BinaryIO
+
+if TYPE_CHECKING:
+    import pathlib
+
+BUFFER_BYTES = 65536
+EARLIER_SUFFIX = ".1"
+
+
+class RotatingFile:
+    """Appends to a file and begins a new one when it is full.
+
+    One earlier file is kept with the suffix ``.1``, so that both together take at
+    most twice the limit. A failed write is counted and the data is lost: a full
+    disk must not stop a node that needs no disk to serve.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+    limit : int
+        Size in bytes that a file does not exceed, unless one write is larger.
+    """
+
+    def __init__(self, path: pathlib.Path, limit: int) -> None:
+        self._path = path
+        self._limit = limit
+        self._stream: BinaryIO | None = None
+        self._size = 0
+        self.write_errors = 0
+
+    def has_room(self, size: int) -> bool:
+        """Return whether a write of some bytes stays in the current file."""
+        return self._stream is not None and self._size + size <= self._limit
+
+    def write(self, data: bytes) -> None:
+        """Append data, in a new file if the current one is full."""
+        if self._size and self._size + len(data) > self._limit:
+            self.rotate()
+        self.write_whole(data)
+
+    def write_whole(self, data: bytes) -> None:
+        """Append data to the current file, even beyond the limit."""
+        try:
+            if self._stream is None:
+                self._open()
+            if self._stream is not None:
+                self._stream.write(data)
+                self._size += len(data)
+        except OSError:
+            self.write_errors += 1
+
+    def rotate(self) -> None:
+        """Keep the current file as the earlier one and begin a new one."""
+        try:
+            self._close_stream()
+            if self._path.exists():
+                os.replace(self._path, f"{self._path}{EARLIER_SUFFIX}")
+            self._open()
+        except OSError:
+            self.write_errors += 1
+
+    def flush(self) -> None:
+        """Hand buffered data to the operating system."""
+        try:
+            if self._stream is not None:
+                self._stream.flush()
+        except OSError:
+            self.write_errors += 1
+
+    def close(self) -> None:
+        """Flush and close the file."""
+        try:
+            self._close_stream()
+        except OSError:
+            self.write_errors += 1
+
+    def _open(self) -> None:
+        self._stream = self._path.open("ab", buffering=BUFFER_BYTES)
+        self._size = self._stream.tell()
+
+    def _close_stream(self) -> None:
+        stream, self._stream = self._stream, None
+        self._size = 0
+        if stream is not None:
+            stream.close()
--- a/src/limpetreel/wire/frame_codec.py
+++ b/src/limpetreel/wire/frame_codec.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import hashlib
+import hmac
 
 from limpetreel.core import failure, reason
 from limpetreel.wire import frame, replay_window
+from limpetreel.wire import kind as kinds
 
 MAX_SENDERS = 16384
 """Senders with a replay window; well above the 5,170 nodes of the design size."""
@@ -95,11 +97,14 @@
         if data[0] != frame.VERSION:
             return reason.Reason.WRONG_VERSION
         signed, tag = data[: -frame.TAG_BYTES], data[-frame.TAG_BYTES :]
-        if self._tag(signed) != tag:
+        if not hmac.compare_digest(self._tag(signed), tag):
             return reason.Reason.WRONG_TAG
         head = frame.HEADER.unpack_from(signed)
         _, kind, sender, incarnation, sequence, target = head
-        if target not in (frame.ANY_INCARNATION, self._incarnation):
+        # A packet without an incarnation could reach a process that reuses an
+        # address and serves another class.
+        may_be_any = kind == kinds.Kind.MESSAGE
+        if target != self._incarnation and (target or not may_be_any):
             return reason.Reason.WRONG_INCARNATION
         if not self._accept(sender, incarnation, sequence):
             return reason.Reason.REPLAYED
--- a/src/limpetreel/wire/message_codec.py
+++ b/src/limpetreel/wire/message_codec.py
@@ -38,7 +38,8 @@
     """Return the control message of a frame body."""
     try:
         return _DECODER.decode(body)
-    except msgspec.DecodeError as exc:
+    # Deeply nested content in a field that is skipped ends in a RecursionError.
+    except (msgspec.DecodeError, RecursionError) as exc:
         return failure.Failure(
             reason.Reason.MALFORMED, "message.decode", detail=str(exc)
         )
--- a/src/limpetreel/wire/packet.py
+++ b/src/limpetreel/wire/packet.py
@@ -7,12 +7,22 @@
 import msgspec
 
 from limpetreel.core import failure, reason
-from limpetreel.wire import address
+from limpetreel.wire import address, frame, mode
 
 BODY = struct.Struct("!IHBBHQQIHIH")
 MAX_HOPS = 4
 """Relays after which a packet is dropped, so that uneven tables cannot loop it."""
 
+MAX_DATAGRAM_BYTES = (
+    frame.MAX_BYTES - frame.HEADER.size - frame.TAG_BYTES - BODY.size - 32
+)
+"""Largest datagram of a caller or upstream that fits into a frame.
+
+The 32 bytes are room for the deadline option and for a longer token.
+"""
+BUCKETS = 1024
+_MODES = frozenset(mode.Mode)
+
 
 class Packet(msgspec.Struct, frozen=True):
     """Body of FORWARD, RELAY and RETURN frames.
@@ -76,12 +86,14 @@
     if len(body) < BODY.size:
         return failure.Failure(reason.Reason.TRUNCATED, "packet.decode")
     head = BODY.unpack_from(body)
-    class_id, bucket, hops, mode, lease_ms, revision, trace_id = head[:7]
+    class_id, bucket, hops, wanted, lease_ms, revision, trace_id = head[:7]
+    if bucket >= BUCKETS or wanted not in _MODES:
+        return failure.Failure(reason.Reason.MALFORMED, "packet.decode")
     return Packet(
         class_id=class_id,
         bucket=bucket,
         hops=hops,
-        mode=mode,
+        mode=wanted,
         lease_ms=lease_ms,
         revision=revision,
         trace_id=trace_id,
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,153 @@
+"""Records, settings and cores that several tests share."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel import factory
+from limpetreel.catalog import (
+    class_record,
+    member_record,
+    member_state,
+    role,
+    table,
+    zone_record,
+)
+from limpetreel.messages import delta, lease
+from limpetreel.node import frame_arrived
+from limpetreel.replay import header
+from limpetreel.settings import (
+    agent_settings,
+    control_settings,
+    entry_settings,
+    port_range,
+    settings_codec,
+)
+from limpetreel.wire import address, frame, kind, message_codec
+
+CLUSTER_KEY = b"cluster key of the tests"
+OPERATOR_KEY = b"operator key of the tests"
+CONTROL = address.Address(0x7F000001, 6000)
+CLASS_NAME = "bookings"
+CLASS_ID = 5
+AGENT_INCARNATION = 11
+NODE = {
+    "zone": "north",
+    "region": "west",
+    "control": (("127.0.0.1", 6000),),
+    "cluster_key": CLUSTER_KEY,
+    "log_level": "info",
+    "log_file": "",
+    "metrics": None,
+    "trace_file": "",
+    "decision_log": "",
+    "file_mb": 1,
+    "data": None,
+}
+
+
+def entry_cfg(**changes):
+    values = {
+        **NODE,
+        "name": "entry-1",
+        "listen": ("127.0.0.1", 7000),
+        "service_ip": "127.0.0.1",
+        "trace_every": 2,
+    }
+    return entry_settings.EntrySettings(**{**values, **changes})
+
+
+def agent_cfg(**changes):
+    values = {
+        **NODE,
+        "name": "agent-1",
+        "listen": ("127.0.0.1", 7100),
+        "class_name": CLASS_NAME,
+        "upstream": ("127.0.0.1", 7101),
+        "announce": ("127.0.0.1", 7102),
+        "drain_seconds": 1.0,
+    }
+    return agent_settings.AgentSettings(**{**values, **changes})
+
+
+def control_cfg(**changes):
+    values = {
+        **NODE,
+        "name": "control-1",
+        "listen": ("127.0.0.1", 0),
+        "operator_listen": ("127.0.0.1", 0),
+        "peer_listen": ("127.0.0.1", 0),
+        "peers": (),
+        "class_ports": port_range.PortRange(20000, 20010),
+        "operator_key": OPERATOR_KEY,
+    }
+    del values["control"]
+    return control_settings.ControlSettings(**{**values, **changes})
+
+
+def log_header(cfg, role_name):
+    return header.Header(role_name, settings_codec.encode(cfg), 9, 9)
+
+
+def core(cfg, role_name):
+    """Return a fresh core, as the factory builds it for a replay."""
+    return factory.build_core(log_header(cfg, role_name))
+
+
+def records():
+    member = member_record.MemberRecord(
+        node_id=1,
+        name="agent-1",
+        role=role.Role.AGENT,
+        class_name=CLASS_NAME,
+        zone="north",
+        region="west",
+        host="127.0.0.1",
+        port=7100,
+        incarnation=AGENT_INCARNATION,
+        share=8,
+        state=member_state.MemberState.ACTIVE,
+        modified=3,
+    )
+    return (
+        zone_record.ZoneRecord("north", "west", True, 1),
+        class_record.ClassRecord(CLASS_ID, CLASS_NAME, 10, 100, (), 20000, 2),
+        member,
+    )
+
+
+def frame_event(message, source=CONTROL):
+    body = message_codec.encode(message)
+    got = frame.Frame(kind.Kind.MESSAGE, 99, 1, frame.ANY_INCARNATION, body)
+    return frame_arrived.FrameArrived(source, got)
+
+
+def table_event():
+    """Return the event that brings a node the whole table."""
+    digest_of = table.Table()
+    digest_of.replace(records(), 3, 0)
+    return frame_event(delta.Delta(0, 3, digest_of.digest, 0, 1, records()))
+
+
+def lease_event(nonce, revision=3, lease_ms=2000):
+    return frame_event(lease.Lease(nonce, lease_ms, revision, 0, 9))
+
+
+def nonce_of(actions):
+    """Return the nonce of the renewal among some actions."""
+    for action in actions:
+        message = message_codec.decode(action.body)
+        if hasattr(message, "nonce"):
+            return message.nonce
+    raise AssertionError("no renewal")
+
+
+def request(token=b"\1", message_id=1):
+    """Return a confirmable CoAP GET without options."""
+    return bytes([0x40 | len(token), 1]) + message_id.to_bytes(2, "big") + token
+
+
+def announce_datagram(body):
+    """Return a non-confirmable CoAP POST with a JSON payload."""
+    payload = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    return b"\x50\x02\0\1\xff" + payload
