Build the program as one file

Cause: there was no file that a machine without the environment could run. Conclusion: the file is bound to the platform and Python version, since compiled packages are part of it. It unpacks itself below SHIV_ROOT at its first start.

--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,9 @@
 fuzz: setup
 	LIMPETREEL_FUZZ_SEED=$(SEED) LIMPETREEL_FUZZ_STEPS=$(STEPS) $(PY) tools/run_tests.py --fuzz
 
+binary: setup
+	$(PY) tools/build_binary.py
+	$(PY) tools/check_binary.py
+
 clean:
 	rm -rf build dist .demo
--- /dev/null
+++ b/tools/check_binary.py
@@ -0,0 +1,92 @@
+"""Check that dist/limpetreel.pyz runs and starts no child process.
+
+The first start, which unpacks the file, and the second one run under an audit
+hook that ends the process when it is about to start another. A control instance
+then runs from the file and its children are counted.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TARGET = ROOT / "dist" / "limpetreel.pyz"
+BASE_PORT = 26900
+RUN_SECONDS = 3.0
+_RUNNER = """
+import os, runpy, sys
+STARTS = ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn",
+          "os.system", "subprocess.Popen", "pty.spawn")
+def hook(event, args):
+    if event in STARTS:
+        print("starts a process:", event, args, file=sys.stderr)
+        os._exit(70)
+sys.addaudithook(hook)
+sys.argv = sys.argv[1:]
+runpy.run_path(sys.argv[0], run_name="__main__")
+"""
+
+
+def _environment(folder: str) -> dict[str, str]:
+    kept = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
+    return {**kept, "SHIV_ROOT": folder}
+
+
+def check_start(folder: str) -> bool:
+    """Run a command twice under the audit hook."""
+    command = [sys.executable, "-I", "-c", _RUNNER, str(TARGET), "version"]
+    for _ in range(2):
+        done = subprocess.run(
+            command, env=_environment(folder), capture_output=True, text=True
+        )
+        print(done.stdout.strip() or done.stderr.strip())
+        if done.returncode:
+            return False
+    return True
+
+
+def check_role(folder: str) -> bool:
+    """Run a control instance and count its children."""
+    ports = [f"127.0.0.1:{BASE_PORT + i}" for i in range(3)]
+    command = [
+        sys.executable,
+        "-I",
+        str(TARGET),
+        "control",
+        "--name=c1",
+        "--zone=z1",
+        f"--listen={ports[0]}",
+        f"--operator-listen={ports[1]}",
+        f"--peer-listen={ports[2]}",
+        f"--data={folder}/data",
+        "--cluster-key=cluster key of the check",
+        "--operator-key=operator key of the check",
+    ]
+    proc = subprocess.Popen(command, env=_environment(folder))
+    time.sleep(RUN_SECONDS)
+    is_running = proc.poll() is None
+    children = ""
+    if is_running:
+        tasks = pathlib.Path(f"/proc/{proc.pid}/task").glob("*/children")
+        children = " ".join(path.read_text() for path in tasks).strip()
+        proc.send_signal(signal.SIGTERM)
+    code = proc.wait(timeout=20)
+    print(f"control: running {is_running}, children '{children}', exit code {code}")
+    return is_running and not children and code == 0
+
+
+def main() -> int:
+    """Run both checks."""
+    with tempfile.TemporaryDirectory(prefix="limpetreel-check-") as folder:
+        is_good = check_start(folder) and check_role(folder)
+    return 0 if is_good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
