Test bad input on every socket and mend what it found

Cause: several kinds of bad input raised exceptions or changed state. Change: a test for each socket that feeds truncated, oversized, random, foreign, replayed and malformed input and compares the state of the core before and after. Conclusion: the sockets between control instances do not exist yet and need the same test.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -107,9 +107,9 @@
             return self._drop(reason.Reason.WRONG_CLASS)
         if not self.link.right.may_serve(now, self.link.table):
             return self._drop(reason.Reason.NO_LEASE)
-        self._entries[found.caller] = found.entry, received.incarnation
         read = self._protocol.read_caller(found.datagram)
         if isinstance(read, request.Request):
+            self._entries[found.caller] = found.entry, received.incarnation
             return self._request(now, found, read)
         if isinstance(read, signal.Signal):
             return [send_upstream.SendUpstream(found.caller, found.datagram)]
--- /dev/null
+++ b/tests/bad_input.py
@@ -0,0 +1,90 @@
+"""Input that every socket must refuse, and what must not change when it does."""
+
+from __future__ import annotations
+
+import io
+import json
+import random
+
+from limpetreel.replay import core_state
+from limpetreel.telemetry import log_writer, rate_limit, telemetry
+from limpetreel.wire import frame, frame_codec, kind
+
+SOURCE = ("127.0.0.1", 40000)
+NESTED = b"\x82\xa4type\xa5renew\xa1a" + b"\x91" * 20000
+"""MessagePack whose nesting exceeds the recursion limit of a decoder."""
+
+
+class Watch(telemetry.Telemetry):
+    """Telemetry whose lines and counts a test can read; its clock stands still."""
+
+    def __init__(self):
+        self.stream = io.BytesIO()
+        log = log_writer.LogWriter("n", "r", "info", self.stream)
+        super().__init__("n", "r", log, clock=lambda: 0.0)
+
+    def refused(self):
+        """Return how many inputs were refused before they reached a core."""
+        found = self.numbers.collect()
+        return sum(value for name, _, _, value in found if name == "refused_total")
+
+    def lines(self):
+        return [json.loads(line) for line in self.stream.getvalue().splitlines()]
+
+
+def junk(seed, count, largest=2000):
+    """Return random datagrams, the empty one among them."""
+    rng = random.Random(seed)
+    return [b"", *(rng.randbytes(rng.randrange(largest)) for _ in range(count))]
+
+
+def frames(key, target):
+    """Return frames that fail a check of the frame codec.
+
+    Parameters
+    ----------
+    key : bytes
+        Cluster key of the receiver.
+    target : int
+        Incarnation of the receiver.
+    """
+    sender = frame_codec.FrameCodec(key, 77, 1)
+    good = sender.encode(kind.Kind.MESSAGE, target, b"body")
+    stranger = frame_codec.FrameCodec(b"another cluster key", 78, 1)
+    return [
+        *junk(1, 200),
+        *(good[:size] for size in range(0, len(good), 5)),
+        good + b"\0" * frame.MAX_BYTES,
+        bytes([frame.VERSION + 1]) + good[1:],
+        good[:-1] + bytes([good[-1] ^ 1]),
+        stranger.encode(kind.Kind.MESSAGE, target, b"body"),
+        sender.encode(kind.Kind.MESSAGE, target + 1, b"body"),
+        sender.encode(kind.Kind.FORWARD, frame.ANY_INCARNATION, b"body"),
+    ]
+
+
+def bodies(key, target):
+    """Return authentic frames whose content is wrong."""
+    sender = frame_codec.FrameCodec(key, 79, 1)
+    contents = [b"", b"\xff" * 100, NESTED, *junk(2, 50)]
+    return [
+        sender.encode(which, target, content)
+        for which in (1, 2, 3, 9, 16)
+        for content in contents
+    ]
+
+
+def state_of(core):
+    """Return the state of a core without its counters of drops."""
+    copy = core_state.load(core_state.save(core))
+    copy.dropped = {}
+    return core_state.save(core_state.load(core_state.save(copy)))
+
+
+def check_log(watch):
+    """Check that something was logged, at a limited rate."""
+    counts = {}
+    for line in watch.lines():
+        key = line["step"], line["reason"]
+        counts[key] = counts.get(key, 0) + 1
+    assert counts and max(counts.values()) <= rate_limit.LINES_PER_PERIOD
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -151,3 +151,8 @@
     """Return a non-confirmable CoAP POST with a JSON payload."""
     payload = body if isinstance(body, bytes) else msgspec.json.encode(body)
     return b"\x50\x02\0\1\xff" + payload
+
+
+def frame_event_of(which, body, source=CONTROL):
+    """Return the event of a frame with any kind and body."""
+    return frame_arrived.FrameArrived(source, frame.Frame(which, 2, 1, 9, body))
