--- a/src/limpetreel/assignment/class_assignment.py
+++ b/src/limpetreel/assignment/class_assignment.py
@@ -31,6 +31,9 @@
         self._class_id = class_id
         self.members = tuple(sorted(members, key=lambda m: m.node_id))
         self._cache: list[candidates.Candidates | None] = [None] * BUCKETS_PER_CLASS
+        # Buckets share the objects: one for each bucket of 1,300 classes would take
+        # 64 MB in an entry.
+        self._pairs: dict[tuple[int, int], candidates.Candidates] = {}
 
     def lookup(self, bucket: int) -> candidates.Candidates | None:
         """Return primary and deputy of a bucket, or None without members."""
@@ -52,4 +55,9 @@
         # A deputy in another zone keeps the copy when a whole zone is lost.
         elsewhere = [m for m in rest if m.zone != primary.zone]
         deputy = next(iter(elsewhere or rest), None)
-        return candidates.Candidates(primary, deputy)
+        key = primary.node_id, deputy.node_id if deputy is not None else -1
+        found = self._pairs.get(key)
+        if found is None:
+            found = candidates.Candidates(primary, deputy)
+            self._pairs[key] = found
+        return found
--- a/src/limpetreel/telemetry/metrics_server.py
+++ b/src/limpetreel/telemetry/metrics_server.py
@@ -2,27 +2,32 @@
 
 from __future__ import annotations
 
-import logging
+import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import aioprometheus
-from aioprometheus import service
 
 if TYPE_CHECKING:
-    from aiohttp import web
-
     from limpetreel.telemetry import metrics
 
 Refuse = Callable[[str, object, str], None]
 
-_LIBRARY_LOGGER = "aiohttp.server"
+STEP = "metrics.request"
+MAX_REQUEST_BYTES = 8192
+REQUEST_SECONDS = 5.0
+MAX_CONNECTIONS = 8
 _PREFIX = "limpetreel_"
 _COUNTER_SUFFIX = "_total"
+_END = b"\r\n\r\n"
+
 
+class MetricsServer:
+    """Answers ``GET /metrics`` in the text format of Prometheus.
 
-class MetricsServer(service.Service):
-    """Serves ``/metrics`` in the formats of Prometheus.
+    The server of the library is not used: with it, a process takes 15 MB more, of
+    the 64 MB that a role may take.
 
     Parameters
     ----------
@@ -31,54 +36,90 @@
     node, role : str
         Labels of every metric.
     refuse : callable
-        Called with step, peer and reason for a request that is not HTTP.
+        Called with step, peer and reason for a request that is not answered.
     """
 
     def __init__(
         self, source: metrics.Metrics, node: str, role: str, refuse: Refuse
     ) -> None:
-        super().__init__(aioprometheus.Registry())
-        # The library logs a traceback for every malformed request.
-        logger = logging.getLogger(_LIBRARY_LOGGER)
-        logger.handlers = [_RefusalHandler(refuse)]
-        logger.propagate = False
         self._source = source
         self._labels = {"node": node, "role": role}
-
-    async def handle_metrics(self, request: web.Request) -> web.Response:
-        """Read all metrics and answer."""
-        self.registry = self._registry()
-        return await super().handle_metrics(request)
+        self._refuse = refuse
+        self._connections = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; port 0 takes any free one."""
+        self._server = await asyncio.start_server(
+            self._serve, host, port, limit=MAX_REQUEST_BYTES
+        )
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Address that the server listens on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request and close the connection."""
+        self._connections += 1
+        peer = writer.get_extra_info("peername")
+        try:
+            if self._connections > MAX_CONNECTIONS:
+                self._refuse(STEP, peer, "too many connections")
+                return
+            async with asyncio.timeout(REQUEST_SECONDS):
+                request = await reader.readuntil(_END)
+                writer.write(self._answer(request, peer))
+                await writer.drain()
+        except TimeoutError:
+            self._refuse(STEP, peer, "timeout")
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            self._refuse(STEP, peer, "malformed")
+        except ConnectionError:
+            self._refuse(STEP, peer, "connection closed")
+        finally:
+            self._connections -= 1
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+
+    def _answer(self, request: bytes, peer: object) -> bytes:
+        words = request.partition(b"\r\n")[0].split(b" ")
+        if len(words) != 3 or not words[2].startswith(b"HTTP/1."):
+            self._refuse(STEP, peer, "malformed")
+            return _response("400 Bad Request", "text/plain", b"")
+        if words[0] != b"GET":
+            return _response("405 Method Not Allowed", "text/plain", b"")
+        if words[1] != b"/metrics":
+            return _response("404 Not Found", "text/plain", b"")
+        content, headers = aioprometheus.render(self._registry(), [])
+        return _response("200 OK", headers["Content-Type"], content)
 
     def _registry(self) -> aioprometheus.Registry:
         registry = aioprometheus.Registry()
         for name, text, labels, value in self._source.collect():
-            if name not in registry.collectors:
+            full_name = _PREFIX + name
+            if full_name not in registry.collectors:
                 kind: type[aioprometheus.Gauge | aioprometheus.Counter]
                 kind = aioprometheus.Gauge
                 if name.endswith(_COUNTER_SUFFIX):
                     kind = aioprometheus.Counter
-                registry.collectors[name] = kind(
-                    _PREFIX + name, text or name, self._labels, registry=_Unregistered()
-                )
-            registry.collectors[name].set_value(labels, value)
+                kind(full_name, text or name, self._labels, registry=registry)
+            registry.collectors[full_name].set_value(labels, value)
         return registry
 
 
-class _Unregistered(aioprometheus.Registry):
-    """Registry that keeps nothing, since collectors are kept by short name."""
-
-    def register(self, collector: object) -> None:
-        """Ignore the collector."""
-
-
-class _RefusalHandler(logging.Handler):
-    """Handler that reports error lines of the library as refused requests."""
-
-    def __init__(self, refuse: Refuse) -> None:
-        super().__init__(logging.WARNING)
-        self._refuse = refuse
-
-    def emit(self, record: logging.LogRecord) -> None:
-        """Report a line."""
-        self._refuse("metrics.request", "", "malformed")
+def _response(status: str, content_type: str, content: bytes) -> bytes:
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: {content_type}\r\n"
+        f"Content-Length: {len(content)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + content
