Document operation, and keep serving when a socket cannot be opened

Cause: the first page said nothing about commands, settings or exit codes. An entry raised an exception when the port of one class was in use, and an agent when it had no socket left for a flow. Change: README, changelog and a page for operators, with a test that every command, setting and exit code is named; both failures are logged and counted; log lines for classes and drains; metrics for events, send errors, revision and lease. Settings for spans and decisions are left out of control, which has none. Conclusion: control needs a decision log and its own metrics once it has a core.

--- a/src/limpetreel/agent/agent_shell.py
+++ b/src/limpetreel/agent/agent_shell.py
@@ -69,6 +69,7 @@
         """Serve flows until stopped and drained."""
         await self._watch.start()
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
+        self._watch.watch("send_errors_total", "sends", "socket", self._send_errors)
         announce = udp_socket.UdpSocket(self._announced, *self._cfg.announce)
         while not stopped.is_set():
             self._handle(tick.Tick())
@@ -80,13 +81,19 @@
 
     async def _drain(self) -> None:
         """Wait until the core holds no work, or the time limit passes."""
+        self._watch.line("info", "agent.drain", limit_s=self._cfg.drain_seconds)
         self._handle(drain_requested.DrainRequested())
         until = time.monotonic() + self._cfg.drain_seconds
         while not self._is_drained and time.monotonic() < until:
             await asyncio.sleep(TICK_SECONDS)
             self._handle(tick.Tick())
+        self._watch.line("info", "agent.leave", drained=self._is_drained)
         self._handle(leave_requested.LeaveRequested())
 
+    def _send_errors(self) -> dict[str, float]:
+        upstream = sum(sock.send_errors for sock in self._flows.values())
+        return {"frames": self._frames.send_errors, "upstream": upstream}
+
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
@@ -124,7 +131,7 @@
             data = self._codec.encode(action.kind, action.target, action.body)
             self._frames.send(data, address.to_socket(action.destination))
         elif isinstance(action, send_upstream.SendUpstream):
-            self._flow(action.caller).send(action.datagram)
+            self._send_upstream(action)
         elif isinstance(action, close_flow.CloseFlow):
             sock = self._flows.pop(action.caller, None)
             if sock is not None:
@@ -134,6 +141,15 @@
         elif isinstance(action, drained.Drained):
             self._is_drained = True
 
+    def _send_upstream(self, action: send_upstream.SendUpstream) -> None:
+        """Send on the flow's socket; without a free one the datagram is lost."""
+        try:
+            sock = self._flow(action.caller)
+        except OSError as exc:
+            self._watch.refuse("agent.flow", action.caller, type(exc).__name__)
+            return
+        sock.send(action.datagram)
+
     def _flow(self, caller: address.Address) -> udp_socket.UdpSocket:
         """Return the upstream socket of a flow, opened if need be."""
         sock = self._flows.get(caller)
--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -63,6 +63,7 @@
         """Forward packets until stopped."""
         await self._watch.start()
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
+        self._watch.watch("send_errors_total", "sends", "socket", self._send_errors)
         while not stopped.is_set():
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
@@ -71,6 +72,10 @@
             sock.close()
         await self._watch.close()
 
+    def _send_errors(self) -> dict[str, float]:
+        callers = sum(sock.send_errors for sock in self._classes.values())
+        return {"frames": self._frames.send_errors, "callers": callers}
+
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
@@ -101,11 +106,25 @@
             if sock is not None:
                 sock.send(action.datagram, address.to_socket(action.caller))
         elif isinstance(action, open_class.OpenClass):
-            handler = functools.partial(self._caller, action.class_id)
-            self._classes[action.class_id] = udp_socket.UdpSocket(
-                handler, self._cfg.service_ip, action.port
-            )
+            self._open(action)
         elif isinstance(action, close_class.CloseClass):
-            self._classes.pop(action.class_id).close()
+            sock = self._classes.pop(action.class_id, None)
+            if sock is not None:
+                sock.close()
+            self._watch.line("info", "class.close", class_id=action.class_id)
         elif isinstance(action, record_span.RecordSpan):
             self._watch.span(action)
+
+    def _open(self, action: open_class.OpenClass) -> None:
+        """Receive on the port of a class; one that cannot be bound is left out."""
+        handler = functools.partial(self._caller, action.class_id)
+        try:
+            sock = udp_socket.UdpSocket(handler, self._cfg.service_ip, action.port)
+        except OSError as exc:
+            step, port = "class.open", action.port
+            self._watch.line("error", step, reason=str(exc), port=port)
+            return
+        self._classes[action.class_id] = sock
+        self._watch.line(
+            "info", "class.open", class_id=action.class_id, port=action.port
+        )
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -45,7 +45,7 @@
     chosen = entry_filter.EntryFilter(decisions)
     watch = _node_telemetry(cfg, "entry", incarnation, decisions, chosen)
     codec = _codec(cfg, incarnation)
-    watch.watch("frames_refused_total", "frames", "reason", lambda: codec.rejected)
+    _watch_node(watch, decisions.link, codec)
     watch.watch_drops("entry.core", lambda: decisions.dropped)
     return entry_shell.EntryShell(cfg, decisions, codec, watch)
 
@@ -57,7 +57,7 @@
     chosen = full_filter.FullFilter()
     watch = _node_telemetry(cfg, "agent", incarnation, decisions, chosen)
     codec = _codec(cfg, incarnation)
-    watch.watch("frames_refused_total", "frames", "reason", lambda: codec.rejected)
+    _watch_node(watch, decisions.link, codec)
     watch.watch_drops("agent.core", lambda: decisions.dropped)
     return agent_shell.AgentShell(cfg, decisions, codec, watch)
 
@@ -103,6 +103,7 @@
     kind: str,
     folder: pathlib.Path | None,
     decisions: recorder.Recorder | None = None,
+    spans: span_recorder.SpanRecorder | None = None,
 ) -> telemetry.Telemetry:
     """Return what a shell reports to.
 
@@ -116,12 +117,13 @@
         Data folder.
     decisions : Recorder or None
         Decision log.
+    spans : SpanRecorder or None
+        Trace file.
     """
     stream: log_writer.Stream = sys.stderr.buffer
     if cfg.log_file and folder is not None:
         stream = _file(cfg, folder, cfg.log_file)
     log = log_writer.LogWriter(node, kind, cfg.log_level, stream, loader.secrets(cfg))
-    spans = _spans(cfg, node, folder)
     return telemetry.Telemetry(node, kind, log, spans, decisions, cfg.metrics)
 
 
@@ -138,19 +140,19 @@
         first = header.Header(kind, encoded, incarnation, incarnation)
         file = _file(cfg, cfg.data, cfg.decision_log)
         decisions = recorder.Recorder(file, first, target, chosen)
-    return build_telemetry(cfg, cfg.name, kind, cfg.data, decisions)
+    spans = _spans(cfg)
+    return build_telemetry(cfg, cfg.name, kind, cfg.data, decisions, spans)
 
 
-def _spans(
-    cfg: telemetry_settings.TelemetrySettings, node: str, folder: pathlib.Path | None
-) -> span_recorder.SpanRecorder | None:
-    if not cfg.trace_file or folder is None:
+def _spans(cfg: node_settings.NodeSettings) -> span_recorder.SpanRecorder | None:
+    if not cfg.trace_file or cfg.data is None:
         return None
     # Loaded here because the library takes memory that is not needed without a
     # trace file.
     from limpetreel.telemetry import span_exporter, span_recorder
 
-    exporter = span_exporter.SpanExporter(node, _file(cfg, folder, cfg.trace_file))
+    file = _file(cfg, cfg.data, cfg.trace_file)
+    exporter = span_exporter.SpanExporter(cfg.name, file)
     return span_recorder.SpanRecorder(exporter, seed=time.time_ns())
 
 
@@ -197,6 +199,23 @@
     return frame_codec.FrameCodec(cfg.cluster_key, ident.node_id, incarnation)
 
 
+def _watch_node(
+    watch: telemetry.Telemetry,
+    link: table_link.TableLink,
+    codec: frame_codec.FrameCodec,
+) -> None:
+    """Add the metrics that entries and agents share."""
+
+    def read_lease() -> dict[str, float]:
+        return {"": max(0.0, link.right.lease_until - time.monotonic())}
+
+    watch.watch("frames_refused_total", "frames", "reason", lambda: codec.rejected)
+    watch.watch(
+        "table_revision", "revision", "", lambda: {"": float(link.table.revision)}
+    )
+    watch.watch("lease_seconds", "what is left of the lease", "", read_lease)
+
+
 def _now_ms() -> int:
     """Return milliseconds since 1970, the incarnation of a starting process."""
     return time.time_ns() // 1_000_000
--- a/src/limpetreel/runtime/udp_socket.py
+++ b/src/limpetreel/runtime/udp_socket.py
@@ -43,9 +43,13 @@
         if connect is None:
             # A burst of packets must wait in the kernel while Python catches up.
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        self._sock.bind((host, port))
-        if connect is not None:
-            self._sock.connect(connect)
+        try:
+            self._sock.bind((host, port))
+            if connect is not None:
+                self._sock.connect(connect)
+        except OSError:
+            self._sock.close()
+            raise
         self._connected = connect is not None
         self.send_errors = 0
         self._loop = asyncio.get_running_loop()
--- a/src/limpetreel/settings/node_settings.py
+++ b/src/limpetreel/settings/node_settings.py
@@ -39,6 +39,19 @@
         parsers.key, parsers.KEY_ALLOWED, "key shared by all processes", secret=True
     )
 
+    trace_file: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "write the spans of sampled packets to this file",
+        "",
+    )
+    decision_log: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "record events and decisions in this file, for replay",
+        "",
+    )
+
     def check(self) -> None:
         """Check values that depend on each other."""
         self.check_files(self.data is not None)
--- a/src/limpetreel/settings/telemetry_settings.py
+++ b/src/limpetreel/settings/telemetry_settings.py
@@ -1,4 +1,4 @@
-"""Settings of logs, metrics, traces and the decision log."""
+"""Settings of logs and metrics."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class TelemetrySettings(base_settings.BaseSettings):
-    """What a process reports about itself; all of it is off but the log."""
+    """What a process of any role reports about itself."""
 
     log_level: str = setting.setting(
         parsers.choice(*LEVELS), "one of " + ", ".join(LEVELS), "lowest level", "info"
@@ -26,18 +26,6 @@
     metrics: tuple[str, int] | None = setting.setting(
         parsers.address, parsers.ADDRESS_ALLOWED, "address of /metrics, over HTTP", None
     )
-    trace_file: str = setting.setting(
-        parsers.file_name,
-        parsers.FILE_NAME_ALLOWED,
-        "write the spans of sampled packets to this file",
-        "",
-    )
-    decision_log: str = setting.setting(
-        parsers.file_name,
-        parsers.FILE_NAME_ALLOWED,
-        "record events and decisions in this file, for replay",
-        "",
-    )
     file_mb: int = setting.setting(
         parsers.number(1, 10_000),
         "1 to 10000",
@@ -57,7 +45,8 @@
         chosen = ("log_file", "trace_file", "decision_log")
         taken: dict[str, str] = {}
         for field in chosen:
-            value = getattr(self, field)
+            # Control has neither spans nor a decision log.
+            value = getattr(self, field, "")
             flag = "--" + field.replace("_", "-")
             if value and not has_data:
                 raise exceptions.SettingError(flag, value, "it together with --data")
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -64,7 +64,9 @@
         self._reported: dict[tuple[str, str], float] = {}
         self._reported_at = clock()
         self._is_problem_reported = False
+        self._events: dict[type, int] = {}
         self.numbers = metrics.Metrics()
+        self.watch("events_total", "events of the core", "event", self._read_events)
 
     async def start(self) -> None:
         """Begin to serve metrics and to flush files."""
@@ -178,7 +180,7 @@
     def decided(
         self, now: float, event: msgspec.Struct, actions: list[msgspec.Struct]
     ) -> None:
-        """Record a decision for replay.
+        """Count an event, and record the decision for replay.
 
         Parameters
         ----------
@@ -189,9 +191,14 @@
         actions : list of msgspec.Struct
             What the core returned.
         """
+        kind = type(event)
+        self._events[kind] = self._events.get(kind, 0) + 1
         if self._decisions is not None:
             self._decisions.record(now, event, actions)
 
+    def _read_events(self) -> dict[str, float]:
+        return {kind.__name__: count for kind, count in self._events.items()}
+
     async def _flush_regularly(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_SECONDS)
--- a/tests/agent/test_agent_bad_input.py
+++ b/tests/agent/test_agent_bad_input.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from limpetreel.agent import agent_shell, announcement
+from limpetreel.agent.actions import send_upstream
 from limpetreel.agent.events import upstream_announced
 from limpetreel.core import failure, reason
 from limpetreel.node import tick
@@ -148,4 +149,19 @@
     assert msgspec.structs.astuple(found) == (builders.CLASS_NAME, "r1", True)
 
 
+def test_no_socket_left_for_a_flow():
+    """Guards against an agent that fails when callers use up its sockets."""
+    watch = bad_input.Watch()
+    shell, _, _ = _shell(watch)
+
+    def fail(caller):
+        raise OSError(24, "Too many open files")
+
+    shell._flow = fail
+    for number in range(100):
+        shell._do(send_upstream.SendUpstream(address.Address(number, 1), b"x"))
+    assert watch.refused() == 100
+    bad_input.check_log(watch)
+
+
 load_tests = fixtures.load_functions(globals())
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -81,7 +81,8 @@
         "class_ports": port_range.PortRange(20000, 20010),
         "operator_key": OPERATOR_KEY,
     }
-    del values["control"]
+    for name in ("control", "trace_file", "decision_log"):
+        del values[name]
     return control_settings.ControlSettings(**{**values, **changes})
 
 
--- /dev/null
+++ b/tests/console/test_documents.py
@@ -0,0 +1,42 @@
+"""The pages for operators must name every command, setting and exit code."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+from limpetreel.console import application, exit_code
+from limpetreel.settings import (
+    agent_settings,
+    control_settings,
+    entry_settings,
+    operator_settings,
+)
+from tests import fixtures
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+def test_every_setting_is_documented():
+    """Guards against a setting that operators can only find in the code."""
+    text = (ROOT / "docs" / "operations.md").read_text()
+    for kind in (
+        entry_settings.EntrySettings,
+        agent_settings.AgentSettings,
+        control_settings.ControlSettings,
+        operator_settings.OperatorSettings,
+    ):
+        for field in dataclasses.fields(kind):
+            assert f"| `--{field.name.replace('_', '-')}` |" in text, field.name
+
+
+def test_every_command_and_exit_code_is_documented():
+    """Guards against a command or exit code that the first page does not name."""
+    text = (ROOT / "README.md").read_text()
+    for name in application._COMMANDS:
+        assert all(word in text for word in name.split()), name
+    for code in exit_code.ExitCode:
+        assert f"| {code.value} |" in text
+
+
+load_tests = fixtures.load_functions(globals())
--- a/tests/entry/test_entry_bad_input.py
+++ b/tests/entry/test_entry_bad_input.py
@@ -10,6 +10,7 @@
 
 from limpetreel.core import reason
 from limpetreel.entry import entry_shell
+from limpetreel.entry.actions import close_class, open_class
 from limpetreel.node import tick
 from limpetreel.wire import frame_codec, packet
 from tests import bad_input, builders, fixtures
@@ -135,4 +136,20 @@
     assert refused == given and revision == 3
 
 
+def test_port_of_a_class_in_use():
+    """Guards against an entry that fails because one class cannot be bound."""
+
+    async def run():
+        watch = bad_input.Watch()
+        shell, _, _ = _shell(watch)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            shell._do(open_class.OpenClass(1, sock.getsockname()[1]))
+            shell._do(close_class.CloseClass(1))
+        return watch.lines()
+
+    found = [line for line in asyncio.run(run()) if line["level"] == "error"]
+    assert [line["step"] for line in found] == ["class.open"]
+
+
 load_tests = fixtures.load_functions(globals())
