--- a/src/limpetreel/agent/caller_protocol.py
+++ b/src/limpetreel/agent/caller_protocol.py
@@ -25,6 +25,10 @@
     ) -> answer.Answer | signal.Signal | failure.Failure:
         """Read a datagram of an upstream."""
 
+    @abc.abstractmethod
+    def is_message(self, datagram: bytes) -> bool:
+        """Return at little cost whether a datagram may be one of the protocol."""
+
     @abc.abstractmethod
     def replace_token(self, datagram: bytes, token: bytes) -> bytes:
         """Return the datagram with another token."""
@@ -44,3 +48,7 @@
     @abc.abstractmethod
     def unknown(self, req: request.Request) -> bytes:
         """Return the answer for a request that may or may not have run."""
+
+    @abc.abstractmethod
+    def answer_again(self, datagram: bytes, req: request.Request) -> bytes:
+        """Return a recorded answer as the answer to a repeated request."""
--- a/src/limpetreel/console/commands/status_command.py
+++ b/src/limpetreel/console/commands/status_command.py
@@ -34,8 +34,9 @@
         records = table_reader.read(answer)
         if isinstance(records, failure.Failure):
             return operator_command.report_unreachable(records)
-        stale = " (stale: this instance has no quorum)" if answer.get("stale") else ""
-        print(f"revision {records.revision}{stale}")
+        stale = "" if answer.get("current", True) else " (may be out of date)"
+        leader = f", leader {answer['leader']}" if answer.get("leader") else ""
+        print(f"revision {records.revision}{stale}{leader}")
         print(_zones(records))
         print(_classes(records))
         return exit_code.ExitCode.OK
--- a/src/limpetreel/console/confirmation.py
+++ b/src/limpetreel/console/confirmation.py
@@ -14,12 +14,16 @@
         The member.
     revision : int
         Revision that the member named in its last renewal.
-    age_s : float
-        Time since its last renewal, in seconds.
+    age_s : float or None
+        Time since its last renewal, in seconds; None if control has heard of none.
     """
 
     name: str
     zone: str
     region: str
     revision: int
-    age_s: float
+    age_s: float | None
+
+    def is_renewing(self, limit: float) -> bool:
+        """Return whether the last renewal is at most some seconds old."""
+        return self.age_s is not None and self.age_s <= limit
--- a/src/limpetreel/console/confirmations.py
+++ b/src/limpetreel/console/confirmations.py
@@ -35,7 +35,7 @@
         return [
             m
             for m in self.members
-            if m.revision < revision and m.age_s <= RENEWING_SECONDS
+            if m.revision < revision and m.is_renewing(RENEWING_SECONDS)
         ]
 
     def silent(self, revision: int) -> list[confirmation.Confirmation]:
@@ -49,7 +49,7 @@
         return [
             m
             for m in self.members
-            if m.revision < revision and m.age_s > RENEWING_SECONDS
+            if m.revision < revision and not m.is_renewing(RENEWING_SECONDS)
         ]
 
     def cut_off_regions(self, revision: int) -> list[str]:
@@ -63,7 +63,7 @@
         revision : int
             The revision to confirm.
         """
-        in_contact = {m.region for m in self.members if m.age_s <= RENEWING_SECONDS}
+        in_contact = {m.region for m in self.members if m.is_renewing(RENEWING_SECONDS)}
         behind = {m.region for m in self.silent(revision)}
         return sorted(behind - in_contact)
 
--- a/src/limpetreel/console/explanation.py
+++ b/src/limpetreel/console/explanation.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import struct
-
 import msgspec
-import xxhash
 
-from limpetreel.assignment import assignments, class_assignment, rendezvous
+from limpetreel.assignment import assignments, rendezvous
 from limpetreel.catalog import class_record, member_record, member_state, table
 from limpetreel.console import explained_member
 from limpetreel.core import failure, reason
+from limpetreel.flows import flow_key
 from limpetreel.wire import address
 
-_FLOW = struct.Struct("!IIH")
-
 
 class Explanation(msgspec.Struct, frozen=True):
     """The choice for one flow at one revision.
@@ -64,7 +60,8 @@
     found = records.class_by_name(class_name)
     if found is None:
         return failure.Failure(reason.Reason.WRONG_CLASS, "explain", class_name)
-    bucket = bucket_of(found.class_id, address.from_socket(caller))
+    flow = flow_key.FlowKey(found.class_id, address.from_socket(caller))
+    bucket = flow.bucket()
     chosen = assignments.Assignments(records).lookup(found.class_id, bucket)
     names = ("", "")
     if chosen is not None:
@@ -85,12 +82,6 @@
     )
 
 
-def bucket_of(class_id: int, caller: address.Address) -> int:
-    """Return the bucket of a flow as entries compute it."""
-    flow = _FLOW.pack(class_id, caller.ip, caller.port)
-    return xxhash.xxh64_intdigest(flow) % class_assignment.BUCKETS_PER_CLASS
-
-
 def _member(
     records: table.Table,
     item: class_record.ClassRecord,
--- a/src/limpetreel/console/role_command.py
+++ b/src/limpetreel/console/role_command.py
@@ -8,6 +8,7 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
+from limpetreel import exceptions
 from limpetreel.console import command, exit_code
 from limpetreel.runtime import process
 from limpetreel.settings import loader
@@ -36,8 +37,8 @@
         cfg = loader.load(self.settings_class, args, os.environ)
         try:
             asyncio.run(process.run_until_signal(self.build(cfg).serve))
-        except OSError as exc:
-            # For example an address in use, or a data folder without permission.
+        except (OSError, exceptions.StorageError) as exc:
+            # For example an address in use, or a data folder that is not in use.
             print(f"limpetreel: {self.name} has stopped: {exc}", file=sys.stderr)
             return exit_code.ExitCode.FAILED
         return exit_code.ExitCode.OK
--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -2,39 +2,39 @@
 
 from __future__ import annotations
 
-import struct
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from limpetreel.assignment import assignments, class_assignment
 from limpetreel.core import core, failure, reason
+from limpetreel.entry import owner_hints
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
+from limpetreel.flows import flow_key
 from limpetreel.node import (
     frame_arrived,
     leave_requested,
+    node_link,
     record_span,
     send_frame,
-    table_link,
     tick,
 )
-from limpetreel.wire import address, frame, kind, message_codec, mode, packet
+from limpetreel.wire import address, kind, message_codec, mode, packet
 
 if TYPE_CHECKING:
     import msgspec
 
-_FLOW = struct.Struct("!IIH")
+_ODD_CONSTANT = 0x9E3779B97F4A7C15
+"""Spreads the packet number over 64 bits, so that traces of a flow differ."""
 
 
 class EntryCore(core.Core):
     """Forwards packets of callers to the primaries of their buckets and answers back.
 
-    It keeps nothing per flow, so that any entry can carry any packet.
+    It needs nothing per flow, so that any entry can carry any packet.
 
     Parameters
     ----------
-    link : TableLink
+    link : NodeLink
         Table and serving right of the node.
     own_address : Address
         Address on which agents reach this entry.
@@ -43,7 +43,7 @@
     """
 
     def __init__(
-        self, link: table_link.TableLink, own_address: address.Address, trace_every: int
+        self, link: node_link.NodeLink, own_address: address.Address, trace_every: int
     ) -> None:
         self.link = link
         self._own_address = own_address
@@ -52,7 +52,7 @@
         self._open: dict[int, int] = {}
         self._revision = 0
         self._count = 0
-        self._targets: dict[int, address.Address] = {}
+        self._hints = owner_hints.OwnerHints(link.table)
         self.dropped: dict[reason.Reason, int] = {}
 
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
@@ -71,20 +71,25 @@
         """Count packets that a decision log left out, so that samples agree."""
         self._count += packets
 
+    @property
+    def mark(self) -> tuple[object, ...]:
+        """Value that changes whenever a packet or a tick changes the state."""
+        return self.link.mark, self._hints.changes
+
     def _forward(
         self, now: float, event: caller_datagram.CallerDatagram
     ) -> list[msgspec.Struct]:
         """Send a caller's packet to the primary of its bucket."""
-        if not self.link.right.may_serve(now, self.link.table):
+        if not self.link.right.may_forward(now, self.link.table):
             return self._drop(reason.Reason.NO_LEASE)
         caller = event.caller
-        flow = _FLOW.pack(event.class_id, caller.ip, caller.port)
-        bucket = xxhash.xxh64_intdigest(flow) % class_assignment.BUCKETS_PER_CLASS
+        flow_hash = flow_key.flow_hash(event.class_id, caller)
+        bucket = flow_hash % class_assignment.BUCKETS_PER_CLASS
         found = self._assignments.lookup(event.class_id, bucket)
         if found is None:
             return self._drop(reason.Reason.NO_MEMBER)
-        primary = found.primary
-        trace_id = self._sample(flow)
+        target = self._hints.find((event.class_id, caller)) or found.primary
+        trace_id = self._sample(flow_hash)
         body = packet.encode(
             packet.Packet(
                 class_id=event.class_id,
@@ -99,16 +104,17 @@
                 datagram=event.datagram,
             )
         )
-        destination = address.from_socket((primary.host, primary.port))
+        destination = address.from_socket((target.host, target.port))
         actions: list[msgspec.Struct] = [
             send_frame.SendFrame(
-                destination, primary.incarnation, kind.Kind.FORWARD, body
+                destination, target.incarnation, kind.Kind.FORWARD, body
             )
         ]
         if trace_id:
             attributes = {
                 "bucket": str(bucket),
-                "primary": primary.name,
+                "primary": found.primary.name,
+                "target": target.name,
                 "revision": str(self.link.table.revision),
             }
             actions.append(
@@ -116,35 +122,50 @@
             )
         return actions
 
-    def _sample(self, flow: bytes) -> int:
+    def _sample(self, flow_hash: int) -> int:
         """Return a trace id for every so many packets, else 0."""
         self._count += 1
         if not self._trace_every or self._count % self._trace_every:
             return 0
-        return xxhash.xxh64_intdigest(flow, seed=self._count) | 1
+        return (flow_hash ^ self._count * _ODD_CONSTANT) % 2**64 | 1
 
     def _receive(
         self, now: float, event: frame_arrived.FrameArrived
     ) -> list[msgspec.Struct]:
         if event.frame.kind == kind.Kind.RETURN:
-            return self._return(now, event.frame)
+            return self._return(now, event)
         if event.frame.kind != kind.Kind.MESSAGE:
             return self._drop(reason.Reason.UNKNOWN_KIND)
         message = message_codec.decode(event.frame.body)
         if isinstance(message, failure.Failure):
             return self._drop(message.reason)
-        sends = self.link.receive(now, event.source, message)
+        sends = self.link.receive(now, event.source, event.frame.incarnation, message)
         return [*sends, *self._table_actions()]
 
-    def _return(self, now: float, received: frame.Frame) -> list[msgspec.Struct]:
+    def _return(
+        self, now: float, event: frame_arrived.FrameArrived
+    ) -> list[msgspec.Struct]:
         """Send an answer to its caller."""
-        found = packet.decode(received.body)
+        found = packet.decode(event.frame.body)
         if isinstance(found, failure.Failure):
             return self._drop(found.reason)
         if found.class_id not in self._open:
             return self._drop(reason.Reason.WRONG_CLASS)
+        if found.bucket >= class_assignment.BUCKETS_PER_CLASS:
+            return self._drop(reason.Reason.MALFORMED)
+        candidates = self._assignments.lookup(found.class_id, found.bucket)
+        if candidates is not None:
+            flow = (found.class_id, found.caller)
+            self._hints.learn(flow, event.frame.sender, candidates.primary.node_id)
         actions: list[msgspec.Struct] = [
-            send_caller.SendCaller(found.class_id, found.caller, found.datagram)
+            send_caller.SendCaller(found.class_id, found.caller, found.datagram),
+            *self.link.hear_peer(
+                now,
+                event.source,
+                event.frame.incarnation,
+                found.lease_ms,
+                found.revision,
+            ),
         ]
         if found.trace_id:
             actions.append(
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -2,17 +2,28 @@
 
 from __future__ import annotations
 
+import random
 import sys
 import time
 from typing import TYPE_CHECKING
 
+import xxhash
+
+from limpetreel import exceptions
 from limpetreel.agent import agent_core, agent_shell
-from limpetreel.catalog import role
+from limpetreel.catalog import node_identity, role
+from limpetreel.catalog.commands import bootstrap
 from limpetreel.coap import coap_protocol
-from limpetreel.control import control_shell, operator_codec
+from limpetreel.consensus import raft_core
+from limpetreel.control import (
+    control_core,
+    control_shell,
+    operator_codec,
+    peer_links,
+)
 from limpetreel.core import failure, reason
 from limpetreel.entry import entry_core, entry_shell
-from limpetreel.node import identity, table_link
+from limpetreel.node import node_link
 from limpetreel.replay import entry_filter, full_filter, header, recorder
 from limpetreel.settings import (
     agent_settings,
@@ -20,6 +31,7 @@
     loader,
     settings_codec,
 )
+from limpetreel.storage import folder_disk, log_store
 from limpetreel.telemetry import log_writer, rotating_file, telemetry
 from limpetreel.wire import address, frame_codec
 
@@ -40,11 +52,10 @@
 
 def build_entry(cfg: entry_settings.EntrySettings) -> entry_shell.EntryShell:
     """Return an entry that is ready to serve."""
-    incarnation = _now_ms()
-    decisions = _entry_core(cfg, incarnation)
+    decisions = _entry_core(cfg, _now_ms())
     chosen = entry_filter.EntryFilter(decisions)
-    watch = _node_telemetry(cfg, "entry", incarnation, decisions, chosen)
-    codec = _codec(cfg, incarnation)
+    watch = _node_telemetry(cfg, decisions, chosen)
+    codec = _codec(cfg, decisions.link)
     _watch_node(watch, decisions.link, codec)
     watch.watch_drops("entry.core", lambda: decisions.dropped)
     return entry_shell.EntryShell(cfg, decisions, codec, watch)
@@ -52,28 +63,57 @@
 
 def build_agent(cfg: agent_settings.AgentSettings) -> agent_shell.AgentShell:
     """Return an agent that is ready to serve."""
-    incarnation = _now_ms()
-    decisions = _agent_core(cfg, incarnation)
-    chosen = full_filter.FullFilter()
-    watch = _node_telemetry(cfg, "agent", incarnation, decisions, chosen)
-    codec = _codec(cfg, incarnation)
+    decisions = _agent_core(cfg, _now_ms())
+    watch = _node_telemetry(cfg, decisions, full_filter.FullFilter())
+    codec = _codec(cfg, decisions.link)
     _watch_node(watch, decisions.link, codec)
-    watch.watch_drops("agent.core", lambda: decisions.dropped)
+    watch.watch_drops("agent.core", lambda: decisions.all_dropped)
+    watch.watch(
+        "relays_total", "relays to other agents", "", lambda: {"": decisions.relays}
+    )
     return agent_shell.AgentShell(cfg, decisions, codec, watch)
 
 
 def build_control(
     cfg: control_settings.ControlSettings,
 ) -> control_shell.ControlShell:
-    """Return a control instance that is ready to serve."""
-    ident = identity.Identity(
-        cfg.name, role.Role.ENTRY, "", cfg.zone, cfg.region, *cfg.listen, _now_ms()
+    """Return a control instance that is ready to serve.
+
+    Raises
+    ------
+    StorageError
+        If the data folder has not been put into use.
+    """
+    store = log_store.LogStore(folder_disk.FolderDisk(cfg.data))
+    durable = store.recover()
+    if durable is None:
+        raise exceptions.StorageError(
+            "control.start",
+            "the folder is not in use; put it into use with 'limpetreel init'",
+            path=str(cfg.data),
+        )
+    rng = random.Random()
+    own_address = f"{cfg.peer_listen[0]}:{cfg.peer_listen[1]}"
+    seeds = tuple(p.place for p in cfg.peers if p.place != own_address)
+    raft = raft_core.RaftCore(durable, rng, own_address, seeds)
+    ports = cfg.class_ports
+    first_entry = bootstrap.Bootstrap(ports.first, ports.last)
+    decisions = control_core.ControlCore(
+        time.monotonic(), raft, first_entry, own_address
+    )
+    incarnation = _now_ms()
+    node_id = xxhash.xxh64_intdigest(cfg.name.encode())
+    codec = frame_codec.FrameCodec(cfg.cluster_key, node_id, incarnation)
+    peer_codec = frame_codec.FrameCodec(
+        cfg.cluster_key, node_id, incarnation, peer_links.MAX_MESSAGE_BYTES
     )
-    codec = frame_codec.FrameCodec(cfg.cluster_key, ident.node_id, ident.incarnation)
     operators = operator_codec.OperatorCodec(cfg.operator_key)
     watch = build_telemetry(cfg, cfg.name, "control", cfg.data)
     watch.watch("frames_refused_total", "frames", "reason", lambda: codec.rejected)
-    return control_shell.ControlShell(cfg, codec, operators, watch)
+    watch.watch_drops("control.core", lambda: decisions.dropped)
+    return control_shell.ControlShell(
+        cfg, decisions, store, codec, peer_codec, operators, watch
+    )
 
 
 def build_core(first: header.Header) -> core.Core | failure.Failure:
@@ -129,15 +169,15 @@
 
 def _node_telemetry(
     cfg: node_settings.NodeSettings,
-    kind: str,
-    incarnation: int,
-    target: core.Core,
+    target: entry_core.EntryCore | agent_core.AgentCore,
     chosen: event_filter.EventFilter,
 ) -> telemetry.Telemetry:
+    ident = target.link.identity
+    kind = ident.role.value
     decisions = None
     if cfg.decision_log and cfg.data is not None:
         encoded = settings_codec.encode(loader.without_secrets(cfg))
-        first = header.Header(kind, encoded, incarnation, incarnation)
+        first = header.Header(kind, encoded, ident.incarnation, ident.incarnation)
         file = _file(cfg, cfg.data, cfg.decision_log)
         decisions = recorder.Recorder(file, first, target, chosen)
     spans = _spans(cfg)
@@ -166,7 +206,7 @@
 def _entry_core(
     cfg: entry_settings.EntrySettings, incarnation: int
 ) -> entry_core.EntryCore:
-    link = _link(cfg, _identity(cfg, role.Role.ENTRY, "", incarnation))
+    link = _link(cfg, role.Role.ENTRY, "", incarnation)
     own = address.from_socket(cfg.listen)
     return entry_core.EntryCore(link, own, cfg.trace_every)
 
@@ -174,34 +214,32 @@
 def _agent_core(
     cfg: agent_settings.AgentSettings, incarnation: int
 ) -> agent_core.AgentCore:
-    link = _link(cfg, _identity(cfg, role.Role.AGENT, cfg.class_name, incarnation))
-    return agent_core.AgentCore(link, coap_protocol.CoapProtocol(), cfg.class_name)
+    link = _link(cfg, role.Role.AGENT, cfg.class_name, incarnation)
+    return agent_core.AgentCore(link, coap_protocol.CoapProtocol(), seed=incarnation)
 
 
-def _identity(
+def _link(
     cfg: node_settings.NodeSettings, kind: role.Role, class_name: str, incarnation: int
-) -> identity.Identity:
+) -> node_link.NodeLink:
     host, port = cfg.listen
-    return identity.Identity(
+    ident = node_identity.NodeIdentity(
         cfg.name, kind, class_name, cfg.zone, cfg.region, host, port, incarnation
     )
-
-
-def _link(
-    cfg: node_settings.NodeSettings, ident: identity.Identity
-) -> table_link.TableLink:
     control = tuple(address.from_socket(pair) for pair in cfg.control)
-    return table_link.TableLink(ident, control, seed=ident.incarnation)
+    return node_link.NodeLink(ident, control, seed=incarnation)
 
 
-def _codec(cfg: node_settings.NodeSettings, incarnation: int) -> frame_codec.FrameCodec:
-    ident = _identity(cfg, role.Role.ENTRY, "", incarnation)
-    return frame_codec.FrameCodec(cfg.cluster_key, ident.node_id, incarnation)
+def _codec(
+    cfg: node_settings.NodeSettings, link: node_link.NodeLink
+) -> frame_codec.FrameCodec:
+    return frame_codec.FrameCodec(
+        cfg.cluster_key, link.node_id, link.identity.incarnation
+    )
 
 
 def _watch_node(
     watch: telemetry.Telemetry,
-    link: table_link.TableLink,
+    link: node_link.NodeLink,
     codec: frame_codec.FrameCodec,
 ) -> None:
     """Add the metrics that entries and agents share."""
--- a/src/limpetreel/messages/renew.py
+++ b/src/limpetreel/messages/renew.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from limpetreel.catalog import role
+from limpetreel.messages import short_names
 
 
-class Renew(msgspec.Struct, frozen=True, tag="renew"):
+class Renew(msgspec.Struct, frozen=True, tag="renew", rename=short_names.SHORT_NAMES):
     """Sent by every node to a control instance twice a second.
 
     Attributes
@@ -19,7 +20,8 @@
     digest : int
         Digest of the node's table.
     capacity : int
-        Open requests that the upstream can bear, as measured; 0 for an entry.
+        Requests a minute that the upstream bears, as measured; 0 for an entry and
+        until something has been measured.
     draining : bool
         True once the node has begun to leave.
     leaving : bool
--- a/src/limpetreel/replay/core_state.py
+++ b/src/limpetreel/replay/core_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+import inspect
 import io
 import pickle
 from typing import Any
@@ -51,10 +53,26 @@
     return found
 
 
+def _attribute(owner: Any, name: str) -> Any:
+    """Return a member of an enumeration or a method of a known object.
+
+    Pickle names both through getattr, which would reach everything.
+    """
+    if isinstance(owner, type) and issubclass(owner, enum.Enum):
+        return owner[name]
+    kind = type(owner)
+    is_known = known_type.find(kind.__module__, kind.__qualname__) is kind
+    if not is_known or not inspect.isfunction(getattr(kind, name, None)):
+        raise pickle.UnpicklingError(f"{name} of {kind} is not allowed")
+    return getattr(owner, name)
+
+
 class _Unpickler(pickle.Unpickler):
     """Unpickler that creates known types only."""
 
     def find_class(self, module: str, name: str) -> Any:
+        if (module, name) == ("builtins", "getattr"):
+            return _attribute
         found = known_type.find(module, name)
         if found is None:
             raise pickle.UnpicklingError(f"{module}.{name} is not allowed")
--- a/src/limpetreel/replay/entry_filter.py
+++ b/src/limpetreel/replay/entry_filter.py
@@ -27,14 +27,14 @@
     """
 
     def __init__(self, core: entry_core.EntryCore) -> None:
-        self._link = core.link
-        self._state = self._read_state()
+        self._core = core
+        self._mark = core.mark
 
     def is_kept(self, event: msgspec.Struct, actions: list[msgspec.Struct]) -> bool:
         """Return whether an event changed the core or is a sampled packet."""
-        state = self._read_state()
-        if state != self._state:
-            self._state = state
+        mark = self._core.mark
+        if mark != self._mark:
+            self._mark = mark
             return True
         if isinstance(event, caller_datagram.CallerDatagram):
             return _is_sampled(actions)
@@ -47,9 +47,6 @@
         """Return True for forwarded packets, every so many of which is sampled."""
         return bool(actions) and isinstance(event, caller_datagram.CallerDatagram)
 
-    def _read_state(self) -> tuple[int, float]:
-        return self._link.table.revision, self._link.right.lease_until
-
 
 def _is_sampled(actions: list[msgspec.Struct]) -> bool:
     return any(isinstance(a, record_span.RecordSpan) for a in actions)
--- a/src/limpetreel/replay/recorder.py
+++ b/src/limpetreel/replay/recorder.py
@@ -54,6 +54,7 @@
         self._filter = chosen
         self._kinds: dict[type, int] = {}
         self._skipped = 0
+        self._room = 0
         self.problem: failure.Failure | None = None
         self._begin_file(b"")
 
@@ -88,9 +89,9 @@
         )
         self._skipped = 0
         data = record_codec.encode(item)
-        is_full = not self._file.has_room(len(data))
         self._file.write_whole(data)
-        if is_full:
+        self._room -= len(data)
+        if self._room < 0:
             self._begin_next_file()
 
     def flush(self) -> None:
@@ -121,3 +122,6 @@
         first = record_codec.encode(self._header)
         second = record_codec.encode(checkpoint.Checkpoint(state))
         self._file.write_whole(record_codec.MAGIC + first + second)
+        # The state is not counted: one that exceeds the limit would otherwise
+        # begin a new file with every event.
+        self._room = self._file.limit
--- a/src/limpetreel/settings/peer.py
+++ b/src/limpetreel/settings/peer.py
@@ -19,6 +19,11 @@
     name: str
     address: tuple[str, int]
 
+    @property
+    def place(self) -> str:
+        """Address as ``IP:PORT``."""
+        return f"{self.address[0]}:{self.address[1]}"
+
     def __str__(self) -> str:
         """Return the form that the setting takes."""
-        return f"{self.name}={self.address[0]}:{self.address[1]}"
+        return f"{self.name}={self.place}"
--- a/src/limpetreel/telemetry/rotating_file.py
+++ b/src/limpetreel/telemetry/rotating_file.py
@@ -29,18 +29,14 @@
 
     def __init__(self, path: pathlib.Path, limit: int) -> None:
         self._path = path
-        self._limit = limit
+        self.limit = limit
         self._stream: BinaryIO | None = None
         self._size = 0
         self.write_errors = 0
 
-    def has_room(self, size: int) -> bool:
-        """Return whether a write of some bytes stays in the current file."""
-        return self._stream is not None and self._size + size <= self._limit
-
     def write(self, data: bytes) -> None:
         """Append data, in a new file if the current one is full."""
-        if self._size and self._size + len(data) > self._limit:
+        if self._size and self._size + len(data) > self.limit:
             self.rotate()
         self.write_whole(data)
 
--- a/src/limpetreel/wire/frame_codec.py
+++ b/src/limpetreel/wire/frame_codec.py
@@ -9,6 +9,8 @@
 from limpetreel.wire import frame, replay_window
 from limpetreel.wire import kind as kinds
 
+_PACKETS = (kinds.Kind.FORWARD, kinds.Kind.RELAY, kinds.Kind.RETURN)
+
 MAX_SENDERS = 16384
 """Senders with a replay window; well above the 5,170 nodes of the design size."""
 
@@ -24,14 +26,23 @@
         Id of this node.
     incarnation : int
         Incarnation of this node; frames for another incarnation are refused.
+    max_bytes : int
+        Size above which frames are refused.
     """
 
-    def __init__(self, key: bytes, node_id: int, incarnation: int) -> None:
+    def __init__(
+        self,
+        key: bytes,
+        node_id: int,
+        incarnation: int,
+        max_bytes: int = frame.MAX_BYTES,
+    ) -> None:
         # BLAKE2b takes keys of up to 64 bytes; hashing admits any length.
         digest_key = hashlib.blake2b(key, digest_size=32).digest()
         self._mac = hashlib.blake2b(key=digest_key, digest_size=frame.TAG_BYTES)
         self._node_id = node_id
         self._incarnation = incarnation
+        self._max_bytes = max_bytes
         self._sequence = 0
         self._windows: dict[int, replay_window.ReplayWindow] = {}
         self.rejected: dict[reason.Reason, int] = {}
@@ -92,7 +103,7 @@
     def _check(self, data: bytes) -> frame.Frame | reason.Reason:
         if len(data) < frame.HEADER.size + frame.TAG_BYTES:
             return reason.Reason.TRUNCATED
-        if len(data) > frame.MAX_BYTES:
+        if len(data) > self._max_bytes:
             return reason.Reason.OVERSIZED
         if data[0] != frame.VERSION:
             return reason.Reason.WRONG_VERSION
@@ -103,8 +114,7 @@
         _, kind, sender, incarnation, sequence, target = head
         # A packet without an incarnation could reach a process that reuses an
         # address and serves another class.
-        may_be_any = kind == kinds.Kind.MESSAGE
-        if target != self._incarnation and (target or not may_be_any):
+        if target != self._incarnation and (target or kind in _PACKETS):
             return reason.Reason.WRONG_INCARNATION
         if not self._accept(sender, incarnation, sequence):
             return reason.Reason.REPLAYED
