--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -36,6 +36,7 @@
 from limpetreel.node import (
     drained,
     frame_arrived,
+    leave_requested,
     record_span,
     send_frame,
     tick,
@@ -89,6 +90,14 @@
         self.dropped: dict[reason.Reason, int] = {}
         self.relays = 0
 
+    @property
+    def all_dropped(self) -> dict[reason.Reason, int]:
+        """Drops of this core and of its requests, by reason."""
+        total = collections.Counter(self.dropped)
+        if self._requests is not None:
+            total.update(self._requests.dropped)
+        return total
+
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Take one event; see `core.Core.handle`."""
         found = self._dispatch(now, event)
@@ -105,6 +114,8 @@
             return self._announced(now, event)
         if isinstance(event, drain_requested.DrainRequested):
             return self._drain(now)
+        if isinstance(event, leave_requested.LeaveRequested):
+            return [*self.link.leave(now)]
         raise TypeError(type(event))
 
     def _tick(self, now: float) -> Actions:
@@ -187,6 +198,10 @@
             return self._drop(reason.Reason.NO_MEMBER)
         if found.class_id != self._class.class_id:
             return self._drop(reason.Reason.WRONG_CLASS)
+        # A flow is placed before its owner reads the request; without this check
+        # any datagram would take a place in the directory.
+        if not self._protocol.is_message(found.datagram):
+            return self._drop(reason.Reason.MALFORMED)
         actions: Actions = [
             *self.link.hear_peer(
                 now,
--- a/src/limpetreel/agent/caller_protocol.py
+++ b/src/limpetreel/agent/caller_protocol.py
@@ -25,6 +25,10 @@
     ) -> answer.Answer | signal.Signal | failure.Failure:
         """Read a datagram of an upstream."""
 
+    @abc.abstractmethod
+    def is_message(self, datagram: bytes) -> bool:
+        """Return at little cost whether a datagram may be one of the protocol."""
+
     @abc.abstractmethod
     def replace_token(self, datagram: bytes, token: bytes) -> bytes:
         """Return the datagram with another token."""
--- a/src/limpetreel/catalog/delta_body.py
+++ b/src/limpetreel/catalog/delta_body.py
@@ -29,5 +29,5 @@
     try:
         data = zlib.decompressobj().decompress(body, _MAX_BYTES)
         return _DECODER.decode(data)
-    except (zlib.error, msgspec.DecodeError) as exc:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as exc:
         return failure.Failure(reason.Reason.MALFORMED, "delta.decode", detail=str(exc))
--- a/src/limpetreel/catalog/table_sync.py
+++ b/src/limpetreel/catalog/table_sync.py
@@ -112,12 +112,19 @@
         self.is_draining = False
         self.is_leaving = False
         self.newest_incarnation = identity.incarnation
+        self._catch_ups = 0
 
     @property
     def is_superseded(self) -> bool:
         """Whether control knows a higher incarnation of this node's name."""
         return self.newest_incarnation > self._identity.incarnation
 
+    @property
+    def mark(self) -> tuple[float, float, int, int]:
+        """Value that changes with every step that sends no message."""
+        attempts = self._fetch.attempts if self._fetch is not None else -1
+        return self._renew_at, self._probe_at, attempts, self._catch_ups
+
     def tick(self, now: float) -> list[outgoing.Outgoing]:
         """Return what is due; to be called about every 0.1 s."""
         found = []
@@ -249,6 +256,7 @@
         """Ask control early for a revision that a node has, or else that node."""
         if revision <= self._table.revision:
             return []
+        self._catch_ups += 1
         if now - self._answered_at <= CONTROL_SILENT_SECONDS:
             earliest = max(now, self._renewed_at + MIN_RENEW_SECONDS)
             self._renew_at = min(self._renew_at, earliest)
--- a/src/limpetreel/coap/coap_protocol.py
+++ b/src/limpetreel/coap/coap_protocol.py
@@ -35,6 +35,10 @@
             return failure.Failure(reason.Reason.MALFORMED, "coap.read_caller")
         return _request(head, datagram)
 
+    def is_message(self, datagram: bytes) -> bool:
+        """Return whether the fixed part of a datagram is one of CoAP."""
+        return not isinstance(header.read(datagram), failure.Failure)
+
     def read_upstream(
         self, datagram: bytes
     ) -> answer.Answer | signal.Signal | failure.Failure:
--- a/src/limpetreel/consensus/messages/envelope_codec.py
+++ b/src/limpetreel/consensus/messages/envelope_codec.py
@@ -20,7 +20,7 @@
     """Return the envelope in the bytes."""
     try:
         return _DECODER.decode(data)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return failure.Failure(
             reason.Reason.MALFORMED, "consensus.decode", detail=str(exc)
         )
--- a/src/limpetreel/console/commands/init_command.py
+++ b/src/limpetreel/console/commands/init_command.py
@@ -10,7 +10,7 @@
 from limpetreel import exceptions
 from limpetreel.consensus import member
 from limpetreel.console import command, exit_code
-from limpetreel.settings import parsers
+from limpetreel.settings import parsers, peer
 from limpetreel.storage import folder_disk, log_store
 
 if TYPE_CHECKING:
@@ -37,6 +37,7 @@
         chosen.add_argument(
             "--new-cluster",
             metavar="PEERS",
+            type=parsers.peers,
             help="comma-separated NAME=IP:PORT of all instances of a new cluster; "
             "give every instance the same list, and each only once",
         )
@@ -66,8 +67,5 @@
         return exit_code.ExitCode.OK
 
 
-def _members(text: str) -> tuple[member.Member, ...]:
-    pairs = (part.partition("=") for part in text.split(",") if part)
-    return tuple(
-        member.Member(name, FIRST_INCARNATION, where) for name, _, where in pairs
-    )
+def _members(peers: tuple[peer.Peer, ...]) -> tuple[member.Member, ...]:
+    return tuple(member.Member(p.name, FIRST_INCARNATION, p.place) for p in peers)
--- a/src/limpetreel/control/control_core.py
+++ b/src/limpetreel/control/control_core.py
@@ -197,7 +197,7 @@
     def _from_operator(self, now: float, event: operator_call.OperatorCall) -> Actions:
         try:
             fields = msgspec.json.decode(event.body, type=dict)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             malformed = operator_answers.MALFORMED
             return self._answer(event.call_id, malformed, str(exc))
         wanted = fields.get("type")
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -13,6 +13,7 @@
 from limpetreel.core import failure
 from limpetreel.node import frame_arrived, send_frame, tick
 from limpetreel.runtime import udp_socket
+from limpetreel.telemetry import telemetry
 from limpetreel.wire import address
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
         Codec of the frames of control instances.
     operators : OperatorCodec
         Authorisation of operators.
+    watch : Telemetry or None
+        Takes what there is to report; None for nothing.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         codec: frame_codec.FrameCodec,
         peer_codec: frame_codec.FrameCodec,
         operators: operator_codec.OperatorCodec,
+        watch: telemetry.Telemetry | None = None,
     ) -> None:
         self._cfg = cfg
         self._core = decisions
@@ -61,15 +65,20 @@
         self._codec = codec
         self._peer_codec = peer_codec
         self._operator_codec = operators
+        self._watch = watch or telemetry.disabled()
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Answer nodes, operators and other instances until stopped."""
+        await self._watch.start()
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         self._peers = peer_links.PeerLinks(
-            self._peer_codec, self._peer, self._cfg.peer_listen
+            self._peer_codec, self._peer, self._cfg.peer_listen, self._watch.refuse
         )
         self._operators = operator_server.OperatorServer(
-            self._operator_codec, self._operator, self._cfg.operator_listen
+            self._operator_codec,
+            self._operator,
+            self._cfg.operator_listen,
+            self._watch.refuse,
         )
         tasks = [
             asyncio.create_task(self._peers.receive()),
@@ -83,6 +92,7 @@
         self._peers.close()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._store.close()
+        await self._watch.close()
         for task in done:
             task.result()
 
@@ -94,6 +104,7 @@
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
+            self._watch.refuse(found.step, source, found.reason)
             return
         self._handle(frame_arrived.FrameArrived(address.from_socket(source), found))
 
@@ -104,7 +115,10 @@
         self._handle(operator_call.OperatorCall(call_id, body))
 
     def _handle(self, event: msgspec.Struct) -> None:
-        for action in self._core.handle(time.monotonic(), event):
+        now = time.monotonic()
+        actions = self._core.handle(now, event)
+        self._watch.decided(now, event, actions)
+        for action in actions:
             self._do(action)
 
     def _do(self, action: msgspec.Struct) -> None:
--- a/src/limpetreel/control/messages/renewal_report.py
+++ b/src/limpetreel/control/messages/renewal_report.py
@@ -32,7 +32,7 @@
     """Return the report in the bytes."""
     try:
         return _DECODER.decode(data)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return failure.Failure(
             reason.Reason.MALFORMED, "renewal_report.decode", detail=str(exc)
         )
--- a/src/limpetreel/control/operator_server.py
+++ b/src/limpetreel/control/operator_server.py
@@ -15,6 +15,7 @@
 ANSWER_SECONDS = 10.0
 
 Handler = Callable[[int, bytes], None]
+Refuse = Callable[[str, object, str], None]
 
 
 class OperatorServer:
@@ -29,6 +30,8 @@
         with the same number later.
     listen : tuple of (str, int)
         Own address.
+    refuse : callable
+        Called with step, peer and reason of a request that is not authorised.
     """
 
     def __init__(
@@ -36,7 +39,9 @@
         codec: operator_codec.OperatorCodec,
         handler: Handler,
         listen: tuple[str, int],
+        refuse: Refuse = lambda step, peer, why: None,
     ) -> None:
+        self._refuse = refuse
         self._codec = codec
         self._handler = handler
         self._sock = pynng.Rep0(
@@ -74,6 +79,7 @@
         body = self._codec.open(data)
         if isinstance(body, failure.Failure):
             self.denied += 1
+            self._refuse(body.step, "", body.reason)
             return operator_answers.status_answer(operator_answers.DENIED)
         self._next_id += 1
         call_id = self._next_id
--- a/src/limpetreel/control/peer_links.py
+++ b/src/limpetreel/control/peer_links.py
@@ -20,6 +20,7 @@
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
 Handler = Callable[[int, bytes], None]
+Refuse = Callable[[str, object, str], None]
 
 
 class PeerLinks:
@@ -37,6 +38,8 @@
         Called with kind and body of each message.
     listen : tuple of (str, int)
         Own address.
+    refuse : callable
+        Called with step, peer and reason of a message that is dropped.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         codec: frame_codec.FrameCodec,
         handler: Handler,
         listen: tuple[str, int],
+        refuse: Refuse = lambda step, peer, why: None,
     ) -> None:
+        self._refuse = refuse
         self._codec = codec
         self._handler = handler
         url = f"tcp://{listen[0]}:{listen[1]}"
@@ -66,9 +71,11 @@
             except pynng.Closed:
                 return
             found = self._codec.decode(data, "control")
-            if not isinstance(found, failure.Failure):
-                self._heard_at = time.monotonic()
-                self._handler(found.kind, found.body)
+            if isinstance(found, failure.Failure):
+                self._refuse("peer.decode", "", found.reason)
+                continue
+            self._heard_at = time.monotonic()
+            self._handler(found.kind, found.body)
 
     def send(self, address: str, kind: int, body: bytes) -> None:
         """Send a message; one that finds no room is lost, the core repeats it."""
--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -10,7 +10,14 @@
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
 from limpetreel.flows import flow_key
-from limpetreel.node import frame_arrived, node_link, record_span, send_frame, tick
+from limpetreel.node import (
+    frame_arrived,
+    leave_requested,
+    node_link,
+    record_span,
+    send_frame,
+    tick,
+)
 from limpetreel.wire import address, kind, message_codec, mode, packet
 
 if TYPE_CHECKING:
@@ -56,8 +63,19 @@
             return self._receive(now, event)
         if isinstance(event, tick.Tick):
             return [*self.link.tick(now), *self._table_actions()]
+        if isinstance(event, leave_requested.LeaveRequested):
+            return [*self.link.leave(now)]
         raise TypeError(type(event))
 
+    def skip(self, packets: int) -> None:
+        """Count packets that a decision log left out, so that samples agree."""
+        self._count += packets
+
+    @property
+    def mark(self) -> tuple[object, ...]:
+        """Value that changes whenever a packet or a tick changes the state."""
+        return self.link.mark, self._hints.changes
+
     def _forward(
         self, now: float, event: caller_datagram.CallerDatagram
     ) -> list[msgspec.Struct]:
--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import functools
-import logging
 import time
 from typing import TYPE_CHECKING
 
-from limpetreel.core import failure
+from limpetreel.core import failure, reason
 from limpetreel.entry.actions import close_class, open_class, send_caller
 from limpetreel.entry.events import caller_datagram
-from limpetreel.node import frame_arrived, record_span, send_frame, tick
+from limpetreel.node import (
+    frame_arrived,
+    leave_requested,
+    record_span,
+    send_frame,
+    tick,
+)
 from limpetreel.runtime import udp_socket
-from limpetreel.wire import address
+from limpetreel.telemetry import telemetry
+from limpetreel.wire import address, packet
 
 if TYPE_CHECKING:
     import msgspec
@@ -23,7 +29,6 @@
     from limpetreel.wire import frame_codec
 
 TICK_SECONDS = 0.02
-_LOG = logging.getLogger(__name__)
 
 
 class EntryShell:
@@ -37,6 +42,8 @@
         The core.
     codec : FrameCodec
         Codec of this node's frames.
+    watch : Telemetry or None
+        Takes what there is to report; None for nothing.
     """
 
     def __init__(
@@ -44,35 +51,50 @@
         cfg: entry_settings.EntrySettings,
         decisions: entry_core.EntryCore,
         codec: frame_codec.FrameCodec,
+        watch: telemetry.Telemetry | None = None,
     ) -> None:
         self._cfg = cfg
         self._core = decisions
         self._codec = codec
+        self._watch = watch or telemetry.disabled()
         self._classes: dict[int, udp_socket.UdpSocket] = {}
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Forward packets until stopped."""
+        await self._watch.start()
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
+        self._watch.watch("send_errors_total", "sends", "socket", self._send_errors)
         while not stopped.is_set():
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
-        for action in self._core.link.leave(time.monotonic()):
-            self._do(action)
+        self._handle(leave_requested.LeaveRequested())
         for sock in (self._frames, *self._classes.values()):
             sock.close()
+        await self._watch.close()
+
+    def _send_errors(self) -> dict[str, float]:
+        callers = sum(sock.send_errors for sock in self._classes.values())
+        return {"frames": self._frames.send_errors, "callers": callers}
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
+            self._watch.refuse(found.step, source, found.reason)
             return
         self._handle(frame_arrived.FrameArrived(address.from_socket(source), found))
 
     def _caller(self, class_id: int, data: bytes, source: tuple[str, int]) -> None:
+        if len(data) > packet.MAX_DATAGRAM_BYTES:
+            self._watch.refuse("entry.caller", source, reason.Reason.OVERSIZED)
+            return
         caller = address.from_socket(source)
         self._handle(caller_datagram.CallerDatagram(class_id, caller, data))
 
     def _handle(self, event: msgspec.Struct) -> None:
-        for action in self._core.handle(time.monotonic(), event):
+        now = time.monotonic()
+        actions = self._core.handle(now, event)
+        self._watch.decided(now, event, actions)
+        for action in actions:
             self._do(action)
 
     def _do(self, action: msgspec.Struct) -> None:
@@ -84,11 +106,25 @@
             if sock is not None:
                 sock.send(action.datagram, address.to_socket(action.caller))
         elif isinstance(action, open_class.OpenClass):
-            handler = functools.partial(self._caller, action.class_id)
-            self._classes[action.class_id] = udp_socket.UdpSocket(
-                handler, self._cfg.service_ip, action.port
-            )
+            self._open(action)
         elif isinstance(action, close_class.CloseClass):
-            self._classes.pop(action.class_id).close()
+            sock = self._classes.pop(action.class_id, None)
+            if sock is not None:
+                sock.close()
+            self._watch.line("info", "class.close", class_id=action.class_id)
         elif isinstance(action, record_span.RecordSpan):
-            _LOG.info("span %s", action)
+            self._watch.span(action)
+
+    def _open(self, action: open_class.OpenClass) -> None:
+        """Receive on the port of a class; one that cannot be bound is left out."""
+        handler = functools.partial(self._caller, action.class_id)
+        try:
+            sock = udp_socket.UdpSocket(handler, self._cfg.service_ip, action.port)
+        except OSError as exc:
+            step, port = "class.open", action.port
+            self._watch.line("error", step, reason=str(exc), port=port)
+            return
+        self._classes[action.class_id] = sock
+        self._watch.line(
+            "info", "class.open", class_id=action.class_id, port=action.port
+        )
--- a/src/limpetreel/entry/owner_hints.py
+++ b/src/limpetreel/entry/owner_hints.py
@@ -33,6 +33,7 @@
         self._table = records
         self._hints: collections.OrderedDict[Flow, int] = collections.OrderedDict()
         self._revision = -1
+        self.changes = 0
         self._agents: dict[int, member_record.MemberRecord] = {}
 
     def learn(self, flow: Flow, owner: int, primary: int) -> None:
@@ -46,10 +47,15 @@
             Node ids of the agent that answered and of the bucket's primary.
         """
         if owner == primary:
-            self._hints.pop(flow, None)
+            if self._hints.pop(flow, None) is not None:
+                self.changes += 1
             return
+        # A hint keeps its place, so that only answers that change something must
+        # be recorded for replay.
+        if self._hints.get(flow) == owner:
+            return
+        self.changes += 1
         self._hints[flow] = owner
-        self._hints.move_to_end(flow)
         if len(self._hints) > MAX_HINTS:
             self._hints.popitem(last=False)
 
@@ -63,6 +69,7 @@
         found = self._agents.get(owner)
         if found is None:
             del self._hints[flow]
+            self.changes += 1
         return found
 
     def _refresh(self) -> None:
--- a/src/limpetreel/node/node_link.py
+++ b/src/limpetreel/node/node_link.py
@@ -47,6 +47,11 @@
         """Whether a newer process has taken this node's name."""
         return self._sync.is_superseded
 
+    @property
+    def mark(self) -> tuple[object, ...]:
+        """Value that changes whenever table, lease or exchanges change."""
+        return self.table.revision, self.right.lease_until, self._sync.mark
+
     @property
     def is_draining(self) -> bool:
         """Whether the node has begun to leave."""
--- /dev/null
+++ b/src/limpetreel/settings/telemetry_settings.py
@@ -0,0 +1,57 @@
+"""Settings of logs and metrics."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from limpetreel import exceptions
+from limpetreel.settings import base_settings, parsers, setting
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+@dataclasses.dataclass(frozen=True)
+class TelemetrySettings(base_settings.BaseSettings):
+    """What a process of any role reports about itself."""
+
+    log_level: str = setting.setting(
+        parsers.choice(*LEVELS), "one of " + ", ".join(LEVELS), "lowest level", "info"
+    )
+    log_file: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "log to this file instead of standard error",
+        "",
+    )
+    metrics: tuple[str, int] | None = setting.setting(
+        parsers.address, parsers.ADDRESS_ALLOWED, "address of /metrics, over HTTP", None
+    )
+    file_mb: int = setting.setting(
+        parsers.number(1, 10_000),
+        "1 to 10000",
+        "size in MB at which log, spans and decision log begin a new file; one "
+        "earlier file of each is kept",
+        64,
+    )
+
+    def check_files(self, has_data: bool) -> None:
+        """Check that files have a folder and names of their own.
+
+        Parameters
+        ----------
+        has_data : bool
+            Whether a data folder is set.
+        """
+        chosen = ("log_file", "trace_file", "decision_log")
+        taken: dict[str, str] = {}
+        for field in chosen:
+            # Control has neither spans nor a decision log.
+            value = getattr(self, field, "")
+            flag = "--" + field.replace("_", "-")
+            if value and not has_data:
+                raise exceptions.SettingError(flag, value, "it together with --data")
+            if value in taken:
+                allowed = f"another name than {taken[value]}"
+                raise exceptions.SettingError(flag, value, allowed)
+            if value:
+                taken[value] = flag
--- a/src/limpetreel/wire/frame_codec.py
+++ b/src/limpetreel/wire/frame_codec.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+import hmac
 
 from limpetreel.core import failure, reason
 from limpetreel.wire import frame, replay_window
+from limpetreel.wire import kind as kinds
+
+_PACKETS = (kinds.Kind.FORWARD, kinds.Kind.RELAY, kinds.Kind.RETURN)
 
 MAX_SENDERS = 16384
 """Senders with a replay window; well above the 5,170 nodes of the design size."""
@@ -104,11 +108,13 @@
         if data[0] != frame.VERSION:
             return reason.Reason.WRONG_VERSION
         signed, tag = data[: -frame.TAG_BYTES], data[-frame.TAG_BYTES :]
-        if self._tag(signed) != tag:
+        if not hmac.compare_digest(self._tag(signed), tag):
             return reason.Reason.WRONG_TAG
         head = frame.HEADER.unpack_from(signed)
         _, kind, sender, incarnation, sequence, target = head
-        if target not in (frame.ANY_INCARNATION, self._incarnation):
+        # A packet without an incarnation could reach a process that reuses an
+        # address and serves another class.
+        if target != self._incarnation and (target or kind in _PACKETS):
             return reason.Reason.WRONG_INCARNATION
         if not self._accept(sender, incarnation, sequence):
             return reason.Reason.REPLAYED
