Run a small site in one process; show a trace and replay in the demonstration

Cause: a small site had to start three roles with keys and commands of its own. Change: limpetreel standalone with kept keys, its own zone and classes; the demonstration prints one trace and replays the decisions of all entries and agents. Conclusion: a small site starts with one command.

--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -21,6 +21,7 @@
     "entry": "entry_command.EntryCommand",
     "agent": "agent_command.AgentCommand",
     "control": "control_command.ControlCommand",
+    "standalone": "standalone_command.StandaloneCommand",
     "init": "init_command.InitCommand",
     "class create": "class_create_command.ClassCreateCommand",
     "class set": "class_set_command.ClassSetCommand",
--- /dev/null
+++ b/src/limpetreel/console/commands/standalone_command.py
@@ -0,0 +1,26 @@
+"""Command ``standalone``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel import factory
+from limpetreel.console import role_command
+from limpetreel.settings import standalone_settings
+
+if TYPE_CHECKING:
+    from limpetreel.standalone import standalone_shell
+
+
+class StandaloneCommand(role_command.RoleCommand):
+    """Run all roles in one process, for a small site."""
+
+    name = "standalone"
+    help = "run a whole small site in one process until SIGTERM"
+    settings_class = standalone_settings.StandaloneSettings
+
+    def build(
+        self, cfg: standalone_settings.StandaloneSettings
+    ) -> standalone_shell.StandaloneShell:
+        """Return the shell."""
+        return factory.build_standalone(cfg)
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import random
+import secrets
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -14,7 +16,7 @@
 from limpetreel.catalog import node_identity, role
 from limpetreel.catalog.commands import bootstrap
 from limpetreel.coap import coap_protocol
-from limpetreel.consensus import raft_core
+from limpetreel.consensus import member, raft_core
 from limpetreel.control import (
     control_core,
     control_shell,
@@ -27,9 +29,11 @@
 from limpetreel.replay import entry_filter, full_filter, header, recorder
 from limpetreel.settings import (
     agent_settings,
+    control_settings,
     entry_settings,
     loader,
     settings_codec,
+    standalone_settings,
 )
 from limpetreel.storage import folder_disk, log_store
 from limpetreel.telemetry import log_writer, rotating_file, telemetry
@@ -41,13 +45,14 @@
     from limpetreel.core import core
     from limpetreel.replay import event_filter
     from limpetreel.settings import (
-        control_settings,
         node_settings,
         telemetry_settings,
     )
+    from limpetreel.standalone import standalone_shell
     from limpetreel.telemetry import span_recorder
 
 _BYTES_PER_MB = 1_000_000
+_KEY_BYTES = 32
 
 
 def build_entry(cfg: entry_settings.EntrySettings) -> entry_shell.EntryShell:
@@ -116,6 +121,100 @@
     )
 
 
+def build_standalone(
+    cfg: standalone_settings.StandaloneSettings,
+) -> standalone_shell.StandaloneShell:
+    """Return a whole site in one process.
+
+    The keys are made at the first start and kept in the data folder. The data folder
+    is put into use without an operator's command, since the only control instance
+    has no other voter that could be misled.
+    """
+    # Loaded here because no other role needs it.
+    from limpetreel.console import operator_client
+    from limpetreel.standalone import standalone_shell
+
+    cluster_key = _kept_key(cfg.data / "cluster.key")
+    operator_key = _kept_key(cfg.data / "operator.key")
+    control_cfg = _standalone_control(cfg, cluster_key, operator_key)
+    _put_into_use(control_cfg)
+    shared = {
+        "zone": standalone_shell.ZONE,
+        "region": standalone_shell.ZONE,
+        "control": (control_cfg.listen,),
+        "data": cfg.data,
+        "cluster_key": cluster_key,
+        "log_level": cfg.log_level,
+    }
+    entry = entry_settings.EntrySettings(
+        name="entry",
+        listen=(cfg.ip, cfg.base_port + 3),
+        service_ip=cfg.service_ip,
+        **shared,  # type: ignore[arg-type]
+    )
+    agents = []
+    for i, item in enumerate(cfg.upstreams):
+        first = cfg.base_port + standalone_settings.AGENT_PORTS * (i + 1)
+        agent = agent_settings.AgentSettings(
+            name=f"agent-{i + 1}",
+            listen=(cfg.ip, first),
+            announce=(cfg.ip, first + 1),
+            class_name=item.class_name,
+            upstream=item.address,
+            drain_seconds=cfg.drain_seconds,
+            **shared,  # type: ignore[arg-type]
+        )
+        agents.append(build_agent(agent))
+    operators = operator_client.OperatorClient(
+        (control_cfg.operator_listen,), operator_key
+    )
+    return standalone_shell.StandaloneShell(
+        cfg, build_control(control_cfg), build_entry(entry), agents, operators
+    )
+
+
+def _standalone_control(
+    cfg: standalone_settings.StandaloneSettings, cluster_key: bytes, operator_key: bytes
+) -> control_settings.ControlSettings:
+    return control_settings.ControlSettings(
+        name="control",
+        zone="local",
+        listen=(cfg.ip, cfg.base_port),
+        operator_listen=(cfg.ip, cfg.base_port + 1),
+        peer_listen=(cfg.ip, cfg.base_port + 2),
+        data=cfg.data / "control",
+        class_ports=cfg.class_ports,
+        cluster_key=cluster_key,
+        operator_key=operator_key,
+        log_level=cfg.log_level,
+    )
+
+
+def _put_into_use(cfg: control_settings.ControlSettings) -> None:
+    store = log_store.LogStore(folder_disk.FolderDisk(cfg.data))
+    if store.recover() is None:
+        own = f"{cfg.peer_listen[0]}:{cfg.peer_listen[1]}"
+        store.create(cfg.name, 1, (member.Member(cfg.name, 1, own),))
+    store.close()
+
+
+def _kept_key(path: pathlib.Path) -> bytes:
+    """Return the key in a file, which is made if it does not exist."""
+    if path.exists():
+        return path.read_bytes().strip()
+    path.parent.mkdir(parents=True, exist_ok=True)
+    made = secrets.token_hex(_KEY_BYTES).encode()
+    with open(path, "wb", opener=_open_private) as file:
+        file.write(made + b"\n")
+        file.flush()
+        os.fsync(file.fileno())
+    return made
+
+
+def _open_private(name: str, flags: int) -> int:
+    return os.open(name, flags, 0o600)
+
+
 def build_core(first: header.Header) -> core.Core | failure.Failure:
     """Return the core that a decision log begins with.
 
--- a/src/limpetreel/settings/parsers.py
+++ b/src/limpetreel/settings/parsers.py
@@ -7,7 +7,7 @@
 import re
 from typing import TYPE_CHECKING
 
-from limpetreel.settings import peer, port_range
+from limpetreel.settings import peer, port_range, upstream_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -156,3 +156,19 @@
     if not _FILE_NAME.fullmatch(text):
         raise ValueError
     return text
+
+
+def upstreams(text: str) -> tuple[upstream_address.UpstreamAddress, ...]:
+    """Return classes and addresses of upstreams."""
+    found = []
+    for part in text.split(","):
+        class_name, separator, where = part.strip().partition("=")
+        if not separator:
+            raise ValueError
+        found.append(upstream_address.UpstreamAddress(name(class_name), address(where)))
+    if len({u.address for u in found}) < len(found):
+        raise ValueError
+    return tuple(found)
+
+
+UPSTREAMS_ALLOWED = "comma-separated CLASS=IP:PORT, each address once"
--- /dev/null
+++ b/src/limpetreel/standalone/__init__.py
@@ -0,0 +1,3 @@
+"""All roles in one process, for a small site."""
+
+from __future__ import annotations
--- a/src/limpetreel/workload/demo.py
+++ b/src/limpetreel/workload/demo.py
@@ -70,6 +70,7 @@
             self._problems += [f"did not stop gracefully: {b}" for b in bad]
             self._show_replies()
             await self._show_trace()
+            await self._replay()
             for log in sorted(pathlib.Path(name).glob("*.log")):
                 if "Traceback" in log.read_text():
                     self._problems.append(f"exception in {log.name}")
@@ -170,6 +171,27 @@
 
     async def _show_trace(self) -> None:
         """Print the spans of one traced request."""
+        paths = self._site.files(site.TRACE_FILE)
+        spans = [json.loads(line) for p in paths for line in p.read_text().splitlines()]
+        hops = collections.Counter(s["trace_id"] for s in spans)
+        if not hops:
+            self._problems.append("no span was written")
+            return
+        longest, _ = hops.most_common(1)[0]
+        words = ("trace", *map(str, paths), "--id", longest)
+        code, out = await self._site.run_command(*words)
+        print(f"trace of one packet\n{out}")
+        if code:
+            self._problems.append("the trace could not be read")
+
+    async def _replay(self) -> None:
+        """Run the decisions of each entry and agent again."""
+        for path in self._site.files(site.DECISION_LOG):
+            code, out = await self._site.run_command("replay", str(path))
+            if code:
+                self._problems.append(f"replay of {path.parent.name}: {out}")
+        count = len(self._site.files(site.DECISION_LOG))
+        print(f"decisions of {count} processes replayed")
 
     async def _fetch_runs(self) -> collections.Counter[str]:
         """Return how often each request ran, as the upstreams counted it."""
--- a/src/limpetreel/workload/site.py
+++ b/src/limpetreel/workload/site.py
@@ -15,6 +15,8 @@
 CLUSTER_KEY = "demonstration-cluster-key"
 OPERATOR_KEY = "demonstration-operator-key"
 STOP_SECONDS = 20.0
+TRACE_FILE = "spans.jsonl"
+DECISION_LOG = "decisions.log"
 PORTS = 1000
 """Ports that one site uses from its base port on."""
 
@@ -135,6 +137,10 @@
             *(f"--entry-ip={ip}" for ip in entry_ips),
         )
 
+    def files(self, name: str) -> list[pathlib.Path]:
+        """Return the files of a name that entries and agents have written."""
+        return sorted((self._folder / "data").glob(f"*/{name}"))
+
     @property
     def upstream_ports(self) -> dict[str, int]:
         """Ports of the upstreams by name."""
@@ -144,6 +150,10 @@
         """Run an operator command and return exit code and output."""
         return await self._run(*words, *self.operator_flags)
 
+    async def run_command(self, *words: str) -> tuple[int, str]:
+        """Run a command that does not talk to control."""
+        return await self._run(*words)
+
     async def _run(self, *words: str) -> tuple[int, str]:
         proc = await asyncio.create_subprocess_exec(
             *self._program,
@@ -180,6 +190,9 @@
             f"--zone={zone}",
             f"--listen={listen}",
             f"--control={controls}",
+            f"--data={self._folder / 'data' / name}",
+            f"--trace-file={TRACE_FILE}",
+            f"--decision-log={DECISION_LOG}",
             f"--cluster-key={CLUSTER_KEY}",
         ]
 
--- /dev/null
+++ b/tests/standalone/test_standalone_shell.py
@@ -0,0 +1,63 @@
+"""A small site in one process must serve without any operator command."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import tempfile
+
+from limpetreel import factory
+from limpetreel.settings import port_range, standalone_settings, upstream_address
+from limpetreel.workload import caller, demo, outcome, upstream, upstream_settings
+from tests import fixtures
+
+ATTEMPTS = 20
+
+
+def _settings(base, folder):
+    where = ("127.0.0.1", base + 100)
+    return standalone_settings.StandaloneSettings(
+        upstreams=(upstream_address.UpstreamAddress("web", where),),
+        base_port=base,
+        class_ports=port_range.PortRange(base + 200, base + 201),
+        data=pathlib.Path(folder),
+        drain_seconds=0.5,
+        log_level="error",
+    )
+
+
+async def _serve_and_ask(base, folder):
+    cfg = _settings(base, folder)
+    stopped, upstream_stopped = asyncio.Event(), asyncio.Event()
+    site = asyncio.create_task(factory.build_standalone(cfg).serve(stopped))
+    service = upstream.Upstream(
+        upstream_settings.UpstreamSettings(
+            "u1", "web", "127.0.0.1", base + 100, ("127.0.0.1", base + 5), 4, 0.01, 0.0
+        )
+    )
+    running = asyncio.create_task(service.serve(upstream_stopped))
+    asked = caller.Caller("caller", ("127.0.0.1", base + 200), random.Random(1))
+    replies = []
+    for _ in range(ATTEMPTS):
+        replies.append(await asked.request(idempotent=False))
+        if replies[-1].outcome is outcome.Outcome.ANSWERED:
+            break
+    asked.close()
+    stopped.set()
+    await site
+    upstream_stopped.set()
+    await running
+    return replies, service.runs
+
+
+def test_site_serves_on_defaults():
+    """Guards against a site that needs commands or keys before its first answer."""
+    with tempfile.TemporaryDirectory() as folder:
+        found = asyncio.run(_serve_and_ask(demo.find_base_port(), folder))
+    replies, runs = found
+    assert replies[-1].outcome is outcome.Outcome.ANSWERED, replies
+    assert runs[replies[-1].key] == 1
+
+
+load_tests = fixtures.load_functions(globals())
