Record the decisions of control instances

Cause: control had no decision log, since its core depends on what the disk held at the start and cannot be built from settings. Change: its log begins with the state of the core. Logs, spans and decision logs are readable by their owner only. The check of the one-file program puts a data folder into use first.

--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -24,7 +24,7 @@
 from limpetreel.core import failure, reason
 from limpetreel.entry import entry_core, entry_shell
 from limpetreel.node import node_link
-from limpetreel.replay import entry_filter, full_filter, header, recorder
+from limpetreel.replay import core_state, entry_filter, full_filter, header, recorder
 from limpetreel.settings import (
     agent_settings,
     entry_settings,
@@ -108,7 +108,8 @@
         cfg.cluster_key, node_id, incarnation, peer_links.MAX_MESSAGE_BYTES
     )
     operators = operator_codec.OperatorCodec(cfg.operator_key)
-    watch = build_telemetry(cfg, cfg.name, "control", cfg.data)
+    log = _control_recorder(cfg, decisions, incarnation)
+    watch = build_telemetry(cfg, cfg.name, "control", cfg.data, log)
     watch.watch("frames_refused_total", "frames", "reason", lambda: codec.rejected)
     watch.watch_drops("control.core", lambda: decisions.dropped)
     return control_shell.ControlShell(
@@ -116,6 +117,23 @@
     )
 
 
+def _control_recorder(
+    cfg: control_settings.ControlSettings,
+    decisions: control_core.ControlCore,
+    incarnation: int,
+) -> recorder.Recorder | None:
+    if not cfg.decision_log:
+        return None
+    # A control core depends on what the disk held at the start, not on settings.
+    state = core_state.save(decisions)
+    if isinstance(state, failure.Failure):
+        raise exceptions.StorageError(state.step, state.detail)
+    first = header.Header("control", b"", incarnation, incarnation)
+    file = _file(cfg, cfg.data, cfg.decision_log)
+    chosen = full_filter.FullFilter()
+    return recorder.Recorder(file, first, decisions, chosen, state)
+
+
 def build_core(first: header.Header) -> core.Core | failure.Failure:
     """Return the core that a decision log begins with.
 
--- a/src/limpetreel/replay/recorder.py
+++ b/src/limpetreel/replay/recorder.py
@@ -36,9 +36,11 @@
     first : Header
         Header of every file.
     target : Core
-        The core; it must not have taken any event yet.
+        The core.
     chosen : EventFilter
         Which events are recorded.
+    state : bytes
+        State of the core; empty if it is as the factory builds it from the header.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         first: header.Header,
         target: core.Core,
         chosen: event_filter.EventFilter,
+        state: bytes = b"",
     ) -> None:
         self._file = file
         self._header = first
@@ -56,7 +59,7 @@
         self._skipped = 0
         self._room = 0
         self.problem: failure.Failure | None = None
-        self._begin_file(b"")
+        self._begin_file(state)
 
     def record(
         self, now: float, event: msgspec.Struct, actions: list[msgspec.Struct]
--- a/src/limpetreel/settings/node_settings.py
+++ b/src/limpetreel/settings/node_settings.py
@@ -45,12 +45,6 @@
         "write the spans of sampled packets to this file",
         "",
     )
-    decision_log: str = setting.setting(
-        parsers.file_name,
-        parsers.FILE_NAME_ALLOWED,
-        "record events and decisions in this file, for replay",
-        "",
-    )
 
     def check(self) -> None:
         """Check values that depend on each other."""
--- a/src/limpetreel/settings/telemetry_settings.py
+++ b/src/limpetreel/settings/telemetry_settings.py
@@ -1,4 +1,4 @@
-"""Settings of logs and metrics."""
+"""Settings of logs, metrics and the decision log."""
 
 from __future__ import annotations
 
@@ -26,6 +26,12 @@
     metrics: tuple[str, int] | None = setting.setting(
         parsers.address, parsers.ADDRESS_ALLOWED, "address of /metrics, over HTTP", None
     )
+    decision_log: str = setting.setting(
+        parsers.file_name,
+        parsers.FILE_NAME_ALLOWED,
+        "record events and decisions in this file, for replay",
+        "",
+    )
     file_mb: int = setting.setting(
         parsers.number(1, 10_000),
         "1 to 10000",
@@ -45,7 +51,7 @@
         chosen = ("log_file", "trace_file", "decision_log")
         taken: dict[str, str] = {}
         for field in chosen:
-            # Control has neither spans nor a decision log.
+            # Control has no spans.
             value = getattr(self, field, "")
             flag = "--" + field.replace("_", "-")
             if value and not has_data:
--- a/src/limpetreel/telemetry/rotating_file.py
+++ b/src/limpetreel/telemetry/rotating_file.py
@@ -77,7 +77,9 @@
             self.write_errors += 1
 
     def _open(self) -> None:
-        self._stream = self._path.open("ab", buffering=BUFFER_BYTES)
+        self._stream = open(  # noqa: SIM115 - open for the life of the process
+            self._path, "ab", buffering=BUFFER_BYTES, opener=_open_private
+        )
         self._size = self._stream.tell()
 
     def _close_stream(self) -> None:
@@ -85,3 +87,8 @@
         self._size = 0
         if stream is not None:
             stream.close()
+
+
+def _open_private(path: str, flags: int) -> int:
+    """Open for the owner only: a decision log holds packets of callers."""
+    return os.open(path, flags, 0o600)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -83,7 +83,7 @@
         "class_ports": port_range.PortRange(20000, 20010),
         "operator_key": OPERATOR_KEY,
     }
-    for name in ("control", "trace_file", "decision_log"):
+    for name in ("control", "trace_file"):
         del values[name]
     return control_settings.ControlSettings(**{**values, **changes})
 
--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import tempfile
+import time
 
 import msgspec
 
@@ -16,6 +17,9 @@
     upstream_announced,
     upstream_datagram,
 )
+from limpetreel.consensus import member
+from limpetreel.consensus.actions import persist, save_snapshot
+from limpetreel.control.events import operator_call
 from limpetreel.core import failure
 from limpetreel.entry.events import caller_datagram
 from limpetreel.node import frame_arrived, leave_requested, tick
@@ -29,6 +33,7 @@
     recorder,
     replayer,
 )
+from limpetreel.storage import folder_disk, log_store
 from limpetreel.telemetry import rotating_file
 from limpetreel.wire import address, frame, kind, mode, packet
 from tests import builders, fixtures
@@ -241,6 +246,41 @@
         assert isinstance(core_state.load(state), failure.Failure), state
 
 
+def test_control_replay_agrees():
+    """Guards against a control core that cannot be run again from its log."""
+    with _folder() as folder:
+        store = log_store.LogStore(folder_disk.FolderDisk(folder))
+        own = member.Member("control-1", 1, "127.0.0.1:1")
+        store.create("control-1", 1, (own,))
+        store.close()
+        cfg = builders.control_cfg(data=folder, decision_log="decisions")
+        shell = factory.build_control(cfg)
+        now = time.monotonic()
+        wanted = {"type": "zone_create", "name": "a", "region": "r", "expected": 0}
+        for number in range(300):
+            now += 0.02
+            _control_step(shell, now, tick.Tick())
+            if number % 20 == 0:
+                body = msgspec.json.encode({**wanted, "command_id": str(number)})
+                event = operator_call.OperatorCall(number, body)
+                _control_step(shell, now, event)
+        shell._watch._decisions.close()
+        shell._watch._log.close()
+        shell._store.close()
+        found = _replay((folder / "decisions").read_bytes())
+        assert shell._core.catalog.table.zone("a") is not None
+    assert found.agreed == 315 and not found.difference + found.problem, found
+
+
+def _control_step(shell, now, event):
+    """Let a control core handle an event at a given time, and store and record."""
+    actions = shell._core.handle(now, event)
+    shell._watch.decided(now, event, actions)
+    for action in actions:
+        if isinstance(action, persist.Persist | save_snapshot.SaveSnapshot):
+            shell._do(action)
+
+
 def test_header_holds_no_secret():
     """Guards against keys in a file that operators pass on."""
     with _folder() as folder:
--- a/tools/check_binary.py
+++ b/tools/check_binary.py
@@ -54,17 +54,20 @@
 def check_role(folder: str) -> bool:
     """Run a control instance and count its children."""
     ports = [f"127.0.0.1:{BASE_PORT + i}" for i in range(3)]
+    program = [sys.executable, "-I", str(TARGET)]
+    data = f"--data={folder}/data"
+    cluster = f"--new-cluster=c1={ports[2]}"
+    start = [*program, "init", data, "--name=c1", cluster]
+    subprocess.run(start, env=_environment(folder), check=True)
     command = [
-        sys.executable,
-        "-I",
-        str(TARGET),
+        *program,
         "control",
         "--name=c1",
         "--zone=z1",
         f"--listen={ports[0]}",
         f"--operator-listen={ports[1]}",
         f"--peer-listen={ports[2]}",
-        f"--data={folder}/data",
+        data,
         "--cluster-key=cluster key of the check",
         "--operator-key=operator key of the check",
     ]
