--- a/src/limpetreel/console/commands/standalone_command.py
+++ b/src/limpetreel/console/commands/standalone_command.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from limpetreel import factory
 from limpetreel.console import role_command
 from limpetreel.settings import standalone_settings
+from limpetreel.standalone import standalone_factory
 
 if TYPE_CHECKING:
     from limpetreel.standalone import standalone_shell
@@ -23,4 +23,4 @@
         self, cfg: standalone_settings.StandaloneSettings
     ) -> standalone_shell.StandaloneShell:
         """Return the shell."""
-        return factory.build_standalone(cfg)
+        return standalone_factory.build_standalone(cfg)
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import os
 import random
-import secrets
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -16,7 +14,7 @@
 from limpetreel.catalog import node_identity, role
 from limpetreel.catalog.commands import bootstrap
 from limpetreel.coap import coap_protocol
-from limpetreel.consensus import member, raft_core
+from limpetreel.consensus import raft_core
 from limpetreel.control import (
     control_core,
     control_shell,
@@ -26,14 +24,13 @@
 from limpetreel.core import failure, reason
 from limpetreel.entry import entry_core, entry_shell
 from limpetreel.node import node_link
-from limpetreel.replay import entry_filter, full_filter, header, recorder
+from limpetreel.replay import core_state, entry_filter, full_filter, header, recorder
 from limpetreel.settings import (
     agent_settings,
     control_settings,
     entry_settings,
     loader,
     settings_codec,
-    standalone_settings,
 )
 from limpetreel.storage import folder_disk, log_store
 from limpetreel.telemetry import log_writer, rotating_file, telemetry
@@ -48,11 +45,9 @@
         node_settings,
         telemetry_settings,
     )
-    from limpetreel.standalone import standalone_shell
     from limpetreel.telemetry import span_recorder
 
 _BYTES_PER_MB = 1_000_000
-_KEY_BYTES = 32
 
 
 def build_entry(cfg: entry_settings.EntrySettings) -> entry_shell.EntryShell:
@@ -113,7 +108,8 @@
         cfg.cluster_key, node_id, incarnation, peer_links.MAX_MESSAGE_BYTES
     )
     operators = operator_codec.OperatorCodec(cfg.operator_key)
-    watch = build_telemetry(cfg, cfg.name, "control", cfg.data)
+    log = _control_recorder(cfg, decisions, incarnation)
+    watch = build_telemetry(cfg, cfg.name, "control", cfg.data, log)
     watch.watch("frames_refused_total", "frames", "reason", lambda: codec.rejected)
     watch.watch_drops("control.core", lambda: decisions.dropped)
     return control_shell.ControlShell(
@@ -121,98 +117,21 @@
     )
 
 
-def build_standalone(
-    cfg: standalone_settings.StandaloneSettings,
-) -> standalone_shell.StandaloneShell:
-    """Return a whole site in one process.
-
-    The keys are made at the first start and kept in the data folder. The data folder
-    is put into use without an operator's command, since the only control instance
-    has no other voter that could be misled.
-    """
-    # Loaded here because no other role needs it.
-    from limpetreel.console import operator_client
-    from limpetreel.standalone import standalone_shell
-
-    cluster_key = _kept_key(cfg.data / "cluster.key")
-    operator_key = _kept_key(cfg.data / "operator.key")
-    control_cfg = _standalone_control(cfg, cluster_key, operator_key)
-    _put_into_use(control_cfg)
-    shared = {
-        "zone": standalone_shell.ZONE,
-        "region": standalone_shell.ZONE,
-        "control": (control_cfg.listen,),
-        "data": cfg.data,
-        "cluster_key": cluster_key,
-        "log_level": cfg.log_level,
-    }
-    entry = entry_settings.EntrySettings(
-        name="entry",
-        listen=(cfg.ip, cfg.base_port + 3),
-        service_ip=cfg.service_ip,
-        **shared,  # type: ignore[arg-type]
-    )
-    agents = []
-    for i, item in enumerate(cfg.upstreams):
-        first = cfg.base_port + standalone_settings.AGENT_PORTS * (i + 1)
-        agent = agent_settings.AgentSettings(
-            name=f"agent-{i + 1}",
-            listen=(cfg.ip, first),
-            announce=(cfg.ip, first + 1),
-            class_name=item.class_name,
-            upstream=item.address,
-            drain_seconds=cfg.drain_seconds,
-            **shared,  # type: ignore[arg-type]
-        )
-        agents.append(build_agent(agent))
-    operators = operator_client.OperatorClient(
-        (control_cfg.operator_listen,), operator_key
-    )
-    return standalone_shell.StandaloneShell(
-        cfg, build_control(control_cfg), build_entry(entry), agents, operators
-    )
-
-
-def _standalone_control(
-    cfg: standalone_settings.StandaloneSettings, cluster_key: bytes, operator_key: bytes
-) -> control_settings.ControlSettings:
-    return control_settings.ControlSettings(
-        name="control",
-        zone="local",
-        listen=(cfg.ip, cfg.base_port),
-        operator_listen=(cfg.ip, cfg.base_port + 1),
-        peer_listen=(cfg.ip, cfg.base_port + 2),
-        data=cfg.data / "control",
-        class_ports=cfg.class_ports,
-        cluster_key=cluster_key,
-        operator_key=operator_key,
-        log_level=cfg.log_level,
-    )
-
-
-def _put_into_use(cfg: control_settings.ControlSettings) -> None:
-    store = log_store.LogStore(folder_disk.FolderDisk(cfg.data))
-    if store.recover() is None:
-        own = f"{cfg.peer_listen[0]}:{cfg.peer_listen[1]}"
-        store.create(cfg.name, 1, (member.Member(cfg.name, 1, own),))
-    store.close()
-
-
-def _kept_key(path: pathlib.Path) -> bytes:
-    """Return the key in a file, which is made if it does not exist."""
-    if path.exists():
-        return path.read_bytes().strip()
-    path.parent.mkdir(parents=True, exist_ok=True)
-    made = secrets.token_hex(_KEY_BYTES).encode()
-    with open(path, "wb", opener=_open_private) as file:
-        file.write(made + b"\n")
-        file.flush()
-        os.fsync(file.fileno())
-    return made
-
-
-def _open_private(name: str, flags: int) -> int:
-    return os.open(name, flags, 0o600)
+def _control_recorder(
+    cfg: control_settings.ControlSettings,
+    decisions: control_core.ControlCore,
+    incarnation: int,
+) -> recorder.Recorder | None:
+    if not cfg.decision_log:
+        return None
+    # A control core depends on what the disk held at the start, not on settings.
+    state = core_state.save(decisions)
+    if isinstance(state, failure.Failure):
+        raise exceptions.StorageError(state.step, state.detail)
+    first = header.Header("control", b"", incarnation, incarnation)
+    file = _file(cfg, cfg.data, cfg.decision_log)
+    chosen = full_filter.FullFilter()
+    return recorder.Recorder(file, first, decisions, chosen, state)
 
 
 def build_core(first: header.Header) -> core.Core | failure.Failure:
--- a/tests/standalone/test_standalone_shell.py
+++ b/tests/standalone/test_standalone_shell.py
@@ -7,8 +7,8 @@
 import random
 import tempfile
 
-from limpetreel import factory
 from limpetreel.settings import port_range, standalone_settings, upstream_address
+from limpetreel.standalone import standalone_factory
 from limpetreel.workload import caller, demo, outcome, upstream, upstream_settings
 from tests import fixtures
 
@@ -30,7 +30,7 @@
 async def _serve_and_ask(base, folder):
     cfg = _settings(base, folder)
     stopped, upstream_stopped = asyncio.Event(), asyncio.Event()
-    site = asyncio.create_task(factory.build_standalone(cfg).serve(stopped))
+    site = asyncio.create_task(standalone_factory.build_standalone(cfg).serve(stopped))
     service = upstream.Upstream(
         upstream_settings.UpstreamSettings(
             "u1", "web", "127.0.0.1", base + 100, ("127.0.0.1", base + 5), 4, 0.01, 0.0
