Keep one log of confirmations and let late renewals not lower it

Cause: the confirmations request was answered from RenewalLog, which took a late or replaced process's renewal for the newest, while a second class had the right rule and no user. Change: RenewalLog keeps the highest incarnation and revision and counts only the member's present incarnation. Conclusion: the fields of the answer are unchanged.

--- a/src/limpetreel/control/renewal_log.py
+++ b/src/limpetreel/control/renewal_log.py
@@ -24,7 +24,10 @@
         self._unreported: dict[str, renew.Renew] = {}
 
     def note(self, now: float, renewal: renew.Renew) -> None:
-        """Remember a renewal."""
+        """Remember a renewal; a late one does not lower the revision."""
+        old = self._newest.get(renewal.name)
+        if old is not None:
+            renewal = max(old[1], renewal, key=lambda r: (r.incarnation, r.revision))
         self._newest[renewal.name] = (now, renewal)
         self._newest.move_to_end(renewal.name)
         if len(self._newest) > MAX_NODES:
@@ -47,6 +50,9 @@
         found = []
         for member in records.members():
             heard = self._newest.get(member.name)
+            # What a replaced process held says nothing of the present one.
+            if heard is not None and heard[1].incarnation < member.incarnation:
+                heard = None
             revision = heard[1].revision if heard else 0
             age = round(now - heard[0], 3) if heard else None
             found.append(
