Restore the catalog, fence lost identities and leave in a planned stop

A first member takes part only after all others have accepted its data folder for good. A stopping leader takes no new command, waits for open ones and asks a voter with the whole log to stand. Requests are bounded (48 waiting, 64 KiB each) and answered 'overloaded' or 'malformed'; a refused membership change is no longer answered 'unknown'. A leader without a lease does not answer confirmations. New commands control-member add, remove and list.

--- a/src/limpetreel/consensus/durable_state.py
+++ b/src/limpetreel/consensus/durable_state.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from limpetreel.consensus import entry, snapshot
+from limpetreel.consensus import entry, founding_record, member, snapshot
 
 
 class DurableState(msgspec.Struct, frozen=True):
@@ -24,6 +24,13 @@
         Newest snapshot.
     entries : tuple of Entry
         Log after the snapshot.
+    folder : int
+        Number of the data folder that no other folder has, also not that of an
+        earlier folder with the same incarnation.
+    founders : tuple of Member
+        First members of a new group; empty for an instance that joined one.
+    founding : FoundingRecord
+        Data folders accepted of the other first members.
     """
 
     name: str
@@ -32,3 +39,6 @@
     vote: str
     snapshot: snapshot.Snapshot
     entries: tuple[entry.Entry, ...] = ()
+    folder: int = 0
+    founders: tuple[member.Member, ...] = ()
+    founding: founding_record.FoundingRecord = founding_record.FoundingRecord()
--- a/src/limpetreel/consensus/election.py
+++ b/src/limpetreel/consensus/election.py
@@ -49,7 +49,7 @@
         for peer in state.peers():
             if peer.voting:
                 state.send(peer, question)
-        return state.quorum_of(self._votes) and self._campaign(now)
+        return state.quorum_of(self._votes) and self.campaign(now)
 
     def on_pre_vote_request(
         self,
@@ -84,7 +84,7 @@
         if message.asked_term != state.term + 1:
             return False
         self._votes.add(request.sender)
-        return state.quorum_of(self._votes) and self._campaign(now)
+        return state.quorum_of(self._votes) and self.campaign(now)
 
     def on_vote_request(
         self, now: float, request: envelope.Envelope, message: vote_request.VoteRequest
@@ -114,7 +114,8 @@
         self._votes.add(request.sender)
         return state.quorum_of(self._votes)
 
-    def _campaign(self, now: float) -> bool:
+    def campaign(self, now: float) -> bool:
+        """Start a term and ask for votes; return True if this instance has won."""
         state = self._state
         state.enter_term(state.term + 1, state.identity)
         state.change_role(role.Role.CANDIDATE, "")
--- a/src/limpetreel/consensus/leadership.py
+++ b/src/limpetreel/consensus/leadership.py
@@ -160,6 +160,16 @@
             self._send(now, peer)
         self._settle()
 
+    def successor(self) -> member.Member | None:
+        """Return a voter that holds the whole log, None if there is none."""
+        state = self._state
+        last = state.log.last_index
+        for peer in state.peers():
+            known = self._progress.get(peer.identity)
+            if peer.voting and known is not None and known.match == last:
+                return peer
+        return None
+
     def finish(self) -> None:
         """Answer what waits, since this instance no longer leads."""
         unknown = failure.Failure(
--- a/src/limpetreel/consensus/messages/envelope.py
+++ b/src/limpetreel/consensus/messages/envelope.py
@@ -7,6 +7,7 @@
 from limpetreel.consensus.messages import (
     append_reply,
     append_request,
+    elect_now,
     join_request,
     pre_vote_reply,
     pre_vote_request,
@@ -26,6 +27,7 @@
     | snapshot_chunk.SnapshotChunk
     | snapshot_reply.SnapshotReply
     | join_request.JoinRequest
+    | elect_now.ElectNow
 )
 
 
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -20,12 +20,14 @@
     message_received,
     propose,
     read,
+    resign,
     snapshot_available,
     tick,
 )
 from limpetreel.consensus.messages import (
     append_reply,
     append_request,
+    elect_now,
     join_request,
     pre_vote_reply,
     pre_vote_request,
@@ -42,7 +44,7 @@
 
     import msgspec
 
-    from limpetreel.consensus import durable_state
+    from limpetreel.consensus import durable_state, snapshot
     from limpetreel.consensus.messages import envelope
 
 
@@ -105,6 +107,11 @@
         """Return the last entry known to be accepted; it has been applied."""
         return self._state.commit
 
+    @property
+    def snapshot(self) -> snapshot.Snapshot:
+        """Return the newest snapshot; at start, the one recovered from disk."""
+        return self._state.snapshot
+
     @property
     def members(self) -> membership.Members:
         """Return the members in effect."""
@@ -150,6 +157,8 @@
                 self._change_members(now, event)
             case read.Read():
                 self._read(event)
+            case resign.Resign():
+                self._resign(now)
             case snapshot_available.SnapshotAvailable():
                 self._state.take_snapshot(event.index, event.data)
             case _:
@@ -221,6 +230,14 @@
         self._state.delay_election(now)
         self._state.change_role(role.Role.FOLLOWER, leader)
 
+    def _resign(self, now: float) -> None:
+        if self._leadership is None:
+            return
+        peer = self._leadership.successor()
+        if peer is not None:
+            self._state.send(peer, elect_now.ElectNow(self._state.term))
+        self._follow(now, "")
+
     def _receive(self, now: float, received: envelope.Envelope) -> None:
         message = received.message
         if received.target not in ("", self._state.identity):
@@ -244,6 +261,8 @@
             case pre_vote_reply.PreVoteReply():
                 if self._election.on_pre_vote_reply(now, received, message):
                     self._lead(now)
+            case elect_now.ElectNow():
+                self._stand(now, message)
             case vote_request.VoteRequest():
                 self._election.on_vote_request(now, received, message)
             case vote_reply.VoteReply():
@@ -258,6 +277,13 @@
                 if self._leadership is not None and message.term == self._state.term:
                     self._leadership.on_snapshot_reply(now, received.sender, message)
 
+    def _stand(self, now: float, message: elect_now.ElectNow) -> None:
+        """Stand without a pre-vote, since the leader itself has resigned."""
+        state = self._state
+        is_asked = message.term == state.term and state.role is role.Role.FOLLOWER
+        if is_asked and state.is_voter() and self._election.campaign(now):
+            self._lead(now)
+
     def _receive_from_leader(
         self,
         now: float,
--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -24,6 +24,11 @@
     "zone create": "zone_create_command.ZoneCreateCommand",
     "zone out": "zone_out_command.ZoneOutCommand",
     "zone in": "zone_in_command.ZoneInCommand",
+    "control-member add": "control_member_add_command.ControlMemberAddCommand",
+    "control-member remove": (
+        "control_member_remove_command.ControlMemberRemoveCommand"
+    ),
+    "control-member list": "control_member_list_command.ControlMemberListCommand",
     "status": "status_command.StatusCommand",
     "demo": "demo_command.DemoCommand",
     "stand-in upstream": "stand_in_upstream_command.StandInUpstreamCommand",
--- a/src/limpetreel/console/commands/init_command.py
+++ b/src/limpetreel/console/commands/init_command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import secrets
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
     import argparse
 
 FIRST_INCARNATION = 1
+FOLDER_BITS = 63
 
 
 class InitCommand(command.Command):
@@ -55,11 +57,14 @@
                 return exit_code.ExitCode.FAILED
             if args.join:
                 incarnation = time.time_ns() // 1_000_000
-                store.create(args.name, incarnation, ())
+                members: tuple[member.Member, ...] = ()
             else:
+                incarnation = FIRST_INCARNATION
                 members = _members(args.new_cluster)
-                store.create(args.name, FIRST_INCARNATION, members)
+            folder = secrets.randbits(FOLDER_BITS)
+            store.create(args.name, incarnation, members, folder)
             store.close()
+            print(f"{args.data} is in use: {args.name}, incarnation {incarnation}")
         except exceptions.StorageError as exc:
             print(f"limpetreel: {exc}", file=sys.stderr)
             return exit_code.ExitCode.FAILED
--- a/src/limpetreel/console/operator_client.py
+++ b/src/limpetreel/console/operator_client.py
@@ -62,7 +62,11 @@
 
     def _ask(self, url: str, data: bytes) -> dict[str, Any] | failure.Failure:
         try:
-            with pynng.Req0(send_timeout=TIMEOUT_MS, recv_timeout=TIMEOUT_MS) as sock:
+            with pynng.Req0(
+                send_timeout=TIMEOUT_MS,
+                recv_timeout=TIMEOUT_MS,
+                recv_max_size=operator_codec.MAX_BYTES,
+            ) as sock:
                 sock.dial(url, block=False)
                 sock.send(data)
                 body = self._codec.open(sock.recv())
--- a/src/limpetreel/console/operator_command.py
+++ b/src/limpetreel/console/operator_command.py
@@ -56,6 +56,20 @@
         done = answer["status"] == "applied"
         return exit_code.ExitCode.OK if done else exit_code.ExitCode.FAILED
 
+    def change_members(self, args: argparse.Namespace, body: dict[str, Any]) -> int:
+        """Send a change of the control instances and return the exit code.
+
+        It has no command id: to resend it is harmless, since an identity is added
+        and removed at most once.
+        """
+        answer = self.call(args, body)
+        if isinstance(answer, failure.Failure):
+            return report_unreachable(answer)
+        detail = f": {answer['detail']}" if answer.get("detail") else ""
+        print(f"{answer['status']}{detail}")
+        done = answer["status"] == "applied"
+        return exit_code.ExitCode.OK if done else exit_code.ExitCode.FAILED
+
 
 def add_change_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the flags of commands that change a record."""
--- /dev/null
+++ b/src/limpetreel/control/actions/save_founding.py
@@ -0,0 +1,19 @@
+"""Action that makes the founding record durable."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.consensus import founding_record
+
+
+class SaveFounding(msgspec.Struct, frozen=True, tag="save_founding"):
+    """Complete it before later actions, as with `Persist`.
+
+    Attributes
+    ----------
+    record : FoundingRecord
+        The whole record.
+    """
+
+    record: founding_record.FoundingRecord
--- a/src/limpetreel/control/control_core.py
+++ b/src/limpetreel/control/control_core.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from limpetreel import exceptions
 from limpetreel.catalog import catalog, result
 from limpetreel.catalog.commands import command_codec
 from limpetreel.consensus import member, role
@@ -26,6 +27,7 @@
     proposal,
     propose,
     read,
+    resign,
     snapshot_available,
 )
 from limpetreel.consensus.events import tick as raft_tick
@@ -37,8 +39,8 @@
     renewal_log,
 )
 from limpetreel.control.actions import answer_operator, send_peer
-from limpetreel.control.events import operator_call, peer_message
-from limpetreel.control.messages import renewal_report
+from limpetreel.control.events import leave, operator_call, peer_message
+from limpetreel.control.messages import founding_message, renewal_report
 from limpetreel.core import core, failure, reason
 from limpetreel.messages import delta_request, renew
 from limpetreel.node import frame_arrived, send_frame, tick
@@ -47,6 +49,7 @@
 if TYPE_CHECKING:
     from limpetreel.catalog.commands import bootstrap
     from limpetreel.consensus import raft_core
+    from limpetreel.control import founding
     from limpetreel.wire import address, frame
 
     Actions = list[msgspec.Struct]
@@ -56,8 +59,13 @@
 RENEWALS_PER_REPORT = 200
 SNAPSHOT_ENTRIES = 2_000
 """Entries after which a snapshot replaces the log; most of a day of changes."""
-MAX_CALLS = 1_000
-"""Requests of operators that may wait; bounds memory without a quorum."""
+MAX_CALLS = 48
+"""Requests of operators that may wait for the log; fewer than the workers of
+`operator_server`, so that there is always one to answer that there are too many."""
+MAX_REQUEST_BYTES = 65_536
+"""Holds a class with more than a thousand zones."""
+LEAVE_SECONDS = 1.0
+"""Time for waiting commands to be accepted, and again for the next leader."""
 MAX_RESULTS = 1_000
 
 
@@ -74,6 +82,13 @@
         Entry that the first leader proposes.
     own_address : str
         Address for other control instances, ``host:port``.
+    start : Founding or None
+        Acceptance by the other first members; None to take part at once.
+
+    Raises
+    ------
+    CorruptError
+        If the recovered snapshot cannot be read.
     """
 
     def __init__(
@@ -82,11 +97,17 @@
         raft: raft_core.RaftCore,
         first_entry: bootstrap.Bootstrap,
         own_address: str,
+        start: founding.Founding | None = None,
     ) -> None:
         self._raft = raft
         self._first_entry = first_entry
         self._own_address = own_address
+        self._founding = start
         self._catalog = catalog.Catalog()
+        self._snapshot_at = 0
+        # The log after a snapshot makes sense only on the state in the snapshot.
+        if raft.snapshot.data:
+            self._restore(raft.snapshot.index, raft.snapshot.data)
         self._nodes = node_service.NodeService(now, self._catalog.table)
         self._renewals = renewal_log.RenewalLog()
         self._tracker: member_tracker.MemberTracker | None = None
@@ -97,7 +118,8 @@
         self._calls: dict[int, int] = {}
         self._reads: dict[int, int] = {}
         self._results: dict[int, result.Result] = {}
-        self._snapshot_at = 0
+        self._leave_at: float | None = None
+        self._has_resigned = False
         self.dropped: dict[reason.Reason, int] = {}
 
     @property
@@ -110,6 +132,16 @@
         """The replicated log of this instance."""
         return self._raft
 
+    @property
+    def is_founding(self) -> bool:
+        """Whether other first members have yet to accept this instance."""
+        return self._founding is not None and not self._founding.is_done
+
+    @property
+    def has_left(self) -> bool:
+        """Whether a planned stop may end the process."""
+        return self._has_resigned and self._raft.leader != ""
+
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Take one event; see `core.Core.handle`."""
         if isinstance(event, frame_arrived.FrameArrived):
@@ -120,6 +152,9 @@
             return self._tick(now)
         if isinstance(event, operator_call.OperatorCall):
             return self._from_operator(now, event)
+        if isinstance(event, leave.Leave):
+            self._leave_at = now
+            return []
         raise TypeError(type(event))
 
     def _tick(self, now: float) -> Actions:
@@ -130,7 +165,19 @@
         if now >= self._next_report:
             self._next_report = now + REPORT_SECONDS
             actions += self._report()
-        return actions + self._flush(now) + self._snapshot(now)
+        if self._founding is not None:
+            actions += self._founding.tick(now)
+        actions += self._flush(now) + self._snapshot(now)
+        return actions + self._leave(now)
+
+    def _leave(self, now: float) -> Actions:
+        """Hand the leadership over once no command waits for its outcome."""
+        if self._leave_at is None or self._has_resigned:
+            return []
+        if self._calls and now < self._leave_at + LEAVE_SECONDS:
+            return []
+        self._has_resigned = True
+        return self._run(now, resign.Resign())
 
     def _from_node(self, now: float, event: frame_arrived.FrameArrived) -> Actions:
         if event.frame.kind != kind.Kind.MESSAGE:
@@ -167,6 +214,11 @@
             if isinstance(found, failure.Failure):
                 return self._drop(found.reason)
             return self._run(now, message_received.MessageReceived(found))
+        if event.kind == kind.Kind.FOUNDING:
+            message = founding_message.decode(event.body)
+            if isinstance(message, failure.Failure):
+                return self._drop(message.reason)
+            return self._founding.handle(message) if self._founding else []
         report = renewal_report.decode(event.body)
         if isinstance(report, failure.Failure):
             return self._drop(report.reason)
@@ -195,12 +247,18 @@
         return ""
 
     def _from_operator(self, now: float, event: operator_call.OperatorCall) -> Actions:
+        if len(event.body) > MAX_REQUEST_BYTES:
+            size = f"{len(event.body)} bytes; at most {MAX_REQUEST_BYTES} are allowed"
+            return self._answer(event.call_id, operator_answers.MALFORMED, size)
         try:
             fields = msgspec.json.decode(event.body, type=dict)
         except msgspec.DecodeError as exc:
             malformed = operator_answers.MALFORMED
             return self._answer(event.call_id, malformed, str(exc))
         wanted = fields.get("type")
+        refusal = self._refusal(wanted)
+        if refusal is not None:
+            return self._answer(event.call_id, *refusal)
         if wanted == "table":
             self._next_id += 1
             self._reads[self._next_id] = event.call_id
@@ -213,14 +271,25 @@
         if isinstance(command, result.Result):
             body = operator_answers.command_answer(command)
             return [answer_operator.AnswerOperator(event.call_id, body)]
-        if len(self._calls) >= MAX_CALLS:
-            overloaded = "too many requests wait; nothing was done"
-            return self._answer(event.call_id, operator_answers.NOT_LEADER, overloaded)
         self._calls[self._propose(command)] = event.call_id
         return []
 
+    def _refusal(self, wanted: object) -> tuple[str, str] | None:
+        """Return status and detail if no request is taken at present."""
+        if self._founding is not None and not self._founding.is_done:
+            missing = ", ".join(self._founding.missing)
+            detail = f"new cluster; waits for first contact with {missing}"
+            return operator_answers.NOT_LEADER, detail
+        if self._leave_at is not None and wanted != "table":
+            return operator_answers.NOT_LEADER, "the instance is stopping"
+        if len(self._calls) + len(self._reads) >= MAX_CALLS:
+            detail = f"{MAX_CALLS} requests wait already; nothing was done"
+            return operator_answers.OVERLOADED, detail
+        return None
+
     def _confirmations(self, now: float, call_id: int) -> Actions:
-        if self._tracker is None:
+        # An instance that was frozen leads until its next tick, but has no lease.
+        if self._tracker is None or not self._raft.lease_remaining(now):
             leader = self._raft.leader
             return self._answer(call_id, operator_answers.NOT_LEADER, leader)
         table = self._catalog.table
@@ -276,6 +345,8 @@
 
     def _run(self, now: float, event: msgspec.Struct) -> Actions:
         """Let the replicated log take an event and carry out what is decided here."""
+        if self.is_founding:
+            return []
         actions: Actions = []
         for action in self._raft.handle(now, event):
             if isinstance(action, persist.Persist | save_snapshot.SaveSnapshot):
@@ -292,8 +363,7 @@
             if len(self._results) > MAX_RESULTS:
                 del self._results[next(iter(self._results))]
         elif isinstance(action, install_snapshot.InstallSnapshot):
-            self._catalog.restore(action.data)
-            self._snapshot_at = action.index
+            self._restore(action.index, action.data)
         elif isinstance(action, role_changed.RoleChanged):
             self._change_role(now, action)
         elif isinstance(action, proposal_result.ProposalResult):
@@ -302,6 +372,12 @@
             return self._answer_read(action)
         return []
 
+    def _restore(self, index: int, data: bytes) -> None:
+        found = self._catalog.restore(data)
+        if found is not None:
+            raise exceptions.CorruptError("control.restore", str(found))
+        self._snapshot_at = index
+
     def _change_role(self, now: float, action: role_changed.RoleChanged) -> None:
         if action.role is not role.Role.LEADER:
             self._tracker = None
@@ -323,7 +399,13 @@
         if action.result.reason is reason.Reason.NOT_LEADER:
             status = operator_answers.NOT_LEADER
             return self._answer(call_id, status, self._raft.leader)
-        return self._answer(call_id, operator_answers.UNKNOWN, str(action.result))
+        # Only a command that entered the log can have an unknown outcome.
+        if action.result.reason is reason.Reason.TIMEOUT:
+            return self._answer(call_id, operator_answers.UNKNOWN, str(action.result))
+        if action.result.reason is reason.Reason.OVERLOADED:
+            status = operator_answers.OVERLOADED
+            return self._answer(call_id, status, str(action.result))
+        return self._answer(call_id, operator_answers.REFUSED, str(action.result))
 
     def _answer_read(self, action: read_result.ReadResult) -> Actions:
         call_id = self._reads.pop(action.read_id, None)
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -8,8 +8,8 @@
 
 from limpetreel.consensus.actions import persist, save_snapshot
 from limpetreel.control import operator_server, peer_links
-from limpetreel.control.actions import answer_operator, send_peer
-from limpetreel.control.events import operator_call, peer_message
+from limpetreel.control.actions import answer_operator, save_founding, send_peer
+from limpetreel.control.events import leave, operator_call, peer_message
 from limpetreel.core import failure
 from limpetreel.node import frame_arrived, send_frame, tick
 from limpetreel.runtime import udp_socket
@@ -24,6 +24,8 @@
     from limpetreel.wire import frame_codec
 
 TICK_SECONDS = 0.02
+STOP_SECONDS = 2.0
+"""Limit of a planned stop; an instance without a quorum finds no successor."""
 
 
 class ControlShell:
@@ -90,6 +92,11 @@
         while not stopped.is_set():
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
+        self._handle(leave.Leave())
+        until = time.monotonic() + STOP_SECONDS
+        while not self._core.has_left and time.monotonic() < until:
+            self._handle(tick.Tick())
+            await asyncio.sleep(TICK_SECONDS)
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
@@ -117,5 +124,7 @@
             self._store.persist(action)
         elif isinstance(action, save_snapshot.SaveSnapshot):
             self._store.save_snapshot(action)
+        elif isinstance(action, save_founding.SaveFounding):
+            self._store.save_founding(action.record)
         elif isinstance(action, answer_operator.AnswerOperator):
             self._operators.answer(action.call_id, action.body)
--- a/src/limpetreel/control/operator_answers.py
+++ b/src/limpetreel/control/operator_answers.py
@@ -18,6 +18,9 @@
 NOT_LEADER = "not leader"
 DENIED = "denied"
 MALFORMED = "malformed"
+OVERLOADED = "overloaded"
+"""Status of a request that was not taken; nothing was done."""
+REFUSED = "refused"
 
 
 def command_answer(answer: result.Result) -> bytes:
--- a/src/limpetreel/control/operator_codec.py
+++ b/src/limpetreel/control/operator_codec.py
@@ -8,7 +8,8 @@
 from limpetreel.core import failure, reason
 
 TAG_BYTES = 16
-MAX_BYTES = 1_048_576
+MAX_BYTES = 16 * 1_048_576
+"""The table as JSON takes more than 1 MiB at the design size."""
 
 
 class OperatorCodec:
--- a/src/limpetreel/control/operator_server.py
+++ b/src/limpetreel/control/operator_server.py
@@ -10,9 +10,11 @@
 from limpetreel.control import operator_answers, operator_codec
 from limpetreel.core import failure
 
-WORKERS = 4
+WORKERS = 64
 """Requests answered at the same time; others wait in the socket."""
 ANSWER_SECONDS = 10.0
+MAX_RECEIVED_BYTES = 1_048_576
+"""The socket drops larger messages; the core refuses smaller ones with a reason."""
 
 Handler = Callable[[int, bytes], None]
 
@@ -41,7 +43,7 @@
         self._handler = handler
         self._sock = pynng.Rep0(
             listen=f"tcp://{listen[0]}:{listen[1]}",
-            recv_max_size=operator_codec.MAX_BYTES,
+            recv_max_size=MAX_RECEIVED_BYTES,
         )
         self._next_id = 0
         self._waiting: dict[int, asyncio.Future[bytes]] = {}
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -17,6 +17,7 @@
 from limpetreel.control import (
     control_core,
     control_shell,
+    founding,
     operator_codec,
     peer_links,
 )
@@ -75,7 +76,11 @@
     first, _, last = cfg.class_ports.partition("-")
     first_entry = bootstrap.Bootstrap(int(first), int(last))
     decisions = control_core.ControlCore(
-        time.monotonic(), raft, first_entry, own_address
+        time.monotonic(),
+        raft,
+        first_entry,
+        own_address,
+        founding.Founding(durable, own_address),
     )
     incarnation = _now_ms()
     node_id = xxhash.xxh64_intdigest(cfg.name.encode())
--- a/src/limpetreel/storage/log_store.py
+++ b/src/limpetreel/storage/log_store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from limpetreel import exceptions
-from limpetreel.consensus import durable_state, snapshot
+from limpetreel.consensus import durable_state, founding_record, snapshot
 from limpetreel.consensus.actions import persist
 from limpetreel.storage import marker, record_codec, replayed_log, segments
 
@@ -21,6 +21,7 @@
 
 MARKER_FILE = "identity"
 SNAPSHOT_FILE = "snapshot"
+FOUNDING_FILE = "founding"
 TEMPORARY_SUFFIX = ".tmp"
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -48,7 +49,11 @@
         self._is_failed = False
 
     def create(
-        self, name: str, incarnation: int, members: tuple[member.Member, ...]
+        self,
+        name: str,
+        incarnation: int,
+        members: tuple[member.Member, ...],
+        folder: int = 0,
     ) -> None:
         """Put an unused data folder into use.
 
@@ -64,6 +69,8 @@
             members of a new group. Never that of a lost folder.
         members : tuple of Member
             First members of a new group; empty to join one.
+        folder : int
+            Random number of the data folder.
 
         Raises
         ------
@@ -79,7 +86,7 @@
                 self._disk.remove(leftover)
             self._disk.sync_folder()
             self._segments.start(persist.Persist(0, ""))
-            mark = marker.Marker(name, incarnation, members)
+            mark = marker.Marker(name, incarnation, members, folder)
             self._replace(MARKER_FILE, _ENCODER.encode(mark))
 
     def recover(self) -> durable_state.DurableState | None:
@@ -100,6 +107,7 @@
             return None
         with self._fail_for_good("log_store.recover"):
             base = self._read_snapshot(mark)
+            founding = self._read_founding()
             log = replayed_log.ReplayedLog()
             for record in self._segments.recover():
                 log.replay(record)
@@ -107,7 +115,15 @@
             self._term, self._vote = log.term, log.vote
             self._start_segment(is_discarded)
         return durable_state.DurableState(
-            mark.name, mark.incarnation, log.term, log.vote, base, entries
+            mark.name,
+            mark.incarnation,
+            log.term,
+            log.vote,
+            base,
+            entries,
+            mark.folder,
+            mark.members,
+            founding,
         )
 
     def persist(self, action: persist.Persist) -> None:
@@ -140,6 +156,17 @@
             else:
                 self._segments.remove_all_but_last()
 
+    def save_founding(self, record: founding_record.FoundingRecord) -> None:
+        """Make the founding record durable.
+
+        Raises
+        ------
+        StorageError
+            If a write or sync fails; the instance must stop.
+        """
+        with self._fail_for_good("log_store.save_founding"):
+            self._replace(FOUNDING_FILE, _ENCODER.encode(record))
+
     def close(self) -> None:
         """Release the data folder."""
         self._disk.close()
@@ -167,6 +194,11 @@
             return snapshot.Snapshot(0, 0, mark.members)
         return self._read_record(SNAPSHOT_FILE, snapshot.Snapshot)
 
+    def _read_founding(self) -> founding_record.FoundingRecord:
+        if FOUNDING_FILE not in self._disk.list_files():
+            return founding_record.FoundingRecord()
+        return self._read_record(FOUNDING_FILE, founding_record.FoundingRecord)
+
     def _read_record(self, name: str, kind: type[_Kind]) -> _Kind:
         payload = record_codec.decode(self._disk.read(name), name, 0)
         if payload is None:
--- a/src/limpetreel/storage/marker.py
+++ b/src/limpetreel/storage/marker.py
@@ -18,8 +18,11 @@
         Number of the data folder.
     members : tuple of Member
         First members of a new group; empty for an instance that joins one.
+    folder : int
+        Number that no other data folder has.
     """
 
     name: str
     incarnation: int
     members: tuple[member.Member, ...]
+    folder: int = 0
--- a/src/limpetreel/wire/kind.py
+++ b/src/limpetreel/wire/kind.py
@@ -14,3 +14,4 @@
     MESSAGE = 16
     CONSENSUS = 17
     REPORT = 18
+    FOUNDING = 19
--- /dev/null
+++ b/tests/control/control_cluster.py
@@ -0,0 +1,411 @@
+"""Control cores, nodes and operators on a fake network and fake disks."""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import random
+
+import msgspec
+
+from limpetreel import exceptions
+from limpetreel.catalog import node_identity
+from limpetreel.catalog import role as node_role
+from limpetreel.catalog.commands import bootstrap
+from limpetreel.consensus import member, membership, raft_core, role
+from limpetreel.consensus.actions import persist, save_snapshot
+from limpetreel.control import control_core, founding
+from limpetreel.control.actions import answer_operator, save_founding, send_peer
+from limpetreel.control.events import leave, operator_call, peer_message
+from limpetreel.node import frame_arrived, node_link, send_frame, tick
+from limpetreel.storage import log_store
+from limpetreel.wire import address, frame, frame_codec, message_codec
+from tests.control import oracle
+from tests.storage import fake_disk
+
+STEP = 0.02
+KEY = b"fake cluster key"
+FIRST = 1
+_STOPPED = (fake_disk.Crashed, exceptions.StorageError)
+
+
+class Instance:
+    """One control instance: the shell on a fake disk and network."""
+
+    def __init__(self, cluster, number):
+        self.cluster = cluster
+        self.number = number
+        self.name = f"c{number}"
+        self.where = address.Address(1, number + 1)
+        self.clock_offset = cluster.rng.uniform(0, 1000)
+        self.core = None
+        self.crash_in = None
+        self.stall = 0.0
+        self.busy_until = 0.0
+        self.refusals = 0
+        self.renew_disk()
+
+    def renew_disk(self):
+        self.disk = fake_disk.FakeDisk()
+
+    def init(self, founders=()):
+        """Put the folder into use, as the command does."""
+        cluster = self.cluster
+        incarnation = FIRST if founders else cluster.next_number()
+        store = log_store.LogStore(self.disk)
+        store.create(self.name, incarnation, founders, cluster.next_number())
+
+    def start(self):
+        try:
+            self._start()
+        except _STOPPED as exc:
+            self._stop(exc)
+
+    def _start(self):
+        cluster = self.cluster
+        self.store = log_store.LogStore(self.disk)
+        durable = self.store.recover()
+        if durable is None:
+            self.init()
+            self.store = log_store.LogStore(self.disk)
+            durable = self.store.recover()
+        seeds = [n for n in cluster.instances if n != self.name]
+        rng = random.Random(cluster.rng.random())
+        raft = raft_core.RaftCore(durable, rng, self.name, seeds)
+        first = bootstrap.Bootstrap(20000, 20999)
+        start = founding.Founding(durable, self.name)
+        self.clock_offset += 1.0
+        self.core = control_core.ControlCore(self.now(), raft, first, self.name, start)
+        self.codec = frame_codec.FrameCodec(KEY, self.number, cluster.next_number())
+        self.busy_until = 0.0
+
+    def now(self):
+        return self.cluster.now + self.clock_offset
+
+    def is_free(self):
+        return self.core is not None and self.cluster.now >= self.busy_until
+
+    def freeze(self, seconds):
+        """Do nothing for a time and then go on."""
+        self.busy_until = max(self.busy_until, self.cluster.now + seconds)
+
+    def crash(self):
+        self.core = None
+        self.crash_in = None
+        self.disk.crash(self.cluster.rng)
+
+    def handle(self, event):
+        if self.core is None:
+            return
+        if not self.is_free():
+            again = functools.partial(self._handle_again, self.core)
+            self.cluster.at(self.busy_until, again, event)
+            return
+        try:
+            for action in self.core.handle(self.now(), event):
+                if self.crash_in is not None:
+                    self.crash_in -= 1
+                    if self.crash_in < 0:
+                        raise fake_disk.Crashed
+                self._carry_out(action)
+        except _STOPPED as exc:
+            self._stop(exc)
+
+    def _handle_again(self, core, event):
+        # What waits in the sockets of a process is lost with the process.
+        if core is self.core:
+            self.handle(event)
+
+    def _stop(self, exc):
+        assert not isinstance(exc, exceptions.CorruptError), exc
+        is_refused = getattr(exc, "step", "") == "control.founding"
+        self.crash()
+        if is_refused:
+            # The message tells the operator to empty the folder and to join.
+            self.refusals += 1
+            self.renew_disk()
+
+    def _carry_out(self, action):
+        cluster = self.cluster
+        match action:
+            case persist.Persist():
+                # Actions after a slow sync are late, and so are later events.
+                self.freeze(self.stall)
+                self.stall = 0.0
+                self.store.persist(action)
+            case save_snapshot.SaveSnapshot():
+                self.store.save_snapshot(action)
+            case save_founding.SaveFounding():
+                self.store.save_founding(action.record)
+            case send_peer.SendPeer():
+                target = cluster.instances[action.address]
+                event = peer_message.PeerMessage(action.kind, action.body)
+                cluster.post(self.name, target.name, target.handle, event, self)
+            case send_frame.SendFrame():
+                data = self.codec.encode(action.kind, action.target, action.body)
+                node = cluster.nodes[action.destination]
+                args = (self.where, data)
+                cluster.post(self.name, node.name, node.receive, args, self)
+            case answer_operator.AnswerOperator():
+                cluster.answered(self, action)
+
+    def receive(self, args):
+        source, data = args
+        if self.core is not None:
+            found = self.codec.decode(data)
+            if isinstance(found, frame.Frame):
+                self.handle(frame_arrived.FrameArrived(source, found))
+
+
+class Node:
+    """An entry that renews; only its link is real."""
+
+    def __init__(self, cluster, number):
+        self.cluster = cluster
+        self.name = f"n{number}"
+        self.where = address.Address(2, number + 1)
+        ident = node_identity.NodeIdentity(
+            self.name, node_role.Role.ENTRY, "", "z0", "r", "0.0.0.2", number + 1, 5
+        )
+        controls = [i.where for i in cluster.instances.values()]
+        self.link = node_link.NodeLink(ident, controls, number)
+        self.codec = frame_codec.FrameCodec(KEY, self.link.node_id, 5)
+        self.revision = 0
+
+    def tick(self):
+        self._send(self.link.tick(self.cluster.now))
+
+    def receive(self, args):
+        source, data = args
+        found = self.codec.decode(data)
+        if isinstance(found, frame.Frame):
+            message = message_codec.decode(found.body)
+            now, number = self.cluster.now, found.incarnation
+            self._send(self.link.receive(now, source, number, message))
+            revision = self.link.table.revision
+            assert revision >= self.revision, "table of a node went back"
+            self.revision = revision
+
+    def _send(self, actions):
+        for action in actions:
+            data = self.codec.encode(action.kind, action.target, action.body)
+            for instance in self.cluster.instances.values():
+                if instance.where == action.destination:
+                    args = (self.where, data)
+                    self.cluster.post(self.name, instance.name, instance.receive, args)
+
+
+class Cluster:
+    """Instances, nodes and operators on one fake clock."""
+
+    def __init__(self, size, seed, nodes=2):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.oracle = oracle.Oracle()
+        self.instances = {}
+        self.cut = set()
+        self.loss = 0.0
+        self._queue = []
+        self._number = 1000
+        self._calls = {}
+        self.answers = {}
+        names = [f"c{i}" for i in range(size)]
+        self.founders = tuple(member.Member(n, FIRST, n) for n in names)
+        for number, name in enumerate(names):
+            self.instances[name] = Instance(self, number)
+        for instance in self.instances.values():
+            instance.init(self.founders)
+            instance.start()
+        self.nodes = {}
+        for number in range(nodes):
+            node = Node(self, number)
+            self.nodes[node.where] = node
+
+    def next_number(self):
+        self._number += 1
+        return self._number
+
+    def live(self):
+        return [i for i in self.instances.values() if i.core is not None]
+
+    def leader(self):
+        found = [i for i in self.live() if i.core.raft.role is role.Role.LEADER]
+        return max(found, key=lambda i: i.core.raft.term, default=None)
+
+    def at(self, when, handler, event):
+        heapq.heappush(self._queue, (when, self.next_number(), handler, event))
+
+    def post(self, source, target, handler, event, sender=None):
+        """Deliver later; lost, repeated, delayed and so reordered at random."""
+        if (source, target) in self.cut:
+            return
+        copies = 0 if self.rng.random() < self.loss else 1
+        copies += self.rng.random() < self.loss
+        begin = self.now if sender is None else max(self.now, sender.busy_until)
+        for _ in range(copies):
+            delay = self.rng.uniform(0.0005, 0.03)
+            if self.rng.random() < self.loss / 10:
+                delay += self.rng.uniform(0, 3.0)
+            self.at(begin + delay, handler, event)
+
+    def cut_off(self, names, ways=("out", "in")):
+        """Cut instances off from all others and the nodes, one way or both."""
+        self.cut = set()
+        others = {*self.instances, *(n.name for n in self.nodes.values())} - names
+        for name in names:
+            for other in others:
+                if "out" in ways:
+                    self.cut.add((name, other))
+                if "in" in ways:
+                    self.cut.add((other, name))
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            while self._queue and self._queue[0][0] <= self.now:
+                _, _, handler, event = heapq.heappop(self._queue)
+                handler(event)
+            for instance in self.live():
+                if instance.is_free():
+                    instance.handle(tick.Tick())
+            for node in self.nodes.values():
+                node.tick()
+            self._check()
+
+    def run_until(self, condition, limit=30.0):
+        end = self.now + limit
+        while not condition():
+            assert self.now < end, "not reached in time"
+            self.run(STEP)
+
+    def _check(self):
+        known = self.oracle
+        for instance in self.live():
+            core = instance.core
+            if core.raft.role is role.Role.LEADER:
+                known.note_leader(core.raft.term, core.raft.identity)
+            if instance.is_free():
+                remaining = core.raft.lease_remaining(instance.now())
+                known.check_lease(self.now, remaining, core.catalog.table.revision)
+        for node in self.nodes.values():
+            remaining = node.link.right.lease_ms(self.now) / 1000
+            known.check_lease(self.now, remaining, node.link.table.revision)
+
+    def note_tables(self):
+        for instance in self.live():
+            self.oracle.note_records(instance.core.catalog.table.records)
+        for node in self.nodes.values():
+            self.oracle.note_records(node.link.table.records)
+
+    def call(self, instance, body):
+        """Send a request to an instance; the request or its answer may be lost."""
+        call_id = self.next_number()
+        self._calls[call_id] = body, self.oracle.newest(self.now)
+        event = operator_call.OperatorCall(call_id, msgspec.json.encode(body))
+        self.post("operator", instance.name, instance.handle, event)
+        return call_id
+
+    def change(self, instance, kind, name, **fields):
+        """Send a new command with the revision that the instance holds."""
+        key = f"{kind.partition('_')[0]}/{name}"
+        records = instance.core.catalog.table.records if instance.core else {}
+        expected = records[key].modified if key in records else 0
+        return self.give(instance, kind, name, expected, **fields)
+
+    def give(self, instance, kind, name, expected, **fields):
+        body = {"type": kind, "name": name, "expected": expected, **fields}
+        body["command_id"] = f"id-{self.next_number()}"
+        self.oracle.commands[body["command_id"]] = body
+        return self.call(instance, body)
+
+    def answered(self, instance, action):
+        self.at(max(self.now, instance.busy_until), self._take_answer, action)
+
+    def _take_answer(self, action):
+        found = self._calls.pop(action.call_id, None)
+        if found is None:
+            return
+        body, newest = found
+        if "command_id" in body and self.rng.random() < self.loss:
+            return
+        answer = msgspec.json.decode(action.body)
+        self.answers[action.call_id] = answer
+        if body["type"] == "table":
+            self.oracle.check_current(newest, answer)
+        elif "command_id" in body:
+            self.oracle.note_answer(self.now, body, answer)
+
+    def may_lose(self, name):
+        """Return whether a majority keeps its disk and knows all accepted."""
+        live = self.live()
+        if any(i.core.is_founding for i in live):
+            return False
+        holders = {i.core.raft.identity for i in live if i.name != name}
+        return len(live) == len(self.instances) and all(
+            i.core.raft.members and membership.has_quorum(i.core.raft.members, holders)
+            for i in live
+        )
+
+    def lose_disk(self, name, is_mistaken=False):
+        """Replace the disk; by mistake, put it into use as in a new cluster."""
+        instance = self.instances[name]
+        instance.crash()
+        instance.renew_disk()
+        instance.init(self.founders if is_mistaken else ())
+        instance.start()
+
+    def stop(self, name):
+        """Begin a planned stop."""
+        self.instances[name].handle(leave.Leave())
+
+    def heal(self):
+        self.cut = set()
+        self.loss = 0.0
+        for instance in self.instances.values():
+            instance.crash_in = None
+            instance.disk.crash_in = instance.disk.fail_sync_in = None
+            if instance.core is None:
+                instance.start()
+
+    def is_whole(self):
+        """Return whether all instances run, vote and agree on the leader."""
+        self.heal()
+        leader = self.leader()
+        if leader is None:
+            return False
+        raft = leader.core.raft
+        identities = {i.core.raft.identity for i in self.live()}
+        return set(membership.voters(raft.members)) == identities and all(
+            i.core.raft.members == raft.members and i.core.raft.leader == raft.identity
+            for i in self.live()
+        )
+
+    def is_level(self):
+        tables = [i.core.catalog.table for i in self.live()]
+        tables += [n.link.table for n in self.nodes.values()]
+        return len({(t.revision, t.digest) for t in tables}) == 1
+
+    def settle(self, body):
+        """Resend a command until its outcome is known."""
+
+        def is_known():
+            if body["command_id"] not in self.oracle.answers and self.leader():
+                self.call(self.leader(), body)
+                self.run(0.2)
+            return body["command_id"] in self.oracle.answers
+
+        self.run_until(is_known)
+
+    def check_all_recover(self):
+        """Without faults all agree, and every command has exactly one outcome."""
+        self.run_until(self.is_whole)
+        for body in list(self.oracle.commands.values()):
+            self.settle(body)
+        for body in list(self.oracle.commands.values())[-20:]:
+            self.call(self.leader() or next(iter(self.live())), body)
+        self.run_until(self.is_level)
+        self.note_tables()
+        for instance in self.live():
+            self.oracle.check_chain(instance.core.catalog.table.records)
