End a control process on a fatal error and redial silent peers

Cause: when a task of the control shell failed, the shell waited for its ticks for ever, so an instance whose identity was refused or whose disk failed stayed as a process that answers nobody. A connection to a silent peer was kept as long as any other peer was heard. Change: the first task to end cancels the others, and the error is printed in one line with exit code 1. Messages between instances name the sender's address, and silence is counted per peer.

--- a/src/limpetreel/console/commands/control_command.py
+++ b/src/limpetreel/console/commands/control_command.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import os
+import sys
 from typing import TYPE_CHECKING
 
-from limpetreel import factory
+from limpetreel import exceptions, factory
 from limpetreel.console import command, exit_code
 from limpetreel.runtime import process
 from limpetreel.settings import control_settings, loader
@@ -28,5 +29,9 @@
     def run(self, args: argparse.Namespace) -> int:
         """Serve until SIGTERM."""
         cfg = loader.load(control_settings.ControlSettings, args, os.environ)
-        asyncio.run(process.run_until_signal(factory.build_control(cfg).serve))
+        try:
+            asyncio.run(process.run_until_signal(factory.build_control(cfg).serve))
+        except exceptions.StorageError as exc:
+            print(f"limpetreel: {exc}", file=sys.stderr)
+            return exit_code.ExitCode.FAILED
         return exit_code.ExitCode.OK
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -79,7 +79,9 @@
             asyncio.create_task(self._run_ticks(stopped)),
         ]
         # The first task to end, by a stop or a failure, ends the others.
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        done, others = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in others:
+            task.cancel()
         self._nodes.close()
         self._operators.close()
         self._peers.close()
--- a/src/limpetreel/control/peer_links.py
+++ b/src/limpetreel/control/peer_links.py
@@ -55,7 +55,8 @@
         )
         self._push: dict[str, pynng.Push0] = {}
         self._dialled_at: dict[str, float] = {}
-        self._heard_at = time.monotonic()
+        self._heard_at: dict[str, float] = {}
+        self._own_prefix = _prefix(f"{listen[0]}:{listen[1]}")
         self.lost = 0
 
     async def receive(self) -> None:
@@ -67,14 +68,16 @@
                 return
             found = self._codec.decode(data, "control")
             if not isinstance(found, failure.Failure):
-                self._heard_at = time.monotonic()
-                self._handler(found.kind, found.body)
+                address, body = _split(found.body)
+                if address in self._push:
+                    self._heard_at[address] = time.monotonic()
+                self._handler(found.kind, body)
 
     def send(self, address: str, kind: int, body: bytes) -> None:
         """Send a message; one that finds no room is lost, the core repeats it."""
         sock = self._connection(address)
         try:
-            sock.send(self._codec.encode(kind, 0, body), block=False)
+            sock.send(self._codec.encode(kind, 0, self._own_prefix + body), block=False)
         except pynng.NNGException:
             self.lost += 1
 
@@ -87,7 +90,9 @@
         now = time.monotonic()
         sock = self._push.get(address)
         if sock is not None:
-            heard = max(self._heard_at, self._dialled_at[address])
+            # Hearing others says nothing of this connection.
+            heard_at = self._heard_at.get(address, float("-inf"))
+            heard = max(heard_at, self._dialled_at[address])
             if now - heard < SILENT_SECONDS:
                 return sock
             sock.close()
@@ -98,6 +103,18 @@
         return sock
 
 
+def _prefix(address: str) -> bytes:
+    """Return the sender's address as it precedes the body of each message."""
+    data = address.encode()
+    return bytes((len(data),)) + data
+
+
+def _split(data: bytes) -> tuple[str, bytes]:
+    """Return the sender's address and the body of a message."""
+    end = 1 + data[0] if data else 0
+    return data[1:end].decode(errors="replace"), data[end:]
+
+
 async def receive_in_background(links: PeerLinks) -> asyncio.Task[None]:
     """Start to take messages and return the task."""
     return asyncio.create_task(links.receive())
