--- a/tests/control/test_control_core.py
+++ b/tests/control/test_control_core.py
@@ -61,6 +61,10 @@
     _command(group)
     lost = next(i for i in group.live() if i is not group.leader())
     identity = lost.core.raft.identity
+    for instance in group.live():
+        instance.crash()
+    group.heal()
+    group.run_until(group.is_whole)
     group.lose_disk(lost.name, is_mistaken=True)
     group.run(1.0)
     assert lost.refusals == 1
@@ -147,6 +151,24 @@
     assert not _ask(group, old, {"type": "table"})["current"]
 
 
+def test_cut_off_leader_grants_no_lease_and_accepts_nothing():
+    """Guards against leases and answers that no quorum stands behind."""
+    group = _start(nodes=2)
+    _command(group)
+    old = group.leader()
+    group.cut_off({old.name})
+    lone = group.change(old, "zone_in", "z0")
+    group.run(0.5)
+    group.run_until(lambda: group.leader() is not old)
+    other = group.change(group.leader(), "zone_in", "z0")
+    group.run(1.9)
+    assert old.core.raft.lease_remaining(old.now()) == 0
+    assert group.answers[other]["status"] == "applied"
+    assert group.answers.get(lone, {"status": "unknown"})["status"] == "unknown"
+    assert not _ask(group, old, {"type": "table"})["current"]
+    group.check_all_recover()
+
+
 def test_slow_sync_does_not_stretch_a_lease():
     """Guards against leases that count from the end of a sync that stalls."""
     group = _start(nodes=2)
