--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -33,6 +33,11 @@
     "zone in": "zone_in_command.ZoneInCommand",
     "zone list": "zone_list_command.ZoneListCommand",
     "upstream list": "upstream_list_command.UpstreamListCommand",
+    "control-member add": "control_member_add_command.ControlMemberAddCommand",
+    "control-member remove": (
+        "control_member_remove_command.ControlMemberRemoveCommand"
+    ),
+    "control-member list": "control_member_list_command.ControlMemberListCommand",
     "status": "status_command.StatusCommand",
     "explain": "explain_command.ExplainCommand",
     "config check entry": "config_check_entry_command.ConfigCheckEntryCommand",
@@ -48,6 +53,7 @@
 """Words of each command and where its class is, relative to `console.commands`."""
 
 _GROUPS = {
+    "control-member": "control instances of the cluster",
     "class": "create, change and show classes of work",
     "zone": "create zones and take them out of service or back in",
     "upstream": "show upstreams",
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -8,8 +8,8 @@
 
 from limpetreel.consensus.actions import persist, save_snapshot
 from limpetreel.control import operator_server, peer_links
-from limpetreel.control.actions import answer_operator, send_peer
-from limpetreel.control.events import operator_call, peer_message
+from limpetreel.control.actions import answer_operator, save_founding, send_peer
+from limpetreel.control.events import leave, operator_call, peer_message
 from limpetreel.core import failure
 from limpetreel.node import frame_arrived, send_frame, tick
 from limpetreel.runtime import udp_socket
@@ -25,6 +25,8 @@
     from limpetreel.wire import frame_codec
 
 TICK_SECONDS = 0.02
+STOP_SECONDS = 2.0
+"""Limit of a planned stop; an instance without a quorum finds no successor."""
 
 
 class ControlShell:
@@ -86,7 +88,9 @@
             asyncio.create_task(self._run_ticks(stopped)),
         ]
         # The first task to end, by a stop or a failure, ends the others.
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        done, others = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in others:
+            task.cancel()
         self._nodes.close()
         self._operators.close()
         self._peers.close()
@@ -100,6 +104,11 @@
         while not stopped.is_set():
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
+        self._handle(leave.Leave())
+        until = time.monotonic() + STOP_SECONDS
+        while not self._core.has_left and time.monotonic() < until:
+            self._handle(tick.Tick())
+            await asyncio.sleep(TICK_SECONDS)
 
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
@@ -131,5 +140,7 @@
             self._store.persist(action)
         elif isinstance(action, save_snapshot.SaveSnapshot):
             self._store.save_snapshot(action)
+        elif isinstance(action, save_founding.SaveFounding):
+            self._store.save_founding(action.record)
         elif isinstance(action, answer_operator.AnswerOperator):
             self._operators.answer(action.call_id, action.body)
--- a/src/limpetreel/control/peer_links.py
+++ b/src/limpetreel/control/peer_links.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -60,7 +59,8 @@
         )
         self._push: dict[str, pynng.Push0] = {}
         self._dialled_at: dict[str, float] = {}
-        self._heard_at = time.monotonic()
+        self._heard_at: dict[str, float] = {}
+        self._own_prefix = _prefix(f"{listen[0]}:{listen[1]}")
         self.lost = 0
 
     async def receive(self) -> None:
@@ -74,14 +74,16 @@
             if isinstance(found, failure.Failure):
                 self._refuse("peer.decode", "", found.reason)
                 continue
-            self._heard_at = time.monotonic()
-            self._handler(found.kind, found.body)
+            address, body = _split(found.body)
+            if address in self._push:
+                self._heard_at[address] = time.monotonic()
+            self._handler(found.kind, body)
 
     def send(self, address: str, kind: int, body: bytes) -> None:
         """Send a message; one that finds no room is lost, the core repeats it."""
         sock = self._connection(address)
         try:
-            sock.send(self._codec.encode(kind, 0, body), block=False)
+            sock.send(self._codec.encode(kind, 0, self._own_prefix + body), block=False)
         except pynng.NNGException:
             self.lost += 1
 
@@ -94,7 +96,9 @@
         now = time.monotonic()
         sock = self._push.get(address)
         if sock is not None:
-            heard = max(self._heard_at, self._dialled_at[address])
+            # Hearing others says nothing of this connection.
+            heard_at = self._heard_at.get(address, float("-inf"))
+            heard = max(heard_at, self._dialled_at[address])
             if now - heard < SILENT_SECONDS:
                 return sock
             sock.close()
@@ -105,6 +109,13 @@
         return sock
 
 
-async def receive_in_background(links: PeerLinks) -> asyncio.Task[None]:
-    """Start to take messages and return the task."""
-    return asyncio.create_task(links.receive())
+def _prefix(address: str) -> bytes:
+    """Return the sender's address as it precedes the body of each message."""
+    data = address.encode()
+    return bytes((len(data),)) + data
+
+
+def _split(data: bytes) -> tuple[str, bytes]:
+    """Return the sender's address and the body of a message."""
+    end = 1 + data[0] if data else 0
+    return data[1:end].decode(errors="replace"), data[end:]
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -18,6 +18,7 @@
 from limpetreel.control import (
     control_core,
     control_shell,
+    founding,
     operator_codec,
     peer_links,
 )
@@ -99,7 +100,11 @@
     ports = cfg.class_ports
     first_entry = bootstrap.Bootstrap(ports.first, ports.last)
     decisions = control_core.ControlCore(
-        time.monotonic(), raft, first_entry, own_address
+        time.monotonic(),
+        raft,
+        first_entry,
+        own_address,
+        founding.Founding(durable, own_address),
     )
     incarnation = _now_ms()
     node_id = xxhash.xxh64_intdigest(cfg.name.encode())
--- a/tests/control/test_control_bad_input.py
+++ b/tests/control/test_control_bad_input.py
@@ -176,7 +176,8 @@
             client.dial(f"tcp://{links._pull.listeners[0].local_address}")
             for data in given:
                 await client.asend(data)
-            await client.asend(sender.encode(kind.Kind.CONSENSUS, 0, b"good"))
+            body = peer_links._prefix("127.0.0.1:1") + b"good"
+            await client.asend(sender.encode(kind.Kind.CONSENSUS, 0, body))
             last = await asyncio.wait_for(heard.get(), 5)
         links.close()
         await receiving
