Keep packets away from entries that cannot forward

Class sockets now open once the entry may forward; a first fetch is immediate if control answers the first renewal within 0.1 s; the stand-in for the fabric notices an opened or closed socket after 0.2 s, and planned restarts in the measurement go on forwarding for 1 s. The test that spread first starts now covers the outage that its doc comment names, and a start with loaded control.

--- a/src/limpetreel/catalog/table_sync.py
+++ b/src/limpetreel/catalog/table_sync.py
@@ -52,7 +52,14 @@
 """Requests without progress after which another sender may take over."""
 
 FIRST_FETCH_SECONDS = 3.0
-"""Largest delay of a fetch at start and after an outage, when all nodes fetch."""
+"""Largest delay of a fetch after an outage, when all nodes fetch."""
+
+PROMPT_SECONDS = 0.1
+"""Time within which control that has little load answers the first renewal.
+
+A node that has started fetches without delay then. When all nodes start at once, the
+renewals of most of them wait, and their fetches are spread as after an outage.
+"""
 
 OUTAGE_SECONDS = 5.0
 CONTROL_SILENT_SECONDS = 1.0
@@ -208,6 +215,8 @@
         if sent_at is None:
             return []
         is_after_outage = now - self._answered_at > OUTAGE_SECONDS
+        is_start = self._answered_at == float("-inf")
+        is_prompt = is_start and now - sent_at <= PROMPT_SECONDS
         self._answered_at = now
         self._is_answered = True
         self.newest_incarnation = max(self.newest_incarnation, message.incarnation)
@@ -225,7 +234,7 @@
         self._leases = self._leases[-MAX_OUTSTANDING:]
         is_same = message.revision == self._table.revision
         delay = 0.0
-        if is_after_outage:
+        if is_after_outage and not is_prompt:
             delay = self._random.uniform(0.0, FIRST_FETCH_SECONDS)
         start = 0 if is_same else self._table.revision
         return self._start_fetch(now, source, start, delay)
--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -55,7 +55,7 @@
         if isinstance(event, frame_arrived.FrameArrived):
             return self._receive(now, event)
         if isinstance(event, tick.Tick):
-            return [*self.link.tick(now), *self._table_actions()]
+            return [*self.link.tick(now), *self._table_actions(now)]
         raise TypeError(type(event))
 
     def _forward(
@@ -122,7 +122,7 @@
         if isinstance(message, failure.Failure):
             return self._drop(message.reason)
         sends = self.link.receive(now, event.source, event.frame.incarnation, message)
-        return [*sends, *self._table_actions()]
+        return [*sends, *self._table_actions(now)]
 
     def _return(
         self, now: float, event: frame_arrived.FrameArrived
@@ -155,10 +155,16 @@
             )
         return actions
 
-    def _table_actions(self) -> list[msgspec.Struct]:
-        """Open and close classes after a change of the table."""
+    def _table_actions(self, now: float) -> list[msgspec.Struct]:
+        """Open and close classes after a change of the table.
+
+        An entry that has started opens nothing until it may forward. The fabric then
+        uses other entries for packets that this one would drop.
+        """
         if self.link.table.revision == self._revision:
             return []
+        if not self._open and not self.link.right.may_forward(now, self.link.table):
+            return []
         self._revision = self.link.table.revision
         wanted = {c.class_id: c.port for c in self.link.table.classes()}
         actions: list[msgspec.Struct] = [
--- a/src/limpetreel/measure/fake_site.py
+++ b/src/limpetreel/measure/fake_site.py
@@ -19,7 +19,7 @@
 from limpetreel.control.actions import answer_operator, send_peer
 from limpetreel.control.events import operator_call, peer_message
 from limpetreel.entry import entry_core
-from limpetreel.entry.actions import send_caller
+from limpetreel.entry.actions import open_class, send_caller
 from limpetreel.entry.events import caller_datagram
 from limpetreel.measure import (
     coap_upstream,
@@ -39,6 +39,11 @@
 CALLER_SECONDS = 0.003
 """One way between callers and the site."""
 UPSTREAM_SECONDS = 0.0001
+FABRIC_NOTICE_SECONDS = 0.2
+"""Time after which the fabric knows that an entry has opened or closed a class."""
+
+LEAVING_SECONDS = 1.0
+"""Time for which an entry that leaves goes on forwarding."""
 
 
 class FakeSite:
@@ -72,6 +77,7 @@
         self.callers: dict[address.Address, fake_caller.FakeCaller] = {}
         self.answers: dict[int, tuple[float, dict[str, object]]] = {}
         self.packets = 0
+        self._fabric: dict[int, list[fake_node.FakeNode]] = {}
         self.cut_controls: set[str] = set()
         self._calls = 0
         self._hosts = 0
@@ -98,10 +104,23 @@
 
     def start_entry(self, name: str, zone: str) -> None:
         """Start an entry, or start it again without memory."""
+        if name in self.entries:
+            self._withdraw(self.entries[name])
         self._stop(self.entries, name)
         link = self._link(name, zone, role.Role.ENTRY, "")
         decisions = entry_core.EntryCore(link, self._address(name), trace_every=0)
-        self.entries[name] = self._node(name, zone, decisions, self._entry_action, link)
+        other = functools.partial(self._entry_action, name)
+        self.entries[name] = self._node(name, zone, decisions, other, link)
+
+    def restart_entry(self, name: str, zone: str) -> None:
+        """Stop an entry gracefully and start it again without memory."""
+        node = self.entries[name]
+        assert isinstance(node.core, entry_core.EntryCore)
+        self._withdraw(node)
+        for action in node.core.link.leave(self.queue.now):
+            node.do(action)
+        start = functools.partial(self.start_entry, name, zone)
+        self.queue.after(LEAVING_SECONDS, start)
 
     def start_agent(
         self, class_name: str, name: str, zone: str, upstream: str = ""
@@ -223,16 +242,28 @@
             self.queue.after(ANNOUNCE_SECONDS, again)
 
     def _to_entry(self, caller: fake_caller.FakeCaller, datagram: bytes) -> None:
-        """Spray a caller's datagram over the entries that are up."""
+        """Spray a caller's datagram over the entries that the fabric uses."""
         self.packets += 1
-        names = [n for n, e in self.entries.items() if e.is_up]
-        chosen = self.entries[self.rng.choice(names)]
+        using = self._fabric.get(caller.class_id)
+        if not using:
+            return
+        chosen = self.rng.choice(using)
         event = caller_datagram.CallerDatagram(caller.class_id, caller.where, datagram)
         delay = CALLER_SECONDS * self.rng.uniform(0.8, 1.4)
         self.queue.after(delay, functools.partial(chosen.handle, event))
 
-    def _entry_action(self, action: msgspec.Struct) -> None:
-        if isinstance(action, send_caller.SendCaller):
+    def _withdraw(self, node: fake_node.FakeNode) -> None:
+        """Let the fabric notice that an entry stops."""
+        for using in self._fabric.values():
+            drop = functools.partial(_discard, using, node)
+            self.queue.after(FABRIC_NOTICE_SECONDS, drop)
+
+    def _entry_action(self, name: str, action: msgspec.Struct) -> None:
+        if isinstance(action, open_class.OpenClass):
+            using = self._fabric.setdefault(action.class_id, [])
+            add = functools.partial(using.append, self.entries[name])
+            self.queue.after(FABRIC_NOTICE_SECONDS, add)
+        elif isinstance(action, send_caller.SendCaller):
             found = self.callers[action.caller]
             receive = functools.partial(found.receive, action.datagram)
             self.queue.after(CALLER_SECONDS * self.rng.uniform(0.8, 1.4), receive)
@@ -264,6 +295,12 @@
             self.queue.after(delay, functools.partial(target.handle, event))
 
 
+def _discard(using: list[fake_node.FakeNode], node: fake_node.FakeNode) -> None:
+    """Take an entry out of those that the fabric uses for a class."""
+    if node in using:
+        using.remove(node)
+
+
 def _agent(node: fake_node.FakeNode) -> agent_core.AgentCore:
     assert isinstance(node.core, agent_core.AgentCore)
     return node.core
--- a/src/limpetreel/measure/site_plan.py
+++ b/src/limpetreel/measure/site_plan.py
@@ -18,6 +18,8 @@
         When operators take the last zone out and bring it back.
     entries_restart_at : float
         When the entries restart without memory, one a second.
+    has_graceful_restarts : bool
+        Whether the entries stop gracefully before.
     drain_at : float
         When one upstream leaves gracefully.
     changes_at : float
@@ -33,6 +35,7 @@
     zone_out_at: float = 15.0
     zone_in_at: float = 27.0
     entries_restart_at: float = 36.0
+    has_graceful_restarts: bool = True
     drain_at: float = 42.0
     changes_at: float = 45.0
     changes: int = 100
--- a/src/limpetreel/measure/site_run.py
+++ b/src/limpetreel/measure/site_run.py
@@ -68,8 +68,11 @@
         queue.at(begin + plan.zone_out_at, self._zone_out)
         queue.at(begin + plan.zone_in_at - 0.1, self._note_last_packet)
         queue.at(begin + plan.zone_in_at, self._zone_in)
+        restart_entry = self.site.restart_entry
+        if not plan.has_graceful_restarts:
+            restart_entry = self.site.start_entry
         for i, name in enumerate(list(self.site.entries)):
-            restart = functools.partial(self.site.start_entry, name, self._zone(name))
+            restart = functools.partial(restart_entry, name, self._zone(name))
             queue.at(begin + plan.entries_restart_at + i, restart)
         queue.at(begin + plan.drain_at, self._drain)
         for i in range(plan.changes):
--- a/tests/catalog/test_table_sync.py
+++ b/tests/catalog/test_table_sync.py
@@ -259,17 +259,50 @@
     assert node.right.counted == []
 
 
-def test_first_fetches_are_spread():
+def _count_early(found, seconds):
+    found.run(seconds)
+    revision = found.log.table.revision
+    return sum(n.table.revision == revision for n in found.nodes.values())
+
+
+def test_fetches_after_an_outage_are_spread():
     """Guards against all nodes fetching at once after an outage."""
     found = net.Net(controls=1)
     for number in range(20):
         node = found.add(f"n{number}", "c")
         node._random.seed(number)
-    found.run(1)
-    early = sum(n.table.revision > 0 for n in found.nodes.values())
-    found.run(table_sync.FIRST_FETCH_SECONDS)
-    assert 0 < early < 15
-    assert all(n.table.revision > 0 for n in found.nodes.values())
+    assert _count_early(found, 1) == 20
+    found.silent = {0}
+    found.run(table_sync.OUTAGE_SECONDS + 1)
+    found.log.give(builders.join("x", "c"))
+    found.follow(0)
+    found.silent = set()
+    assert 0 < _count_early(found, 1) < 15
+    assert _count_early(found, table_sync.FIRST_FETCH_SECONDS) == 20
+
+
+def test_first_fetches_are_spread_if_control_answers_late():
+    """Guards against all nodes fetching at once when a whole site starts."""
+    found = net.Net(controls=1)
+    for number in range(20):
+        node = found.add(f"n{number}", "c")
+        node._random.seed(number)
+    found.tick()
+    found.now += 2 * table_sync.PROMPT_SECONDS
+    while found.queue:
+        found.deliver()
+    assert 0 < _count_early(found, 1) < 15
+    assert _count_early(found, table_sync.FIRST_FETCH_SECONDS) == 20
+
+
+def test_single_start_fetches_at_once():
+    """Guards against an entry that drops packets for seconds after its start."""
+    found, _ = _started()
+    node = found.add("late", "bookings")
+    found.tick()
+    while found.queue:
+        found.deliver()
+    assert node.table.revision == found.log.table.revision
 
 
 def test_agents_hold_their_scope_only():
--- a/tests/entry/test_entry_core.py
+++ b/tests/entry/test_entry_core.py
@@ -11,9 +11,10 @@
     zone_record,
 )
 from limpetreel.entry import entry_core
+from limpetreel.entry.actions import open_class
 from limpetreel.entry.events import caller_datagram
 from limpetreel.flows import flow_key
-from limpetreel.node import node_link, send_frame
+from limpetreel.node import node_link, send_frame, tick
 from limpetreel.wire import address, packet
 from tests import fixtures
 
@@ -84,4 +85,18 @@
     assert _sent(core, 1.0)
 
 
+def _opened(core, now):
+    actions = core.handle(now, tick.Tick())
+    return [a.class_id for a in actions if isinstance(a, open_class.OpenClass)]
+
+
+def test_classes_open_only_with_a_lease():
+    """Guards against packets that the fabric hands to an entry that drops them."""
+    core, link = _core()
+    assert _opened(core, 0.0) == []
+    link.right.renew(0.0, 2000)
+    assert _opened(core, 0.1) == [1]
+    assert _opened(core, 2.5) == []
+
+
 load_tests = fixtures.load_functions(globals())
