Renew an epoch when the record of its deputy changes

Cause: an agent that missed a table in which its own record changed cannot tell whether it was lost, and gives up its roles. The holder of a bucket saw the same deputy as before and kept the epoch, so claims of the bucket timed out until the next change of its candidates. Ruled out: full claim stores and request logs, buckets in takeover, agents that drain.

A holder now enters a new epoch if its deputy's record is newer than the epoch.

--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -350,7 +350,12 @@
             return
         state = self.state(bucket)
         is_holder = state.role in (_Role.TAKING_OVER, _Role.PRIMARY)
-        if is_holder and state.deputy == deputy and max(state.seen) <= state.epoch:
+        # A deputy whose record has changed since may have given up its role, because
+        # it cannot tell whether it was lost in between.
+        member = self._live.get(deputy[0])
+        is_changed = member is not None and member.modified > state.epoch
+        is_current = state.deputy == deputy and not is_changed
+        if is_holder and is_current and max(state.seen) <= state.epoch:
             return
         if self.view.revision <= state.epoch:
             return
--- a/tests/flows/test_takeover.py
+++ b/tests/flows/test_takeover.py
@@ -4,6 +4,8 @@
 
 import random
 
+import msgspec
+
 from limpetreel.flows import (
     bucket_parts,
     bucket_role,
@@ -243,6 +245,24 @@
     assert _outcomes(_ask(cluster)) == [ANSWERED]
 
 
+def test_deputy_whose_record_changed_unseen_acknowledges_again():
+    """Guards against refusals without end after a change of a deputy's share.
+
+    The deputy missed a table, so that it cannot tell whether it was lost, and gives
+    up its role; nothing in the table tells the holder so.
+    """
+    cluster = _cluster(3)
+    _, deputy = _candidates(cluster)
+    cluster._publish()
+    cluster.records[deputy] = msgspec.structs.replace(
+        cluster.records[deputy], modified=len(cluster.history) + 1
+    )
+    cluster._publish()
+    cluster.advance(2)
+    assert _candidates(cluster)[1] == deputy
+    assert _outcomes(_ask(cluster)) == [ANSWERED]
+
+
 def _is_table(event):
     return isinstance(event, table_changed.TableChanged)
 
