Offer new flows to further agents and let them wait briefly

Cause: while some upstreams are cold or slow, primary and deputy of a bucket were both busy and refused its new flows, with other upstreams idle: after a zone-out the three slow ones of a class had full slots and the fast ones none in use. Shares take 10 s and more to follow. Ruled out: relays lost, takeovers that take long (one tick).

After a refusal of the deputy the primary offers the flow to up to two other agents at once, each by its free slots alone, and then takes it itself if the expected wait and service are at most half the answer time; an agent that was alone until now refused at once.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -39,6 +39,12 @@
 OVERDUE_CHECKED = 4
 """Open requests whose age is checked; a few show whether the upstream answers."""
 
+SHORT_WAIT_RATIO = 0.5
+"""Expected wait and service over the answer time up to which a flow may wait.
+
+Service times vary, and the flow stays where it was placed.
+"""
+
 MAX_LINGER_SECONDS = 1.0
 """Longest time for which a cancelled request still counts as open.
 
@@ -139,15 +145,16 @@
         now : float
             Time in seconds.
         is_last : bool
-            True if nobody else can be asked, that is at the deputy. A wait of
-            about one service time is then better than a refusal.
+            True if nobody else can be asked, that is at the deputy, or at the
+            primary after the deputy has refused. A short wait is then better than a
+            refusal.
         """
         if self._draining:
             return False
         self._advance(now)
         if self._can_send(now) and not self._queue:
             return True
-        return is_last and not self.is_cold and len(self._queue) < self.limit
+        return is_last and self._is_wait_short()
 
     def offer(
         self,
@@ -333,6 +340,15 @@
         wait = ahead * service / self.limit
         return now + wait + service < deadline_at
 
+    def _is_wait_short(self) -> bool:
+        """Return whether one more request would wait briefly."""
+        service = self._service_seconds()
+        ahead = len(self._queue) + 1
+        if service == 0.0:
+            return ahead <= self.limit
+        expected = ahead * service / self.limit + service
+        return expected <= SHORT_WAIT_RATIO * self._config.answer_seconds
+
     def _service_seconds(self) -> float:
         # A new cold phase has no measurement yet; the warm latency is the lower
         # bound of what a cold upstream needs.
--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -32,7 +32,7 @@
     table_changed,
 )
 from limpetreel.flows import tick as flow_tick
-from limpetreel.messages import claim_ack
+from limpetreel.messages import claim_ack, offer_refused
 from limpetreel.node import (
     drained,
     frame_arrived,
@@ -176,7 +176,14 @@
         sender = (received.sender, received.incarnation)
         if isinstance(message, claim_ack.ClaimAck):
             return self._requests.acknowledge(now, sender, message)
-        arrived = message_arrived.MessageArrived(*sender, message)
+        accepts, hops = False, 0
+        if isinstance(message, offer_refused.OfferRefused):
+            accepts = self._requests.admission.can_accept_flow(now, is_last=True)
+            found = packet.decode(message.datagram)
+            hops = packet.MAX_HOPS
+            if not isinstance(found, failure.Failure):
+                hops = found.hops
+        arrived = message_arrived.MessageArrived(*sender, message, accepts, hops)
         return self._router.handle(now, arrived)
 
     def _packet(self, now: float, event: frame_arrived.FrameArrived) -> Actions:
@@ -210,15 +217,15 @@
             again = self._requests.recorded_refusal(now, flow, found)
             if again is not None:
                 return again
-        is_last = found.mode == mode.Mode.OFFER
         arrived = packet_arrived.PacketArrived(
             flow=flow,
             mode=found.mode,
             hops=found.hops,
             sender=received.sender,
             incarnation=received.incarnation,
-            accepts=self._requests.admission.can_accept_flow(now, is_last),
+            accepts=self._requests.admission.can_accept_flow(now),
             datagram=received.body,
+            accepts_wait=self._requests.admission.can_accept_flow(now, is_last=True),
         )
         return self._router.handle(now, arrived)
 
--- a/src/limpetreel/flows/flow_router.py
+++ b/src/limpetreel/flows/flow_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from typing import TYPE_CHECKING
 
 from limpetreel.core import core, reason
@@ -46,6 +47,11 @@
     Peer = tuple[int, int]
     Action = msgspec.Struct
 
+MAX_FURTHER_OFFERS = 2
+"""Agents that are asked after the deputy. Shares follow the load within some ten
+seconds only, and primary and deputy of a bucket may both be slow.
+"""
+
 MAX_QUEUED = 64
 QUEUE_SECONDS = 1.0
 """A queued packet that is older is dropped, as one in transit for longer would be."""
@@ -104,7 +110,10 @@
             return self._route(now, event)
         if isinstance(event, message_arrived.MessageArrived):
             sender = (event.sender, event.incarnation)
-            actions.extend(self._on_message(now, sender, event.message))
+            if isinstance(event.message, offer_refused.OfferRefused):
+                actions.extend(self._on_offer_refused(now, event, event.message))
+            else:
+                actions.extend(self._on_message(now, sender, event.message))
         elif isinstance(event, table_changed.TableChanged):
             actions.extend(self._takeover.change_table(now, event.view))
         elif isinstance(event, ticks.Tick):
@@ -190,6 +199,9 @@
         if deputy != NOBODY and self._takeover.is_owner_alive(deputy):
             directory.put(now, event.flow, deputy, offered=True)
             return [self._relay(event, deputy, mode.Mode.OFFER)]
+        if event.accepts_wait and len(self._owned) < owned_flows.MAX_OWNED:
+            directory.put(now, event.flow, self._me)
+            return self._serve(now, event)
         return [refuse.Refuse(event.flow, event.datagram)]
 
     def _take_from_holder(
@@ -250,8 +262,6 @@
         self, now: float, sender: Peer, message: msgspec.Struct
     ) -> list[Action]:
         takeover = self._takeover
-        if isinstance(message, offer_refused.OfferRefused):
-            return self._on_offer_refused(sender, message)
         if getattr(message, "class_id", None) != self._class_id:
             return []
         if isinstance(message, handover_request.HandoverRequest):
@@ -271,14 +281,46 @@
         return []
 
     def _on_offer_refused(
-        self, sender: Peer, message: offer_refused.OfferRefused
+        self,
+        now: float,
+        event: message_arrived.MessageArrived,
+        message: offer_refused.OfferRefused,
     ) -> list[Action]:
-        state = self._takeover.state(message.flow.bucket())
+        """Offer a flow to the next agent, serve it, or refuse it."""
+        flow = message.flow
+        state = self._takeover.state(flow.bucket())
         if not state.is_serving:
             # The successor may place the flow, so a refusal could be wrong.
-            return [drop.Drop(message.flow, reason.Reason.STALE)]
-        self._directory.of(message.flow).withdraw_offer(message.flow, sender)
-        return [refuse.Refuse(message.flow, message.datagram)]
+            return [drop.Drop(flow, reason.Reason.STALE)]
+        directory = self._directory.of(flow)
+        sender = (event.sender, event.incarnation)
+        directory.withdraw_offer(flow, sender)
+        if directory.owner(flow) is not None:
+            # The owner may have accepted another packet of the flow.
+            return [refuse.Refuse(flow, message.datagram)]
+        target = self._next_offer(flow, state.deputy, sender)
+        if target != NOBODY and event.hops < packet.MAX_HOPS:
+            directory.put(now, flow, target, offered=True)
+            how, hops = mode.Mode.OFFER, event.hops + 1
+            return [relay.Relay(*target, how, hops, flow, message.datagram)]
+        if event.accepts and len(self._owned) < owned_flows.MAX_OWNED:
+            directory.put(now, flow, self._me)
+            self._owned.use(now, flow)
+            return [serve.Serve(flow, message.datagram, is_new=True)]
+        return [refuse.Refuse(flow, message.datagram)]
+
+    def _next_offer(self, flow: flow_key.FlowKey, deputy: Peer, refused: Peer) -> Peer:
+        """Return who is asked after an agent that refused a flow.
+
+        The order depends on the flow alone, so that nothing has to be remembered.
+        """
+        others = [p for p in self._takeover.serving() if p not in (self._me, deputy)]
+        start = flow.caller.ip + flow.caller.port
+        count = min(MAX_FURTHER_OFFERS, len(others))
+        order = [deputy, *(others[(start + i) % len(others)] for i in range(count))]
+        following = itertools.dropwhile(lambda p: p != refused, order)
+        next(following, None)
+        return next(following, NOBODY)
 
     def _on_flows_held(
         self, now: float, sender: Peer, message: flows_held.FlowsHeld
--- a/src/limpetreel/flows/message_arrived.py
+++ b/src/limpetreel/flows/message_arrived.py
@@ -18,8 +18,14 @@
         Incarnation of the sender.
     message : router_message.RouterMessage
         The message.
+    accepts : bool
+        Whether the own upstream can accept a flow that the sender refused.
+    hops : int
+        Relays so far of the packet of that flow.
     """
 
     sender: int
     incarnation: int
     message: router_message.RouterMessage
+    accepts: bool = False
+    hops: int = 0
--- a/src/limpetreel/flows/packet_arrived.py
+++ b/src/limpetreel/flows/packet_arrived.py
@@ -26,6 +26,9 @@
         Whether the own upstream can accept a new flow now.
     datagram : bytes
         The encoded packet, opaque here.
+    accepts_wait : bool
+        Whether the own upstream can accept a new flow that would wait briefly, for
+        the case that nobody else can accept it.
     """
 
     flow: flow_key.FlowKey
@@ -35,3 +38,4 @@
     incarnation: int
     accepts: bool
     datagram: bytes
+    accepts_wait: bool = False
--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -95,6 +95,15 @@
         """Return whether an agent may still serve its flows."""
         return self.is_live(peer) and self._live[peer[0]].serving
 
+    def serving(self) -> list[Peer]:
+        """Return the agents that may be given flows."""
+        active = member_state.MemberState.ACTIVE
+        return [
+            (m.node_id, m.incarnation)
+            for m in self._live.values()
+            if m.serving and m.state is active
+        ]
+
     def is_replaced(self, peer: Peer) -> bool:
         """Return whether the table knows a later incarnation of an agent."""
         member = self.view.member(peer[0]) if self.view else None
--- a/tests/admission/test_admission_controller.py
+++ b/tests/admission/test_admission_controller.py
@@ -226,6 +226,22 @@
     assert not isinstance(got, refusal.Refusal)
 
 
+def test_last_agent_lets_flows_wait_briefly():
+    """Guards against refusals and against flows that wait until their deadline."""
+    load = builders.warm_load(slots=4)
+    controller = load.controller
+    _end_all(load)
+    while controller.can_accept_flow(load.now):
+        load.offer()
+    waiting = 0
+    while controller.can_accept_flow(load.now, is_last=True):
+        load.offer()
+        waiting += 1
+        assert waiting < 1000
+    assert waiting > controller.limit
+    assert controller.queued_count == waiting
+
+
 def test_new_flow_is_accepted_by_true_load_only():
     """Guards against new flows at an agent that is busy or draining."""
     load = builders.warm_load()
--- a/tests/flows/harness.py
+++ b/tests/flows/harness.py
@@ -120,7 +120,7 @@
         if isinstance(message, claim_ack.ClaimAck):
             self._do(self.claims.acknowledge(self.cluster.now, sender, message))
         else:
-            self.feed(message_arrived.MessageArrived(*sender, message))
+            self.feed(message_arrived.MessageArrived(*sender, message, self.accepts))
 
     def packet(self, sender, how, hops, request):
         if self.may_serve:
--- a/tests/flows/test_takeover.py
+++ b/tests/flows/test_takeover.py
@@ -263,6 +263,34 @@
     assert _outcomes(_ask(cluster)) == [ANSWERED]
 
 
+def test_flow_that_primary_and_deputy_refuse_goes_to_another_agent():
+    """Guards against refusals while other agents of the class are idle."""
+    cluster = _cluster()
+    busy = _candidates(cluster)
+    for node_id in busy:
+        cluster.agents[node_id].accepts = False
+    assert _outcomes(_ask(cluster)) == [ANSWERED]
+    assert _owner(cluster) not in busy
+
+
+def test_offers_end_with_a_refusal():
+    """Guards against offers that go round for ever."""
+    cluster = _cluster(6)
+    for agent in cluster.agents.values():
+        agent.accepts = False
+    assert _outcomes(_ask(cluster)) == [outcome.Outcome.NOT_RUN]
+    assert not any(a.router.owns(FLOW) for a in cluster.agents.values())
+
+
+def test_holder_without_deputy_lets_a_flow_wait():
+    """Guards against refusals for want of a deputy where a short wait would do."""
+    router = _alone(max_flows=10)
+    busy = msgspec.structs.replace(_packet(harness.FLOWS[0]), accepts=False)
+    assert isinstance(router.handle(3.0, busy)[0], refuse.Refuse)
+    patient = msgspec.structs.replace(busy, accepts_wait=True)
+    assert isinstance(router.handle(3.0, patient)[0], serve.Serve)
+
+
 def _is_table(event):
     return isinstance(event, table_changed.TableChanged)
 
