Add the measurement command with a baseline of the whole site

python -m limpetreel.measure prints one JSON object for each figure. The site run is split into the load and its figures, which the cores and the baseline share. The baseline hashes flows over the members with equal shares at the entries, without admission, directory or filter of duplicates. Figures of the admission alone have the prefix admission_, as both measure an imbalance. Its placement follows the router: further agents after the deputy.

--- /dev/null
+++ b/src/limpetreel/measure/__main__.py
@@ -0,0 +1,44 @@
+"""Entry point of ``python -m limpetreel.measure``."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import functools
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel.measure import admission_measure, deployment, site_measure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from limpetreel.measure import measurement
+
+    Function = Callable[[int], list[measurement.Measurement]]
+
+FUNCTIONS: tuple[Function, ...] = (
+    functools.partial(site_measure.measure_site, deployment.THREE_ZONES),
+    functools.partial(site_measure.measure_site, deployment.FOUR_ZONES),
+    admission_measure.measure_admission,
+)
+"""Functions that take a seed and return figures; each runs in a worker process."""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Print one JSON object a line for each figure."""
+    parser = argparse.ArgumentParser(prog="limpetreel.measure", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="seed of all input")
+    parsed = parser.parse_args(arguments)
+    with concurrent.futures.ProcessPoolExecutor(len(FUNCTIONS)) as pool:
+        futures = [pool.submit(function, parsed.seed) for function in FUNCTIONS]
+        for future in futures:
+            for found in future.result():
+                print(msgspec.json.encode(found).decode(), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/limpetreel/measure/admission_measure.py
+++ b/src/limpetreel/measure/admission_measure.py
@@ -90,7 +90,7 @@
         rows.append((name, value, bound, theirs[name]))
     return [
         measurement.Measurement(
-            n, round(v, 4), "ratio", b, round(o, 4), seed, size.name
+            f"admission_{n}", round(v, 4), "ratio", b, round(o, 4), seed, size.name
         )
         for n, v, b, o in rows
     ]
--- a/src/limpetreel/measure/admission_policy.py
+++ b/src/limpetreel/measure/admission_policy.py
@@ -1,4 +1,4 @@
-"""Placement at primary or deputy with admission at the owner."""
+"""Placement at primary, deputy or another agent, with admission at the owner."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
     queued,
 )
 from limpetreel.assignment import class_assignment
+from limpetreel.flows import flow_router
 from limpetreel.measure import bucket_hash, deployment, policy, share_control
 
 if TYPE_CHECKING:
@@ -122,13 +123,17 @@
         if found is None:
             return None
         primary = self._index_of[found.primary.node_id]
-        if self.controllers[primary].can_accept_flow(arrival.at):
+        order = [primary]
+        if found.deputy is not None:
+            order.append(self._index_of[found.deputy.node_id])
+        others = [i for i in self._members[arrival.class_id] if i not in order]
+        for i in range(min(flow_router.MAX_FURTHER_OFFERS, len(others))):
+            order.append(others[(arrival.connection + i) % len(others)])
+        for index in order:
+            if self.controllers[index].can_accept_flow(arrival.at):
+                return index
+        if self.controllers[primary].can_accept_flow(arrival.at, is_last=True):
             return primary
-        if found.deputy is None:
-            return None
-        deputy = self._index_of[found.deputy.node_id]
-        if self.controllers[deputy].can_accept_flow(arrival.at, is_last=True):
-            return deputy
         return None
 
     def _assign(self, class_id: int) -> None:
--- a/src/limpetreel/measure/fake_site.py
+++ b/src/limpetreel/measure/fake_site.py
@@ -27,6 +27,7 @@
     fake_caller,
     fake_network,
     fake_node,
+    measured_site,
 )
 from limpetreel.node import node_link
 from limpetreel.wire import address
@@ -46,7 +47,7 @@
 """Time for which an entry that leaves goes on forwarding."""
 
 
-class FakeSite:
+class FakeSite(measured_site.MeasuredSite):
     """The processes of one site.
 
     Parameters
--- /dev/null
+++ b/src/limpetreel/measure/hash_run.py
@@ -0,0 +1,55 @@
+"""The run of a whole site with the baseline."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.measure import hash_site, load_run
+
+if TYPE_CHECKING:
+    from limpetreel.measure import deployment, site_plan
+
+
+class HashRun(load_run.LoadRun):
+    """Drives the baseline with the same callers, upstreams and faults.
+
+    Parameters
+    ----------
+    size : Deployment
+        The deployment.
+    plan : SitePlan
+        What happens; restarts of entries and changes of targets mean nothing here.
+    seed : int
+        Seed of the run.
+    """
+
+    def __init__(
+        self, size: deployment.Deployment, plan: site_plan.SitePlan, seed: int
+    ) -> None:
+        one_way_s = load_run.ONE_WAY_SECONDS[size.zones]
+        self.site = hash_site.HashSite(one_way_s, seed, load_run.LOSS)
+        super().__init__(size, plan, seed, self.site)
+        self._drained: set[str] = set()
+
+    def _start(self) -> None:
+        for i, profile in enumerate(self.profiles):
+            name = f"upstream-{i}"
+            class_id = self.size.class_of(i) + 1
+            self.site.start_upstream(name, profile, class_id, self._zone(name))
+        self.site.publish()
+        self.site.queue.run_until(load_run.READY_SECONDS)
+
+    def _plan_changes(self, begin: float) -> None:
+        """Do nothing: entries with a fixed list restart without a gap."""
+
+    def _zone_out(self) -> None:
+        self.zone_out_accepted_at = self.site.queue.now
+        names = {n for n in self.site.upstreams if self._zone(n) == self.removed_zone}
+        self.site.set_gone(names | self._drained)
+
+    def _zone_in(self) -> None:
+        self.site.set_gone(self._drained)
+
+    def _drain(self) -> None:
+        self._drained = {"upstream-0"}
+        self.site.set_gone(self._drained)
--- /dev/null
+++ b/src/limpetreel/measure/measured_site.py
@@ -0,0 +1,44 @@
+"""What a measured run needs of a site."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from limpetreel.measure import coap_upstream, event_queue, fake_caller
+    from limpetreel.wire import address
+
+
+class MeasuredSite(abc.ABC):
+    """Callers and upstreams, and the way between them.
+
+    Attributes
+    ----------
+    queue : EventQueue
+        Clock and events.
+    rng : random.Random
+        Source of everything that is random.
+    upstreams : dict of str to CoapUpstream
+        Upstreams by name.
+    callers : dict of Address to FakeCaller
+        Callers by address.
+    packets : int
+        Packets that callers have sent.
+    """
+
+    queue: event_queue.EventQueue
+    rng: random.Random
+    upstreams: dict[str, coap_upstream.CoapUpstream]
+    callers: dict[address.Address, fake_caller.FakeCaller]
+    packets: int
+
+    @abc.abstractmethod
+    def add_caller(self, class_id: int) -> fake_caller.FakeCaller:
+        """Add a caller of a class."""
+
+    @abc.abstractmethod
+    def relays(self) -> int:
+        """Return how many packets were relayed between agents."""
--- a/src/limpetreel/measure/measurement.py
+++ b/src/limpetreel/measure/measurement.py
@@ -18,8 +18,8 @@
         Unit of the figure.
     bound : float or None
         Target; None where the figure only explains another one.
-    baseline : float
-        Figure of the baseline.
+    baseline : float or None
+        Figure of the baseline; None where the baseline has nothing of the kind.
     seed : int
         Seed of the input.
     deployment : str
@@ -30,6 +30,6 @@
     value: float
     unit: str
     bound: float | None
-    baseline: float
+    baseline: float | None
     seed: int
     deployment: str
