--- a/Makefile
+++ b/Makefile
@@ -42,5 +42,8 @@
 	$(PY) tools/build_binary.py
 	$(PY) tools/check_binary.py
 
+measure: setup
+	$(PY) -m limpetreel.measure --seed $(SEED)
+
 clean:
 	rm -rf build dist .demo
--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -95,6 +95,15 @@
         """Return whether an agent may still serve its flows."""
         return self.is_live(peer) and self._live[peer[0]].serving
 
+    def serving(self) -> list[Peer]:
+        """Return the agents that may be given flows."""
+        active = member_state.MemberState.ACTIVE
+        return [
+            (m.node_id, m.incarnation)
+            for m in self._live.values()
+            if m.serving and m.state is active
+        ]
+
     def is_replaced(self, peer: Peer) -> bool:
         """Return whether the table knows a later incarnation of an agent."""
         member = self.view.member(peer[0]) if self.view else None
@@ -350,7 +359,12 @@
             return
         state = self.state(bucket)
         is_holder = state.role in (_Role.TAKING_OVER, _Role.PRIMARY)
-        if is_holder and state.deputy == deputy and max(state.seen) <= state.epoch:
+        # A deputy whose record has changed since may have given up its role, because
+        # it cannot tell whether it was lost in between.
+        member = self._live.get(deputy[0])
+        is_changed = member is not None and member.modified > state.epoch
+        is_current = state.deputy == deputy and not is_changed
+        if is_holder and is_current and max(state.seen) <= state.epoch:
             return
         if self.view.revision <= state.epoch:
             return
