Measure slopes of time, memory and bytes against size

Cause: nothing showed which figures of the design size the code misses. Change: 'python -m limpetreel.slopes' measures entries, agents, control and real processes at three or more sizes and prints the fitted lines.

--- /dev/null
+++ b/src/limpetreel/slopes/__main__.py
@@ -0,0 +1,73 @@
+"""Print measured slopes, one JSON object a line."""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import sys
+
+import msgspec
+
+from limpetreel.slopes import (
+    agent_slopes,
+    child,
+    child_states,
+    control_slopes,
+    entry_packets,
+    entry_slopes,
+    process_slopes,
+    site_slopes,
+    slope,
+)
+
+SCALES = (0.1, 0.4, 1.0)
+QUICK_SCALES = (0.004, 0.008, 0.016)
+
+
+def main() -> int:
+    """Run the command."""
+    parser = argparse.ArgumentParser(prog="limpetreel.slopes")
+    parser.add_argument(
+        "--quick", action="store_true", help="tiny sizes, to try the command out"
+    )
+    parser.add_argument(
+        "--scratch",
+        type=pathlib.Path,
+        default=pathlib.Path("build/slopes"),
+        help="folder on the disk whose sync is measured",
+    )
+    parser.add_argument(
+        "--only", default="", help="run only entry, agent, site, control or process"
+    )
+    parser.add_argument("--hold", nargs=2, help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    if args.hold:
+        kept = child_states.build(args.hold[0], float(args.hold[1]))
+        print(child.vm_rss_mb("self"))
+        del kept
+        return 0
+    args.scratch.mkdir(parents=True, exist_ok=True)
+    for part in ("entry", "agent", "site", "control", "process"):
+        if args.only in ("", part):
+            for found in _measure(part, args.quick, args.scratch):
+                print(msgspec.json.encode(found).decode(), flush=True)
+    return 0
+
+
+def _measure(part: str, quick: bool, scratch: pathlib.Path) -> list[slope.Slope]:
+    scales = QUICK_SCALES if quick else SCALES
+    repeats = 2 if quick else 15
+    if part == "entry":
+        packets = entry_packets.slopes(10 * repeats)
+        return [*packets, *entry_slopes.slopes(scales, repeats)]
+    if part == "agent":
+        return agent_slopes.slopes(quick, repeats)
+    if part == "site":
+        return site_slopes.slopes((1, 2, 3, 6), 2.0 if quick else 30.0)
+    if part == "control":
+        return control_slopes.slopes(scales, repeats, scratch)
+    return process_slopes.slopes(scales, quick, scratch)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/limpetreel/slopes/process_slopes.py
@@ -0,0 +1,307 @@
+"""Slopes of real processes of each role."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import selectors
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent import futures
+from typing import TYPE_CHECKING
+
+from limpetreel.catalog import member_record, role
+from limpetreel.console import operator_client
+from limpetreel.core import failure
+from limpetreel.messages import delta, lease, renew
+from limpetreel.slopes import child, design_size, sample_site, slope
+from limpetreel.wire import frame, frame_codec, kind, message_codec
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CLUSTER_KEY = "measurement-cluster-key"
+OPERATOR_KEY = "measurement-operator-key"
+LOOPBACK = "127.0.0.1"
+RENEW_SECONDS = 0.5
+MEASURED_SECONDS = 5.0
+PARALLEL_COMMANDS = 16
+SETTLE_SECONDS = 8.0
+"""An entry waits up to 3 s and fetches the whole table at 64 KB/s."""
+OWN_CLASS = "class-own"
+"""Class of the agent process alone: it would ask members without a process for
+their state ten times a second."""
+QUICK_SETTLE_SECONDS = 1.0
+
+
+def slopes(
+    scales: tuple[float, float, float], quick: bool, scratch: pathlib.Path
+) -> list[slope.Slope]:
+    """Return memory and processor time of each role as a process.
+
+    One control instance, one entry and one agent run as processes. The other nodes
+    of the site exist only as renewals that this process sends twice a second.
+
+    Parameters
+    ----------
+    scales : tuple of float
+        Parts of the design size.
+    quick : bool
+        Whether to measure for a short time.
+    scratch : pathlib.Path
+        Folder for data.
+    """
+    rows: dict[str, dict[float, float]] = {}
+    settle = QUICK_SETTLE_SECONDS if quick else SETTLE_SECONDS
+    seconds = 1.0 if quick else MEASURED_SECONDS
+    for scale in scales:
+        nodes = float(round(design_size.NODES * scale))
+        with tempfile.TemporaryDirectory(dir=scratch) as folder:
+            made = _Processes(pathlib.Path(folder), scale, settle)
+            try:
+                found = made.measure(seconds)
+            finally:
+                made.stop()
+        for key, value in found.items():
+            rows.setdefault(key, {})[nodes] = value
+    return [
+        slope.fit(f"process.{name}", "nodes", unit, points, design_size.NODES)
+        for (name, _, unit), points in (
+            (tuple(key.partition("|")), points) for key, points in rows.items()
+        )
+    ]
+
+
+class _Processes:
+    """One process of each role and the renewals of all other nodes."""
+
+    def __init__(
+        self, folder: pathlib.Path, scale: float, settle_seconds: float
+    ) -> None:
+        self._folder = folder
+        self._settle_seconds = settle_seconds
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._ports = _free_ports(6)
+        self._members = [
+            r
+            for r in sample_site.records(scale)
+            if isinstance(r, member_record.MemberRecord)
+        ]
+        self._class_count = max(1, round(design_size.CLASSES * scale))
+        self._codecs = {
+            m.name: frame_codec.FrameCodec(
+                CLUSTER_KEY.encode(), m.node_id, m.incarnation
+            )
+            for m in self._members
+        }
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
+        self._sock.bind((LOOPBACK, 0))
+        self._sock.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._sock, selectors.EVENT_READ)
+        self._nonce = 0
+        self._announce_at = 0.0
+        self._answers = 0
+        self._bytes = 0
+        self._revision = self._digest = 0
+
+    def measure(self, seconds: float) -> dict[str, float]:
+        """Start everything and return figures by name and unit."""
+        self._start_control()
+        self._create()
+        self._renew_for(self._settle_seconds / 2)
+        self._start_nodes()
+        self._renew_for(self._settle_seconds)
+        before = {name: _cpu_seconds(p.pid) for name, p in self._running.items()}
+        self._answers = self._bytes = 0
+        sent = self._renew_for(seconds)
+        found: dict[str, float] = {}
+        for name, proc in self._running.items():
+            used = _cpu_seconds(proc.pid) - before[name]
+            found[f"{name}_resident|MB (VmRSS)"] = child.vm_rss_mb(proc.pid)
+            found[f"{name}_processor|% of a core"] = 100 * used / seconds
+        found["renewals_answered|part of those sent"] = self._answers / max(1, sent)
+        return found
+
+    def stop(self) -> None:
+        """End the processes that this one started."""
+        for proc in self._running.values():
+            proc.terminate()
+        for proc in self._running.values():
+            proc.wait()
+        self._selector.close()
+        self._sock.close()
+
+    def _start_control(self) -> None:
+        nodes, operators, peers = self._ports[:3]
+        data = self._folder / "data"
+        listed = f"control={LOOPBACK}:{peers}"
+        program = [sys.executable, "-m", "limpetreel"]
+        subprocess.run(
+            [
+                *program,
+                "init",
+                f"--data={data}",
+                "--name=control",
+                f"--new-cluster={listed}",
+            ],
+            check=True,
+            capture_output=True,
+        )
+        self._start(
+            "control",
+            "--name=control",
+            "--zone=zone-0",
+            f"--listen={LOOPBACK}:{nodes}",
+            f"--operator-listen={LOOPBACK}:{operators}",
+            f"--peer-listen={LOOPBACK}:{peers}",
+            f"--peers={listed}",
+            f"--data={data}",
+            "--class-ports=20000-29999",
+            f"--cluster-key={CLUSTER_KEY}",
+            f"--operator-key={OPERATOR_KEY}",
+        )
+
+    def _create(self) -> None:
+        client = operator_client.OperatorClient(
+            ((LOOPBACK, self._ports[1]),), OPERATOR_KEY.encode()
+        )
+        until = time.monotonic() + 5.0
+        while isinstance(client.call({"type": "table"}), failure.Failure):
+            if time.monotonic() > until:
+                raise TimeoutError("control did not start")
+            time.sleep(0.1)
+        for item in sample_site.zones():
+            fields = {"region": getattr(item, "region", "")}
+            self._command(client, "zone_create", item.name, fields)
+        names = [OWN_CLASS, *(f"class-{i:05}" for i in range(self._class_count))]
+        targets = {"capacity": 1000, "answer_ms": 500}
+        with futures.ThreadPoolExecutor(PARALLEL_COMMANDS) as pool:
+            list(
+                pool.map(
+                    lambda n: self._command(client, "class_create", n, targets), names
+                )
+            )
+
+    def _command(
+        self,
+        client: operator_client.OperatorClient,
+        kind_name: str,
+        name: str,
+        fields: Mapping[str, object],
+    ) -> None:
+        body = {"type": kind_name, "name": name, "expected": 0}
+        client.call({**body, "command_id": f"create-{name}", **fields})
+
+    def _start_nodes(self) -> None:
+        control = f"--control={LOOPBACK}:{self._ports[0]}"
+        common = ["--zone=zone-0", "--region=east", control]
+        common.append(f"--cluster-key={CLUSTER_KEY}")
+        self._start(
+            "entry",
+            "--name=entry-process",
+            f"--listen={LOOPBACK}:{self._ports[3]}",
+            "--service-ip=127.0.0.77",
+            *common,
+        )
+        self._start(
+            "agent",
+            "--name=agent-process",
+            f"--listen={LOOPBACK}:{self._ports[4]}",
+            f"--class-name={OWN_CLASS}",
+            f"--upstream={LOOPBACK}:9",
+            f"--announce={LOOPBACK}:{self._ports[5]}",
+            *common,
+        )
+
+    def _start(self, role_name: str, *words: str) -> None:
+        with (self._folder / f"{role_name}.log").open("wb") as log:
+            self._running[role_name] = subprocess.Popen(
+                [sys.executable, "-m", "limpetreel", role_name, *words],
+                stdout=log,
+                stderr=log,
+            )
+
+    def _renew_for(self, seconds: float) -> int:
+        """Renew each node twice a second, evenly; return how many were sent."""
+        begin = time.monotonic()
+        rate = len(self._members) / RENEW_SECONDS
+        sent = 0
+        while (passed := time.monotonic() - begin) < seconds:
+            due = int(passed * rate)
+            # Bounded, so that a pause of this process makes no burst.
+            for number in range(max(sent, due - 50), due):
+                self._renew(self._members[number % len(self._members)])
+            sent = max(sent, due)
+            self._announce()
+            if self._selector.select(0.002):
+                self._receive()
+        return sent
+
+    def _renew(self, item: member_record.MemberRecord) -> None:
+        self._nonce += 1
+        message = renew.Renew(
+            item.name,
+            item.role,
+            item.class_name,
+            item.zone,
+            item.region,
+            item.host,
+            item.port,
+            item.incarnation,
+            self._revision,
+            self._digest,
+            600 if item.role is role.Role.AGENT else 0,
+            False,
+            False,
+            self._nonce,
+        )
+        data = self._codecs[item.name].encode(
+            kind.Kind.MESSAGE, frame.ANY_INCARNATION, message_codec.encode(message)
+        )
+        self._sock.sendto(data, (LOOPBACK, self._ports[0]))
+
+    def _announce(self) -> None:
+        """Announce the upstream of the agent once a second."""
+        if time.monotonic() < self._announce_at or "agent" not in self._running:
+            return
+        self._announce_at = time.monotonic() + 1.0
+        body = b'\xff{"class":"class-own","run_id":"run","state":"ready"}'
+        self._sock.sendto(body, (LOOPBACK, self._ports[5]))
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data = self._sock.recv(65_535)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue
+            body = data[frame.HEADER.size : -frame.TAG_BYTES]
+            message = message_codec.decode(body)
+            if isinstance(message, lease.Lease):
+                self._answers += 1
+                self._revision = message.revision
+            elif isinstance(message, delta.Delta):
+                self._bytes += len(data)
+
+
+def _cpu_seconds(pid: int) -> float:
+    """Return user and system time of a process in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _free_ports(count: int) -> list[int]:
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in socks:
+        sock.bind((LOOPBACK, 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
