Count the flows of the directory instead of summing buckets

Cause: the bound on flows was checked at each new flow by a sum over all buckets. Change: the directories of the buckets keep one common count. Conclusion: the cost no longer depends on the buckets held. A model test compares the count with all flows after every kind of change.

--- a/src/limpetreel/flows/bucket_directory.py
+++ b/src/limpetreel/flows/bucket_directory.py
@@ -5,7 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
-from limpetreel.flows import owned_flows
+from limpetreel.flows import flow_count, owned_flows
 
 if TYPE_CHECKING:
     from limpetreel.flows import flow_key
@@ -18,9 +18,16 @@
 
 
 class BucketDirectory:
-    """Owner, as (node id, incarnation), by flow; least recently used first."""
+    """Owner, as (node id, incarnation), by flow; least recently used first.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    count : FlowCount or None
+        Sum that includes the flows of this directory.
+    """
+
+    def __init__(self, count: flow_count.FlowCount | None = None) -> None:
+        self._count = count or flow_count.FlowCount()
         self._entries: collections.OrderedDict[flow_key.FlowKey, _Entry]
         self._entries = collections.OrderedDict()
 
@@ -38,6 +45,8 @@
     ) -> None:
         """Record an owner, or note that the flow was used."""
         entry = self._entries.get(flow)
+        if entry is None:
+            self._count.total += 1
         if entry is None or entry.owner != owner:
             self._entries[flow] = _Entry(owner, now, offered)
         else:
@@ -53,7 +62,12 @@
         """
         entry = self._entries.get(flow)
         if entry is not None and entry.owner == owner and entry.offered:
-            del self._entries[flow]
+            self._delete(flow)
+
+    def clear(self) -> None:
+        """Forget all flows."""
+        self._count.total -= len(self._entries)
+        self._entries.clear()
 
     def expire(self, now: float) -> None:
         """Forget flows that were not used or refreshed for `IDLE_SECONDS`."""
@@ -61,7 +75,11 @@
             flow, entry = next(iter(self._entries.items()))
             if entry.seen + IDLE_SECONDS > now:
                 return
-            del self._entries[flow]
+            self._delete(flow)
+
+    def _delete(self, flow: flow_key.FlowKey) -> None:
+        del self._entries[flow]
+        self._count.total -= 1
 
 
 class _Entry:
--- a/src/limpetreel/flows/flow_directory.py
+++ b/src/limpetreel/flows/flow_directory.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from limpetreel.flows import bucket_directory
+from limpetreel.flows import bucket_directory, flow_count
 
 if TYPE_CHECKING:
     from limpetreel.flows import flow_key
@@ -19,11 +19,12 @@
 
     def __init__(self, max_flows: int = MAX_FLOWS) -> None:
         self._max_flows = max_flows
+        self._count = flow_count.FlowCount()
         self._buckets: dict[int, bucket_directory.BucketDirectory] = {}
 
     def __len__(self) -> int:
         """Return the number of flows."""
-        return sum(len(b) for b in self._buckets.values())
+        return self._count.total
 
     @property
     def is_full(self) -> bool:
@@ -38,12 +39,15 @@
         """Return the directory of a bucket."""
         found = self._buckets.get(bucket)
         if found is None:
-            found = self._buckets[bucket] = bucket_directory.BucketDirectory()
+            found = bucket_directory.BucketDirectory(self._count)
+            self._buckets[bucket] = found
         return found
 
     def drop_bucket(self, bucket: int) -> None:
         """Forget the flows of a bucket."""
-        self._buckets.pop(bucket, None)
+        found = self._buckets.pop(bucket, None)
+        if found is not None:
+            found.clear()
 
     def expire(self, now: float) -> None:
         """Forget idle flows."""
--- /dev/null
+++ b/tests/flows/test_flow_directory.py
@@ -0,0 +1,56 @@
+"""The number of flows must agree with the flows of all buckets."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from limpetreel.flows import bucket_directory, flow_directory, flow_key
+from limpetreel.wire import address
+from tests import fixtures
+
+load_tests = fixtures.load_functions(globals())
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["put", "offer", "withdraw", "drop", "expire"]),
+        strategies.integers(0, 5),
+        strategies.integers(1, 2),
+    ),
+    max_size=40,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=200)
+@hypothesis.given(_STEPS)
+def test_count_follows_every_change(steps):
+    """Guards against a count that drifts, so that new flows are refused for good."""
+    made = flow_directory.FlowDirectory(max_flows=3)
+    flows = [flow_key.FlowKey(1, address.Address(i, 1)) for i in range(6)]
+    model = {}
+    now = 0.0
+    for step, number, owner in steps:
+        flow = flows[number]
+        peer = (owner, 1)
+        if step in ("put", "offer"):
+            old = model.get(flow)
+            offered = step == "offer" and (old is None or old[0] != peer or old[2])
+            made.of(flow).put(now, flow, peer, offered=step == "offer")
+            model[flow] = (peer, now, offered)
+        elif step == "withdraw":
+            made.of(flow).withdraw_offer(flow, peer)
+            if flow in model and model[flow][0] == peer and model[flow][2]:
+                del model[flow]
+        elif step == "drop":
+            made.drop_bucket(flow.bucket())
+            model = {f: v for f, v in model.items() if f.bucket() != flow.bucket()}
+        else:
+            now += bucket_directory.IDLE_SECONDS / 2
+            made.expire(now)
+            limit = now - bucket_directory.IDLE_SECONDS
+            model = {f: v for f, v in model.items() if v[1] > limit}
+        assert len(made) == len(model)
+        assert made.is_full == (len(model) >= 3)
+        for known in flows:
+            found = made.of(known).owner(known)
+            assert found == (model[known][0] if known in model else None)
