Keep the node ids of a class's buckets while its members stay

Cause: each change of the table rebuilt 1,024 pairs of node ids at each agent, also when nothing of its class had changed. Change: the assignment of a class keeps the pairs.

--- a/src/limpetreel/assignment/class_assignment.py
+++ b/src/limpetreel/assignment/class_assignment.py
@@ -39,6 +39,7 @@
         """Index into `_pairs` by bucket; 0 until it is computed."""
         self._pairs: list[candidates.Candidates | None] = [None]
         self._index: dict[tuple[int, int], int] = {}
+        self._node_ids: tuple[tuple[int, int], ...] | None = None
 
     def lookup(self, bucket: int) -> candidates.Candidates | None:
         """Return primary and deputy of a bucket, or None without members."""
@@ -47,6 +48,21 @@
             found = self._compute(bucket)
         return found
 
+    def node_ids(self) -> tuple[tuple[int, int], ...]:
+        """Return the node ids of primary and deputy by bucket; 0 if there is none.
+
+        They are kept, since most changes of the table concern other classes.
+        """
+        if self._node_ids is None:
+            found = (self.lookup(b) for b in range(BUCKETS_PER_CLASS))
+            self._node_ids = tuple(
+                (f.primary.node_id, f.deputy.node_id if f.deputy else 0)
+                if f
+                else (0, 0)
+                for f in found
+            )
+        return self._node_ids
+
     def _compute(self, bucket: int) -> candidates.Candidates:
         ranked = sorted(
             self.members,
--- a/src/limpetreel/flows/class_view.py
+++ b/src/limpetreel/flows/class_view.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from limpetreel.assignment import class_assignment
 from limpetreel.catalog import member_state
 from limpetreel.flows import class_member
 
@@ -76,14 +75,8 @@
         r.removed and getattr(r, "class_name", "") == record.name
         for r in records.records.values()
     )
-    found = (
-        assigned.lookup(record.class_id, bucket)
-        for bucket in range(class_assignment.BUCKETS_PER_CLASS)
-    )
-    candidates = tuple(
-        (f.primary.node_id, f.deputy.node_id if f.deputy else 0) if f else (0, 0)
-        for f in found
-    )
+    found = assigned.for_class(record.class_id)
+    candidates = found.node_ids() if found is not None else ()
     return ClassView(
         record.class_id, records.revision, members, candidates, lost or removed
     )
