Measure nodes that fetch their table at once

Cause: no figure showed how long entries that all restart stay without a table. Change: real node links and the real node service exchange messages on a fake clock. Ports of the measured processes are free for TCP and UDP both, and control has 30 s to start; the smoke test had failed once in three runs, with 5 s and a check for UDP only, without its output at hand.

--- a/src/limpetreel/slopes/__main__.py
+++ b/src/limpetreel/slopes/__main__.py
@@ -58,7 +58,7 @@
     scales = QUICK_SCALES if quick else SCALES
     repeats = 2 if quick else 15
     if part == "entry":
-        packets = entry_packets.slopes(10 * repeats)
+        packets = entry_packets.slopes(8 * repeats)
         return [*packets, *entry_slopes.slopes(scales, repeats)]
     if part == "agent":
         return agent_slopes.slopes(quick, repeats)
--- a/src/limpetreel/slopes/control_slopes.py
+++ b/src/limpetreel/slopes/control_slopes.py
@@ -29,6 +29,7 @@
 from limpetreel.slopes import (
     child,
     design_size,
+    fetch_storm,
     gauge,
     raft_group,
     sample_site,
@@ -61,6 +62,7 @@
         *_tables(sizes, repeats),
         *_disk(repeats, scratch),
         *_peers(),
+        *_fetches(sizes),
     ]
 
 
@@ -266,6 +268,65 @@
     return made
 
 
+def _fetches(sizes: tuple[float, float, float]) -> list[slope.Slope]:
+    scale = sizes[-1]
+    entries = design_size.ENTRIES / design_size.CONTROL_INSTANCES
+    agents = design_size.AGENTS / design_size.CONTROL_INSTANCES
+    unit = "s until the last one has its table, simulated"
+    storms = {}
+    known_storms = {}
+    agent_storms = {}
+    known = round(agents)
+    scope = {}
+    for size in sizes:
+        count = max(2, round(entries * size))
+        storms[float(count)] = fetch_storm.seconds(count, 0, scale)
+        known_storms[float(count)] = fetch_storm.seconds(count, 0, scale, known)
+        count = max(2, round(agents * size))
+        agent_storms[float(count)] = fetch_storm.seconds(0, count, scale)
+        records = sample_site.records(size)
+        scope[float(round(design_size.ENTRIES * size))] = _scope_bytes(records)
+    return [
+        slope.fit(
+            "control.entries_fetch_at_once",
+            "entries at one control instance",
+            unit,
+            storms,
+            entries,
+        ),
+        slope.fit(
+            "control.entries_fetch_at_once_agents_known",
+            "entries at one control instance that knows its agents",
+            unit,
+            known_storms,
+            entries,
+        ),
+        slope.fit(
+            "control.agents_fetch_at_once",
+            "agents at one control instance",
+            unit,
+            agent_storms,
+            agents,
+        ),
+        slope.fit(
+            "control.agent_fetch",
+            "entries in the table",
+            "bytes of a delta body for one agent",
+            scope,
+            design_size.ENTRIES,
+        ),
+    ]
+
+
+def _scope_bytes(items: list) -> float:
+    records = table.Table()
+    records.replace(items, 10_000, 10_000)
+    source = delta_source.DeltaSource(records)
+    scope = "class-00000"
+    parts = source.parts(delta_request.DeltaRequest(0, count=16, scope=scope))
+    return float(sum(len(p.body) for p in parts))
+
+
 def _disk(repeats: int, scratch: pathlib.Path) -> list[slope.Slope]:
     sync = {float(n): _sync_ms(n, repeats, scratch) for n in (1, 10, 100)}
     recovery = {float(n): _recovery_ms(n, scratch) for n in (2_500, 5_000, 10_000)}
--- a/src/limpetreel/slopes/process_slopes.py
+++ b/src/limpetreel/slopes/process_slopes.py
@@ -27,8 +27,10 @@
 OPERATOR_KEY = "measurement-operator-key"
 LOOPBACK = "127.0.0.1"
 RENEW_SECONDS = 0.5
-MEASURED_SECONDS = 5.0
+MEASURED_SECONDS = 4.0
 PARALLEL_COMMANDS = 16
+START_SECONDS = 30.0
+"""Ample for the start of a process on a busy machine."""
 SETTLE_SECONDS = 8.0
 """An entry waits up to 3 s and fetches the whole table at 64 KB/s."""
 OWN_CLASS = "class-own"
@@ -170,7 +172,7 @@
         client = operator_client.OperatorClient(
             ((LOOPBACK, self._ports[1]),), OPERATOR_KEY.encode()
         )
-        until = time.monotonic() + 5.0
+        until = time.monotonic() + START_SECONDS
         while isinstance(client.call({"type": "table"}), failure.Failure):
             if time.monotonic() > until:
                 raise TimeoutError("control did not start")
@@ -298,10 +300,22 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for sock in socks:
-        sock.bind((LOOPBACK, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
+    """Return ports that are free for both TCP and UDP."""
+    found: dict[int, list[socket.socket]] = {}
+    while len(found) < count:
+        pair = [
+            socket.socket(socket.AF_INET, kind_of)
+            for kind_of in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        ]
+        pair[0].bind((LOOPBACK, 0))
+        port = pair[0].getsockname()[1]
+        try:
+            pair[1].bind((LOOPBACK, port))
+        except OSError:
+            pair[0].close()
+            pair[1].close()
+            continue
+        found[port] = pair
+    for sock in (s for pair in found.values() for s in pair):
         sock.close()
-    return ports
+    return list(found)
