--- a/src/limpetreel/slopes/control_slopes.py
+++ b/src/limpetreel/slopes/control_slopes.py
@@ -278,11 +278,12 @@
     agent_storms = {}
     known = round(agents)
     scope = {}
-    for size in sizes:
-        count = max(2, round(entries * size))
+    # Tiny sizes must differ after rounding as well.
+    for least, size in enumerate(sizes, start=2):
+        count = max(least, round(entries * size))
         storms[float(count)] = fetch_storm.seconds(count, 0, scale)
         known_storms[float(count)] = fetch_storm.seconds(count, 0, scale, known)
-        count = max(2, round(agents * size))
+        count = max(least, round(agents * size))
         agent_storms[float(count)] = fetch_storm.seconds(0, count, scale)
         records = sample_site.records(size)
         scope[float(round(design_size.ENTRIES * size))] = _scope_bytes(records)
