--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,8 @@
 measure: setup
 	$(PY) -m limpetreel.measure --seed $(SEED)
 
+slopes: setup
+	$(PY) -m limpetreel.slopes
+
 clean:
 	rm -rf build dist .demo
