Fuzz a whole site on fakes against what callers and upstreams see

Frames are lost, doubled, late or cut off, and agents, entries, upstreams and zones come and go. The oracle knows requests, runs and answers only. A node that stops twice no longer detaches another process from its address, and a cut between zones now also cuts the control instances in them.

--- a/src/limpetreel/measure/coap_upstream.py
+++ b/src/limpetreel/measure/coap_upstream.py
@@ -49,6 +49,7 @@
         sender: Sender,
     ) -> None:
         self.name = name
+        self.run_id = "run"
         self.load = fake_upstream.FakeUpstream(profile)
         self.load.start(queue.now)
         self.runs: collections.Counter[str] = collections.Counter()
--- a/src/limpetreel/measure/fake_network.py
+++ b/src/limpetreel/measure/fake_network.py
@@ -12,6 +12,9 @@
     from limpetreel.measure import event_queue
     from limpetreel.wire import address
 
+LATE_SECONDS = 0.5
+"""Longest extra time under way of a late frame; section 9 allows for 1 s."""
+
 Receiver = Callable[["address.Address", bytes], None]
 
 
@@ -41,6 +44,8 @@
         self._rng = rng
         self._one_way_s = one_way_s
         self.loss = loss
+        self.late = 0.0
+        """Probability that a frame is late, and so overtaken by others."""
         self._receivers: dict[address.Address, tuple[str, Receiver]] = {}
         self._zones: dict[address.Address, str] = {}
         self.cut: set[frozenset[str]] = set()
@@ -55,10 +60,17 @@
         """Lose frames for an address from now on."""
         self._receivers.pop(where, None)
 
+    def is_cut(self, zone: str, other: str) -> bool:
+        """Return whether nothing passes between two zones."""
+        return frozenset((zone, other)) in self.cut
+
     def delay(self, zone: str, other: str) -> float:
         """Return a latency in seconds between two zones."""
         base = self._one_way_s if zone != other else self._one_way_s / 10
-        return base * self._rng.uniform(0.8, 1.4)
+        extra = 0.0
+        if self.late and self._rng.random() < self.late:
+            extra = self._rng.uniform(0, LATE_SECONDS)
+        return base * self._rng.uniform(0.8, 1.4) + extra
 
     def send(
         self, source: address.Address, target: address.Address, sent: bytes
@@ -67,7 +79,7 @@
         self.sent_bytes[source] = self.sent_bytes.get(source, 0) + len(sent)
         zone = self._zones[source]
         other = self._zones.get(target, "")
-        if frozenset((zone, other)) in self.cut or self._rng.random() < self.loss:
+        if self.is_cut(zone, other) or self._rng.random() < self.loss:
             return
         copies = 2 if self._rng.random() < self.loss else 1
         for _ in range(copies):
--- a/src/limpetreel/measure/fake_node.py
+++ b/src/limpetreel/measure/fake_node.py
@@ -67,8 +67,10 @@
 
     def stop(self) -> None:
         """End the process without notice."""
-        self.is_up = False
-        self._network.detach(self.where)
+        if self.is_up:
+            # Afterwards the address may belong to another process.
+            self.is_up = False
+            self._network.detach(self.where)
 
     def handle(self, event: msgspec.Struct) -> None:
         """Let the core take an event and carry out its actions."""
--- a/src/limpetreel/measure/fake_site.py
+++ b/src/limpetreel/measure/fake_site.py
@@ -11,7 +11,7 @@
 from limpetreel.agent import agent_core
 from limpetreel.agent.actions import send_upstream
 from limpetreel.agent.events import upstream_announced, upstream_datagram
-from limpetreel.catalog import node_identity, role
+from limpetreel.catalog import node_identity, role, table
 from limpetreel.catalog.commands import bootstrap
 from limpetreel.coap import coap_protocol
 from limpetreel.consensus import durable_state, member, raft_core, snapshot
@@ -114,7 +114,7 @@
         other = functools.partial(self._agent_action, upstream or name)
         node = self._node(name, zone, decisions, other, link)
         self.agents[name] = node
-        self._announce(node, class_name)
+        self._announce(node, class_name, upstream or name)
 
     def start_upstream(
         self, name: str, profile: upstream_profile.UpstreamProfile
@@ -126,6 +126,15 @@
             name, self.queue, profile, rng, sender
         )
 
+    def reuse_address(self, name: str, earlier: str) -> None:
+        """Give a node that starts later the address of another one."""
+        self._addresses[name] = self._addresses[earlier]
+
+    def table(self) -> table.Table | None:
+        """Return the table of the leader, or None if there is no leader."""
+        name = self.leader()
+        return self._control(name).catalog.table if name else None
+
     def add_caller(self, class_id: int) -> fake_caller.FakeCaller:
         """Add a caller of a class."""
         where = address.Address(0x0A000000 + len(self.callers) // 4, 40000)
@@ -216,10 +225,17 @@
         if name in nodes:
             nodes[name].stop()
 
-    def _announce(self, node: fake_node.FakeNode, class_name: str) -> None:
+    def _announce(
+        self, node: fake_node.FakeNode, class_name: str, upstream: str
+    ) -> None:
         if node.is_up:
-            node.handle(upstream_announced.UpstreamAnnounced(class_name, "run", False))
-            again = functools.partial(self._announce, node, class_name)
+            found = self.upstreams[upstream]
+            if not found.load.is_down:
+                event = upstream_announced.UpstreamAnnounced(
+                    class_name, found.run_id, False
+                )
+                node.handle(event)
+            again = functools.partial(self._announce, node, class_name, upstream)
             self.queue.after(ANNOUNCE_SECONDS, again)
 
     def _to_entry(self, caller: fake_caller.FakeCaller, datagram: bytes) -> None:
@@ -260,7 +276,10 @@
             if target is None or {name, action.address} & self.cut_controls:
                 return
             event = peer_message.PeerMessage(action.kind, action.body)
-            delay = self.network.delay(self.controls[name].zone, target.zone)
+            zone = self.controls[name].zone
+            if self.network.is_cut(zone, target.zone):
+                return
+            delay = self.network.delay(zone, target.zone)
             self.queue.after(delay, functools.partial(target.handle, event))
 
 
--- /dev/null
+++ b/tests/site/fuzz_site.py
@@ -0,0 +1,231 @@
+"""Site with faults and an oracle that knows only runs, requests and answers."""
+
+from __future__ import annotations
+
+import functools
+import random
+
+from limpetreel.catalog import member_state
+from limpetreel.measure import fake_site, upstream_profile
+from limpetreel.requests import outcome as outcomes
+from limpetreel.wire import address
+from tests.site import faulty_upstream, fuzz_caller
+
+ONE_WAY_SECONDS = 0.0015
+WATCH_SECONDS = 0.1
+REMOVAL_SECONDS = 3.0
+READY_SECONDS = 5.0
+ANSWER_MS = 4000
+"""Longer than the removal of a zone, so that queued requests outlive it."""
+PROFILE = upstream_profile.UpstreamProfile(
+    slots=2, service_seconds=0.1, warm_seconds=2.0, backlog=2
+)
+
+
+class FuzzSite(fake_site.FakeSite):
+    """A small site and what its callers and upstreams have seen.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of everything that is random.
+    zone_count, class_count, agent_count : int
+        Size; agents are counted for each class.
+    """
+
+    def __init__(self, seed, zone_count, class_count, agent_count):
+        zones = tuple(f"zone-{i}" for i in range(zone_count))
+        super().__init__(zones, ONE_WAY_SECONDS, seed)
+        self.choices = random.Random(seed)
+        self.problems = []
+        self.class_of = {}
+        self.runs = {}
+        self.homes = {}
+        self.zone_out_at = {}
+        self._zone_out_calls = {}
+        self.drained = set()
+        self._start(class_count, agent_count)
+        self._watch()
+
+    def add_agent(self, class_name, zone, earlier=""):
+        """Start an upstream and its agent under a new name."""
+        name = f"{class_name}-{len(self.class_of)}"
+        if earlier:
+            self.reuse_address(name, earlier)
+        self.class_of[name] = class_name
+        self.start_upstream(name, PROFILE)
+        self.start_agent(class_name, name, zone)
+        return name
+
+    def start_upstream(self, name, profile):
+        """Start an upstream with faults; see `FakeSite.start_upstream`."""
+        self.upstreams[name] = faulty_upstream.FaultyUpstream(
+            name,
+            self.queue,
+            profile,
+            random.Random(self.rng.random()),
+            functools.partial(self._from_upstream, name),
+            self._on_packet,
+        )
+
+    def add_caller(self, class_id):
+        """Add a caller with checks; see `FakeSite.add_caller`."""
+        count = len(self.callers)
+        where = address.Address(0x0A000000 + count // 2, 40000 + count % 2)
+        made = fuzz_caller.FuzzCaller(
+            self.queue, where, class_id, self._to_entry, self.rng
+        )
+        self.callers[where] = made
+        return made
+
+    def resend(self, caller, datagram, delay):
+        """Let the fabric deliver a datagram again."""
+        self.queue.after(delay, functools.partial(self._to_entry, caller, datagram))
+
+    def crash_agent(self, name):
+        """End an agent without notice; its flows are lost."""
+        self.agents[name].stop()
+        self.excuse(name)
+
+    def restart_agent(self, name):
+        """Start an agent again without memory."""
+        self.excuse(name)
+        self.drained.discard(name)
+        self.start_agent(self.class_of[name], name, self.agents[name].zone)
+
+    def take_out(self, zone):
+        """Ask for a zone to be taken out."""
+        self._zone_out_calls[self.change("zone_out", zone)] = zone
+
+    def bring_in(self, zone):
+        """Ask for a zone to be brought back."""
+        self.zone_out_at.pop(zone, None)
+        calls = self._zone_out_calls
+        self._zone_out_calls = {c: z for c, z in calls.items() if z != zone}
+        self.change("zone_in", zone)
+
+    def _start(self, class_count, agent_count):
+        self.queue.run_until(1.0)
+        for zone in self.zones:
+            self.change("zone_create", zone, region="local")
+        names = [f"class-{i}" for i in range(class_count)]
+        for name in names:
+            self.change("class_create", name, capacity=100, answer_ms=ANSWER_MS)
+        self.queue.run_until(1.5)
+        for zone in self.zones:
+            self.start_entry(f"entry-{zone}", zone)
+        for name in names:
+            for i in range(agent_count):
+                self.add_agent(name, self.zones[i % len(self.zones)])
+        self.queue.run_until(READY_SECONDS)
+        for class_id in range(1, class_count + 1):
+            for _ in range(2):
+                self.add_caller(class_id)
+
+    def _to_entry(self, caller, datagram):
+        if any(e.is_up for e in self.entries.values()):
+            super()._to_entry(caller, datagram)
+
+    def excuse(self, name):
+        """Let the flows of an agent have another upstream from now on."""
+        for flow, home in list(self.homes.items()):
+            if home == name:
+                del self.homes[flow]
+
+    def _watch(self):
+        """Note which agents control does not let serve."""
+        for call, zone in list(self._zone_out_calls.items()):
+            found = self.answers.get(call)
+            if found is not None:
+                del self._zone_out_calls[call]
+                if found[1].get("status") == "applied":
+                    self.zone_out_at.setdefault(zone, found[0])
+        for name in set(self.homes.values()):
+            if not self._is_bound(name):
+                self.excuse(name)
+        self.queue.after(WATCH_SECONDS, self._watch)
+
+    def _is_bound(self, name):
+        """Return whether an agent is one that must keep its flows."""
+        node = self.agents[name]
+        if not node.is_up or name in self.drained or node.zone in self.zone_out_at:
+            return False
+        for control in self.controls:
+            records = self._control(control).catalog.table
+            member = records.member(name)
+            if member is None or member.state is not member_state.MemberState.ACTIVE:
+                return False
+            if not records.is_zone_serving(node.zone):
+                return False
+        return True
+
+    def _on_packet(self, name, caller, key):
+        now = self.queue.now
+        zone = self.agents[name].zone
+        if now > self.zone_out_at.get(zone, now) + REMOVAL_SECONDS:
+            late = now - self.zone_out_at[zone]
+            self._problem(f"{name} got a packet {late:.3f} s after its zone was out")
+        if not key:
+            return
+        found = self.callers[caller]
+        if f"class-{found.class_id - 1}" != self.class_of[name]:
+            self._problem(f"{name} ran {key} of another class")
+        self.runs.setdefault(key, []).append((now, name))
+        home = self.homes.get(caller)
+        if home not in (None, name) and self._is_bound(home):
+            self._problem(f"flow of {key} moved from {home} to {name}")
+        if self._is_bound(name):
+            self.homes[caller] = name
+
+    def check(self):
+        """Raise an error if a promise was broken."""
+        for caller in self.callers.values():
+            for reply in caller.replies:
+                runs = self.runs.get(reply.key, [])
+                if not reply.idempotent and len(runs) > 1:
+                    self._problem(f"{reply.key} ran twice: {runs}")
+                if runs and outcomes.Outcome.NOT_RUN in reply.told:
+                    kind = "GET" if reply.idempotent else "POST"
+                    self._problem(
+                        f"{kind} {reply.key} told not run ({reply.told}) but ran: {runs}"
+                    )
+                if reply.is_foreign:
+                    self._problem(f"{reply.key} got an answer of another request")
+        assert not self.problems, self.problems[:3]
+
+    def _problem(self, text):
+        text = f"{self.queue.now:.3f}: {text}"
+        if len(self.problems) < 10:
+            self.problems.append(text)
+
+    def repair(self):
+        """End all faults."""
+        self.network.cut.clear()
+        self.network.loss = self.network.late = 0.0
+        self.cut_controls.clear()
+        for name, upstream in self.upstreams.items():
+            upstream.fault = ""
+            if not self.agents[name].is_up or name in self.drained:
+                if self.is_replaced(name):
+                    continue
+                upstream.restart()
+                self.restart_agent(name)
+        for name in set(self.class_of.values()):
+            if not any(
+                n.is_up for a, n in self.agents.items() if self.class_of[a] == name
+            ):
+                self.add_agent(name, self.zones[0])
+        for name, entry in list(self.entries.items()):
+            if not entry.is_up:
+                self.start_entry(name, entry.zone)
+        self.queue.run_until(self.queue.now + 2.0)
+        for zone in self.zones:
+            self.bring_in(zone)
+
+    def is_replaced(self, name):
+        where = self.agents[name].where
+        return any(
+            n.where == where and n.is_up
+            for o, n in self.agents.items()
+            if o != name
+        )
