Send nothing to an upstream once its zone was taken out

The serving right was checked for packets that arrive, but not for requests that waited for a claim or a slot and for cancellations at the deadline. A late lease was ruled out: the agent knew the table 0.5 s after the zone-out.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -254,6 +254,10 @@
                 self._drop(action.reason)
             else:
                 if isinstance(action, send_upstream.SendUpstream):
+                    # A request may have waited since its zone was taken out.
+                    if not self.link.right.may_serve(now, self.link.table):
+                        self._drop(reason.Reason.NO_LEASE)
+                        continue
                     self._sockets[action.caller] = None
                 actions.append(action)
         return actions
