Say "not run" of idempotent requests only if no earlier owner can have run them

Only non-idempotent requests leave claims, so the refusal rested on nothing; the same held for a full log. A stale table and a wrong lease were ruled out: the agent held its own lease and the bucket was served without doubt. Refusals of idempotent requests are recorded with the claims as well, so a later holder repeats them. A copy that reaches a later owner, which does not ask for claims, may still run.

--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -115,7 +115,8 @@
         if found.kind is verdicts.Kind.REPEATED:
             return self._repeat(now, carrier, read, found)
         if found.kind is verdicts.Kind.FULL:
-            return self._refuse_new(now, key, carrier, read)
+            certain = self._is_first_owner(now)
+            return self._refuse_new(now, key, carrier, read, certain=certain)
         allowed_ms = answer_ms if read.deadline_ms is None else read.deadline_ms
         self._count += 1
         pending = pending_request.PendingRequest(
@@ -139,8 +140,14 @@
         read = self._protocol.read_caller(carrier.datagram)
         if not isinstance(read, request.Request):
             return None
-        found = self._log.find(now, make_key(flow, read))
-        if found is None or found.outcome is not outcomes.Outcome.NOT_RUN:
+        key = make_key(flow, read)
+        found = self._log.find(now, key)
+        if found is None:
+            # An earlier holder of the bucket may have refused it.
+            if not self._router.is_refused(key):
+                return None
+            return self._tell(now, carrier, read, outcomes.Outcome.NOT_RUN)
+        if found.outcome is not outcomes.Outcome.NOT_RUN:
             return None
         return self._repeat(now, carrier, read, found)
 
@@ -152,11 +159,13 @@
         if not isinstance(read, request.Request):
             return self._drop(reason.Reason.OVERLOADED)
         key = make_key(flow, read)
-        if not read.idempotent:
-            told = self._router.note_refusal(now, key)
-            if told is not outcomes.Outcome.NOT_RUN:
-                return self._tell(now, carrier, read, told)
-        return self._refuse_new(now, key, carrier, read)
+        certain = self._right.has_own_lease(now)
+        if read.idempotent and not self._is_first_owner(now):
+            return self._refuse_new(now, key, carrier, read, certain=False)
+        told = self._router.note_refusal(now, key)
+        if told is not outcomes.Outcome.NOT_RUN:
+            return self._tell(now, carrier, read, told)
+        return self._refuse_new(now, key, carrier, read, certain=certain)
 
     def acknowledge(
         self, now: float, sender: tuple[int, int], ack: claim_ack.ClaimAck
@@ -323,7 +332,7 @@
         """End a request that the admission does not accept."""
         hint = why.retry_after if isinstance(why, refusal.Refusal) else 1
         told = outcomes.Outcome.UNKNOWN
-        if not pending.token:
+        if not pending.token and (pending.claim_id or self._is_first_owner(now)):
             told = self._log.finish(pending.key, outcomes.Outcome.NOT_RUN)
         return self._end(now, pending, told, retry_after=hint)
 
@@ -387,14 +396,23 @@
         )
         return [send.Send(*p, message) for p in self._router.claim_peers(bucket)]
 
+    def _is_first_owner(self, now: float) -> bool:
+        """Return whether certainly no other agent has run the request.
+
+        Needed where no claim shows it: for idempotent requests and for a full log.
+        """
+        certain = self._right.has_own_lease(now)
+        return certain and not self._router.may_have_run_elsewhere(now)
+
     def _refuse_new(
         self,
         now: float,
         key: request_key.RequestKey,
         carrier: packet.Packet,
         req: request.Request,
+        *,
+        certain: bool,
     ) -> Actions:
-        certain = self._right.has_own_lease(now)
         told = self._log.refuse(now, key, certain=certain)
         return self._tell(now, carrier, req, told)
 
--- a/src/limpetreel/flows/flow_router.py
+++ b/src/limpetreel/flows/flow_router.py
@@ -9,6 +9,7 @@
 from limpetreel.flows import (
     bucket_directory,
     bucket_role,
+    departures,
     drop,
     flow_directory,
     message_arrived,
@@ -90,6 +91,7 @@
         self._takeover = takeover_core.TakeoverCore(
             me, region, first_start, self._directory, self._owned, self._claims
         )
+        self._departures = departures.Departures(first_start)
         self._queues: dict[
             int, collections.deque[tuple[float, packet_arrived.PacketArrived]]
         ] = {}
@@ -106,6 +108,7 @@
             sender = (event.sender, event.incarnation)
             actions.extend(self._on_message(now, sender, event.message))
         elif isinstance(event, table_changed.TableChanged):
+            self._departures.follow(now, event.view)
             actions.extend(self._takeover.change_table(now, event.view))
         elif isinstance(event, ticks.Tick):
             actions.extend(self._on_tick(now))
@@ -135,10 +138,19 @@
             peers = (self._takeover.primary(bucket),)
         return tuple(p for p in peers if p != NOBODY)
 
+    def may_have_run_elsewhere(self, now: float) -> bool:
+        """Return whether an earlier owner may have run a request without a claim."""
+        return self._departures.is_recent(now)
+
+    def is_refused(self, key: request_key.RequestKey) -> bool:
+        """Return whether a claim states that a request was refused as not run."""
+        found = self._claims.find(key.flow.bucket(), key)
+        return found is not None and found.outcome is outcome.Outcome.NOT_RUN
+
     def note_refusal(
         self, now: float, key: request_key.RequestKey
     ) -> outcome.Outcome | None:
-        """Return what may be said of a non-idempotent request that nobody accepts.
+        """Return what may be said of a request that nobody accepts.
 
         It is not run only if no earlier owner may have run it and if the refusal is
         recorded, so that a later holder refuses copies of the request as well. None
