Give every process of an agent its own tokens towards the upstream

Found while the site fuzzer was written: tokens counted from 1 in every process, so after a restart a late answer on a port that is used again matched a new request of the same flow. Reuse of the port itself cannot be ruled out. Decisions of the admission at the start of a drain are now carried out as well.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -136,8 +136,7 @@
         self.link.drain()
         if self._requests is None:
             return []
-        self._requests.admission.drain(now)
-        return []
+        return self._requests.drain(now)
 
     def _announced(
         self, now: float, event: upstream_announced.UpstreamAnnounced
@@ -380,6 +379,7 @@
             self._protocol,
             self._back,
             self.link.right,
+            self._ident.incarnation,
         )
         if self.link.is_draining:
             self._requests.admission.drain(now)
--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -29,6 +29,9 @@
     Actions = list[msgspec.Struct]
 
 TOKEN_BYTES = 8
+INCARNATION_SHIFT = 20
+"""Incarnations count milliseconds, so this leaves a million tokens for each."""
+MAX_COUNT = 1 << 63
 MAX_REPEAT_BYTES = 32
 MAX_COPIED_ANSWER_BYTES = 1000
 """Longer answers are not copied to the bucket's agents: one datagram must do."""
@@ -54,6 +57,8 @@
         Way of answers back to callers.
     right : ServingRight
         Serving right of the node.
+    incarnation : int
+        Incarnation of the agent.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         protocol: caller_protocol.CallerProtocol,
         back: return_path.ReturnPath,
         right: serving_right.ServingRight,
+        incarnation: int,
     ) -> None:
         self._class_id = class_id
         self._router = router
@@ -73,7 +79,9 @@
         self._right = right
         self._log = request_log.RequestLog()
         self._claims = claim_core.ClaimCore(class_id, router.claim_peers)
-        self._count = 0
+        # A late answer to an earlier process of this agent, on a port that is used
+        # again, must match no token of this one.
+        self._count = (incarnation << INCARNATION_SHIFT) % MAX_COUNT
         self._pending: dict[int, pending_request.PendingRequest] = {}
         self._by_key: dict[request_key.RequestKey, pending_request.PendingRequest] = {}
         self._by_token: dict[bytes, pending_request.PendingRequest] = {}
@@ -179,6 +187,10 @@
         actions = self._follow(now, self._claims.tick(now))
         return actions + self._decide(now, self.admission.tick(now))
 
+    def drain(self, now: float) -> Actions:
+        """Accept no new flow from now on; requests that wait go on."""
+        return self._decide(now, self.admission.drain(now))
+
     def upstream_restarted(self, now: float) -> Actions:
         """End the requests that were open when the upstream restarted."""
         self._streams.clear()
