--- a/tests/entry/test_entry_core.py
+++ b/tests/entry/test_entry_core.py
@@ -10,11 +10,13 @@
     role,
     zone_record,
 )
-from limpetreel.entry import entry_core
+from limpetreel.core import reason
+from limpetreel.entry import entry_core, owner_hints
+from limpetreel.entry.actions import send_caller
 from limpetreel.entry.events import caller_datagram
 from limpetreel.flows import flow_key
-from limpetreel.node import node_link, send_frame
-from limpetreel.wire import address, packet
+from limpetreel.node import frame_arrived, node_link, send_frame
+from limpetreel.wire import address, frame, kind, packet
 from tests import fixtures
 
 CALLER = address.Address(0x0A000001, 40000)
@@ -22,7 +24,7 @@
 
 def _agent(name, zone):
     return member_record.MemberRecord(
-        node_id=hash(name) % 1000,
+        node_id=len(name),
         name=name,
         role=role.Role.AGENT,
         class_name="c",
@@ -37,16 +39,16 @@
     )
 
 
-def _core(zone_serving=True):
+def _core(zone_serving=True, agents=1, zone_b=True):
     ident = node_identity.NodeIdentity(
         "e", role.Role.ENTRY, "", "a", "r", "127.0.0.1", 1, 5
     )
     link = node_link.NodeLink(ident, (address.Address(1, 1),), seed=1)
     records = [
         zone_record.ZoneRecord("a", "r", zone_serving, 1),
-        zone_record.ZoneRecord("b", "r", True, 1),
+        zone_record.ZoneRecord("b", "r", zone_b, 1),
         class_record.ClassRecord(1, "c", 10, 1000, (), 20000, 2),
-        _agent("agent-1", "b"),
+        *(_agent("agent-" + "1" * i, "b") for i in range(1, agents + 1)),
     ]
     link.table.apply(records, 3)
     return entry_core.EntryCore(link, address.Address(2, 2), trace_every=1), link
@@ -84,4 +86,66 @@
     assert _sent(core, 1.0)
 
 
+def _return(core, sender, class_id=1, bucket=None, incarnation=7):
+    flow = flow_key.FlowKey(1, CALLER)
+    body = packet.encode(
+        packet.Packet(
+            class_id=class_id,
+            bucket=flow.bucket() if bucket is None else bucket,
+            hops=0,
+            mode=0,
+            lease_ms=0,
+            revision=3,
+            trace_id=0,
+            caller=CALLER,
+            entry=address.Address(2, 2),
+            datagram=b"answer",
+        )
+    )
+    received = frame.Frame(kind.Kind.RETURN, sender, incarnation, 1, body)
+    event = frame_arrived.FrameArrived(address.Address(3, 3), received)
+    actions = core.handle(1.0, event)
+    return [a for a in actions if isinstance(a, send_caller.SendCaller)]
+
+
+def test_answer_of_an_unknown_class_is_dropped():
+    """Guards against an answer on the socket of another service."""
+    core, link = _core()
+    link.right.renew(0.0, 2000)
+    core._table_actions()
+    sent = _return(core, sender=7)
+    assert [(s.class_id, s.caller, s.datagram) for s in sent] == [
+        (1, CALLER, b"answer")
+    ]
+    assert not _return(core, sender=7, class_id=2)
+    assert not _return(core, sender=7, bucket=1024)
+    assert core.dropped == {reason.Reason.WRONG_CLASS: 1, reason.Reason.MALFORMED: 1}
+
+
+def test_packets_follow_the_agent_that_answered():
+    """Guards against a relay for every packet of a flow that its primary handed on."""
+    core, link = _core(agents=3)
+    link.right.renew(0.0, 2000)
+    core._table_actions()
+    primary = _sent(core, 1.0)[0].destination
+    others = {m.node_id: m for m in link.table.members() if m.port != primary.port}
+    owner = min(others)
+    _return(core, sender=owner)
+    assert _sent(core, 1.0)[0].destination.port == others[owner].port
+    _return(core, sender=primary.port)
+    assert _sent(core, 1.0)[0].destination == primary
+
+
+def test_hint_to_an_agent_that_left_is_forgotten():
+    """Guards against packets to a lost agent or to a removed zone."""
+    for zone_b in (True, False):
+        _, link = _core(agents=2, zone_b=zone_b)
+        hints = owner_hints.OwnerHints(link.table)
+        known = min(m.node_id for m in link.table.members())
+        for owner in (known, 999):
+            hints.learn((1, CALLER), owner, primary=5)
+            found = hints.find((1, CALLER))
+            assert (found is not None) == (zone_b and owner == known)
+
+
 load_tests = fixtures.load_functions(globals())
