Run all deliberate faults with one tool

Four new faults of agents survived at first: the router drops a packet of another class as well, the retry budget and the claims hid two, and a bucket in doubt the fourth. Their tests now check what only the mutated line guards.

--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,8 @@
 fuzz: setup
 	LIMPETREEL_FUZZ_SEED=$(SEED) LIMPETREEL_FUZZ_STEPS=$(STEPS) $(PY) tools/run_tests.py --fuzz
 
+mutants: setup
+	$(PY) tools/run_mutants.py
+
 clean:
 	rm -rf build dist .demo
--- a/tests/agent/test_agent_core.py
+++ b/tests/agent/test_agent_core.py
@@ -15,14 +15,15 @@
 
 def test_duplicates_get_the_recorded_answer():
     """Guards against a second run, and against silence for a lost answer."""
-    agent = builders.Agent()
-    request = builders.sent(agent.ask(post=True))
-    assert len(request) == 1
-    assert agent.ask(post=True) == []
-    assert builders.told(agent.answer(request[0].token)) == [(b"t", b"done")]
-    again = agent.ask(post=True)
-    assert builders.told(again) == [(b"t", b"done")]
-    assert not builders.sent(again)
+    for post in (False, True):
+        agent = builders.Agent()
+        request = builders.sent(agent.ask(post=post))
+        assert len(request) == 1
+        assert agent.ask(post=post) == []
+        assert builders.told(agent.answer(request[0].token)) == [(b"t", b"done")]
+        again = agent.ask(post=post)
+        assert builders.told(again) == [(b"t", b"done")]
+        assert not builders.sent(again)
 
 
 def test_answer_with_an_unknown_token_is_dropped():
@@ -39,8 +40,17 @@
 def test_packet_of_another_class_is_dropped():
     """Guards against a packet for the process that had the address before."""
     agent = builders.Agent()
-    assert agent.ask(class_id=2) == []
+    agent.now += 3.0
+    assert agent.ask(class_id=2, lease_ms=1500) == []
     assert agent.core.dropped == {reason.Reason.WRONG_CLASS: 1}
+    assert agent.link.right.lease_ms(agent.now) == 0
+    assert builders.sent(agent.ask(lease_ms=1500))
+
+
+def _fill_budget(agent):
+    """Answer the ten requests that allow one retry."""
+    for number in range(1, 11):
+        agent.answer(builders.sent(agent.ask(number))[0].token)
 
 
 def test_shed_request_is_retried_only_if_idempotent_and_within_the_budget():
@@ -58,8 +68,7 @@
             assert again.token != token
             agent.answer(again.token)
     agent = builders.Agent()
-    for number in range(1, 11):
-        agent.answer(builders.sent(agent.ask(number))[0].token)
+    _fill_budget(agent)
     token = builders.sent(agent.ask(11, post=True))[0].token
     actions = agent.answer(token, b"shed", shed)
     assert not builders.sent(actions)
@@ -97,7 +106,8 @@
 def test_restart_of_the_upstream_ends_non_idempotent_requests_as_unknown():
     """Guards against a second run after the upstream forgot the first."""
     agent = builders.Agent()
-    builders.sent(agent.ask(post=True))
+    _fill_budget(agent)
+    builders.sent(agent.ask(11, post=True))
     actions = agent.announce("run-2")
     assert builders.told(actions) == [(b"t", UNKNOWN)]
     assert not builders.sent(actions)
--- /dev/null
+++ b/tests/entry/mutants.py
@@ -0,0 +1,61 @@
+"""Deliberate faults, each with the test that must find it.
+
+Each entry is (name, file, old text, new text, test id).
+"""
+
+from __future__ import annotations
+
+_ENTRY = "src/limpetreel/entry/"
+_CORE = "tests.entry.test_entry_core."
+
+MUTANTS = [
+    (
+        "entry forwards without a lease",
+        _ENTRY + "entry_core.py",
+        "        if not self.link.right.may_forward(now, self.link.table):\n",
+        "        if False:\n",
+        _CORE + "test_entry_without_lease_sends_nothing",
+    ),
+    (
+        "entry of a removed zone drops packets",
+        _ENTRY + "entry_core.py",
+        "self.link.right.may_forward(now, self.link.table)",
+        "self.link.right.may_serve(now, self.link.table)",
+        _CORE + "test_entry_of_removed_zone_hands_packets_on",
+    ),
+    (
+        "another bucket than the agents'",
+        _ENTRY + "entry_core.py",
+        "        bucket = flow_hash % class_assignment.BUCKETS_PER_CLASS\n",
+        "        bucket = (flow_hash >> 1) % class_assignment.BUCKETS_PER_CLASS\n",
+        _CORE + "test_bucket_is_the_one_that_agents_compute",
+    ),
+    (
+        "answer of an unknown class passed on",
+        _ENTRY + "entry_core.py",
+        "        if found.class_id not in self._open:\n",
+        "        if False:\n",
+        _CORE + "test_answer_of_an_unknown_class_is_dropped",
+    ),
+    (
+        "owner not learned",
+        _ENTRY + "owner_hints.py",
+        "        self._hints[flow] = owner\n",
+        "        return\n",
+        _CORE + "test_packets_follow_the_agent_that_answered",
+    ),
+    (
+        "hint kept after the primary answered",
+        _ENTRY + "owner_hints.py",
+        "            self._hints.pop(flow, None)\n",
+        "            pass\n",
+        _CORE + "test_packets_follow_the_agent_that_answered",
+    ),
+    (
+        "hint to an agent of a removed zone",
+        _ENTRY + "owner_hints.py",
+        "            and self._table.is_zone_serving(m.zone)\n",
+        "",
+        _CORE + "test_hint_to_an_agent_that_left_is_forgotten",
+    ),
+]
--- a/tests/site/test_refusals.py
+++ b/tests/site/test_refusals.py
@@ -22,6 +22,22 @@
     return site, caller, reply
 
 
+def test_request_that_a_lost_owner_has_run_is_not_refused_as_not_run():
+    """Guards against "not run" by a successor that has only the directory."""
+    site = fuzz_site.FuzzSite(SEED, zone_count=2, class_count=1, agent_count=2)
+    caller = next(iter(site.callers.values()))
+    reply = caller.request(idempotent=True)
+    site.queue.run_until(site.queue.now + 1.0)
+    assert reply.told == [outcomes.Outcome.ANSWERED]
+    owner = site.runs[reply.key][0][1]
+    site.crash_agent(owner)
+    site.queue.run_until(site.queue.now + 7.0)
+    for node in site.agents.values():
+        node.handle(drain_requested.DrainRequested())
+    _send_copy_later(site, caller, 0.0)
+    assert reply.told == [outcomes.Outcome.ANSWERED, outcomes.Outcome.UNKNOWN]
+
+
 def _send_copy_later(site, caller, seconds):
     site.queue.run_until(site.queue.now + seconds)
     site.resend(caller, caller.datagrams[0], 0.0)
