--- a/src/limpetreel/serving/serving_right.py
+++ b/src/limpetreel/serving/serving_right.py
@@ -65,7 +65,10 @@
 
     def lease_ms(self, now: float) -> int:
         """Return what is left of the lease in milliseconds, 0 if it has ended."""
-        return max(0, int((self._lease_until - now) * 1000))
+        if self._lease_until <= now:
+            # Also the case of a node that has never held a lease.
+            return 0
+        return int((self._lease_until - now) * 1000)
 
     def has_own_lease(self, now: float) -> bool:
         """Return whether control granted a lease to this node itself.
--- /dev/null
+++ b/tests/serving/test_serving_right.py
@@ -0,0 +1,27 @@
+"""The right to serve must hold for nodes in every state of their lease."""
+
+from __future__ import annotations
+
+from limpetreel.catalog import table, zone_record
+from limpetreel.serving import serving_right
+from tests import fixtures
+
+
+def test_node_that_never_held_a_lease_serves_on_evidence():
+    """Guards against the end of a process that restarted while control was away."""
+    records = table.Table()
+    zones = [zone_record.ZoneRecord(name, "r", True, 1) for name in "ab"]
+    records.apply(zones, 1)
+    right = serving_right.ServingRight("a", "r")
+    assert right.lease_ms(10.0) == 0
+    assert not right.may_serve(10.0, records)
+    right.hear_zone(9.9, "b")
+    assert right.may_serve(10.0, records)
+    assert right.lease_ms(10.0) == 0
+    assert not right.has_own_lease(10.0)
+    right.adopt(10.0, 1500)
+    assert right.lease_ms(10.5) == 1000
+    assert right.lease_ms(11.5) == 0
+
+
+load_tests = fixtures.load_functions(globals())
