--- a/tests/site/fuzz_site.py
+++ b/tests/site/fuzz_site.py
@@ -16,7 +16,7 @@
 WATCH_SECONDS = 0.1
 REMOVAL_SECONDS = 3.0
 MINUTE_SECONDS = 60.0
-READY_SECONDS = 5.0
+READY_SECONDS = 4.0
 ANSWER_MS = 4000
 """Longer than the removal of a zone, so that queued requests outlive it."""
 ACTIVE = member_state.MemberState.ACTIVE
@@ -109,19 +109,22 @@
         self.change("zone_in", zone)
 
     def _start(self, class_count, agent_count):
-        self.queue.run_until(1.0)
+        while not self.leader():
+            self.queue.run_until(self.queue.now + WATCH_SECONDS)
+        self.queue.run_until(self.queue.now + 0.5)
         for zone in self.zones:
             self.change("zone_create", zone, region="local")
         names = [f"class-{i}" for i in range(class_count)]
         for name in names:
             self.change("class_create", name, capacity=100, answer_ms=ANSWER_MS)
-        self.queue.run_until(1.5)
+        self.queue.run_until(self.queue.now + 0.5)
+        assert len(self.answers) == len(self.zones) + class_count
         for zone in self.zones:
             self.start_entry(f"entry-{zone}", zone)
         for name in names:
             for i in range(agent_count):
                 self.add_agent(name, self.zones[i % len(self.zones)])
-        self.queue.run_until(READY_SECONDS)
+        self.queue.run_until(self.queue.now + READY_SECONDS)
         for class_id in range(1, class_count + 1):
             for _ in range(2):
                 self.add_caller(class_id)
