--- a/Makefile
+++ b/Makefile
@@ -48,5 +48,8 @@
 slopes: setup
 	$(PY) -m limpetreel.slopes
 
+mutants: setup
+	$(PY) tools/run_mutants.py
+
 clean:
 	rm -rf build dist .demo
--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -147,8 +147,7 @@
         self.link.drain()
         if self._requests is None:
             return []
-        self._requests.admission.drain(now)
-        return []
+        return self._requests.drain(now)
 
     def _announced(
         self, now: float, event: upstream_announced.UpstreamAnnounced
@@ -276,6 +275,10 @@
                 self._drop(action.reason)
             else:
                 if isinstance(action, send_upstream.SendUpstream):
+                    # A request may have waited since its zone was taken out.
+                    if not self.link.right.may_serve(now, self.link.table):
+                        self._drop(reason.Reason.NO_LEASE)
+                        continue
                     self._sockets[action.caller] = None
                 actions.append(action)
         return actions
@@ -398,6 +401,7 @@
             self._protocol,
             self._back,
             self.link.right,
+            self._ident.incarnation,
         )
         if self.link.is_draining:
             self._requests.admission.drain(now)
--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -29,6 +29,9 @@
     Actions = list[msgspec.Struct]
 
 TOKEN_BYTES = 8
+INCARNATION_SHIFT = 20
+"""Incarnations count milliseconds, so this leaves a million tokens for each."""
+MAX_COUNT = 1 << 63
 MAX_REPEAT_BYTES = 32
 MAX_COPIED_ANSWER_BYTES = 1000
 """Longer answers are not copied to the bucket's agents: one datagram must do."""
@@ -54,6 +57,8 @@
         Way of answers back to callers.
     right : ServingRight
         Serving right of the node.
+    incarnation : int
+        Incarnation of the agent.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         protocol: caller_protocol.CallerProtocol,
         back: return_path.ReturnPath,
         right: serving_right.ServingRight,
+        incarnation: int,
     ) -> None:
         self._class_id = class_id
         self._router = router
@@ -73,7 +79,9 @@
         self._right = right
         self._log = request_log.RequestLog()
         self._claims = claim_core.ClaimCore(class_id, router.claim_peers)
-        self._count = 0
+        # A late answer to an earlier process of this agent, on a port that is used
+        # again, must match no token of this one.
+        self._count = (incarnation << INCARNATION_SHIFT) % MAX_COUNT
         self._pending: dict[int, pending_request.PendingRequest] = {}
         self._by_key: dict[request_key.RequestKey, pending_request.PendingRequest] = {}
         self._by_token: dict[bytes, pending_request.PendingRequest] = {}
@@ -115,7 +123,8 @@
         if found.kind is verdicts.Kind.REPEATED:
             return self._repeat(now, carrier, read, found)
         if found.kind is verdicts.Kind.FULL:
-            return self._refuse_new(now, key, carrier, read)
+            certain = self._is_first_owner(now)
+            return self._refuse_new(now, key, carrier, read, certain=certain)
         allowed_ms = answer_ms if read.deadline_ms is None else read.deadline_ms
         self._count += 1
         pending = pending_request.PendingRequest(
@@ -139,8 +148,14 @@
         read = self._protocol.read_caller(carrier.datagram)
         if not isinstance(read, request.Request):
             return None
-        found = self._log.find(now, make_key(flow, read))
-        if found is None or found.outcome is not outcomes.Outcome.NOT_RUN:
+        key = make_key(flow, read)
+        found = self._log.find(now, key)
+        if found is None:
+            # An earlier holder of the bucket may have refused it.
+            if not self._router.is_refused(key):
+                return None
+            return self._tell(now, carrier, read, outcomes.Outcome.NOT_RUN)
+        if found.outcome is not outcomes.Outcome.NOT_RUN:
             return None
         return self._repeat(now, carrier, read, found)
 
@@ -152,11 +167,13 @@
         if not isinstance(read, request.Request):
             return self._drop(reason.Reason.OVERLOADED)
         key = make_key(flow, read)
-        if not read.idempotent:
-            told = self._router.note_refusal(now, key)
-            if told is not outcomes.Outcome.NOT_RUN:
-                return self._tell(now, carrier, read, told)
-        return self._refuse_new(now, key, carrier, read)
+        certain = self._right.has_own_lease(now)
+        if read.idempotent and not self._is_first_owner(now):
+            return self._refuse_new(now, key, carrier, read, certain=False)
+        told = self._router.note_refusal(now, key)
+        if told is not outcomes.Outcome.NOT_RUN:
+            return self._tell(now, carrier, read, told)
+        return self._refuse_new(now, key, carrier, read, certain=certain)
 
     def acknowledge(
         self, now: float, sender: tuple[int, int], ack: claim_ack.ClaimAck
@@ -170,6 +187,10 @@
         actions = self._follow(now, self._claims.tick(now))
         return actions + self._decide(now, self.admission.tick(now))
 
+    def drain(self, now: float) -> Actions:
+        """Accept no new flow from now on; requests that wait go on."""
+        return self._decide(now, self.admission.drain(now))
+
     def upstream_restarted(self, now: float) -> Actions:
         """End the requests that were open when the upstream restarted."""
         self._streams.clear()
@@ -323,7 +344,7 @@
         """End a request that the admission does not accept."""
         hint = why.retry_after if isinstance(why, refusal.Refusal) else 1
         told = outcomes.Outcome.UNKNOWN
-        if not pending.token:
+        if not pending.token and self._is_refusal_known(now, pending):
             told = self._log.finish(pending.key, outcomes.Outcome.NOT_RUN)
         return self._end(now, pending, told, retry_after=hint)
 
@@ -387,14 +408,38 @@
         )
         return [send.Send(*p, message) for p in self._router.claim_peers(bucket)]
 
+    def _is_refusal_known(
+        self, now: float, pending: pending_request.PendingRequest
+    ) -> bool:
+        """Return whether a later owner will repeat the refusal of a request.
+
+        A claim tells it. Without one, the holder of the bucket must record the
+        refusal; an owner that is not the holder cannot, and a copy may run later.
+        """
+        if pending.claim_id:
+            return True
+        if not self._is_first_owner(now):
+            return False
+        told = self._router.note_refusal(now, pending.key)
+        return told is outcomes.Outcome.NOT_RUN
+
+    def _is_first_owner(self, now: float) -> bool:
+        """Return whether certainly no other agent has run the request.
+
+        Needed where no claim shows it: for idempotent requests and for a full log.
+        """
+        certain = self._right.has_own_lease(now)
+        return certain and not self._router.may_have_run_elsewhere(now)
+
     def _refuse_new(
         self,
         now: float,
         key: request_key.RequestKey,
         carrier: packet.Packet,
         req: request.Request,
+        *,
+        certain: bool,
     ) -> Actions:
-        certain = self._right.has_own_lease(now)
         told = self._log.refuse(now, key, certain=certain)
         return self._tell(now, carrier, req, told)
 
--- a/src/limpetreel/replay/known_type.py
+++ b/src/limpetreel/replay/known_type.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import importlib
+from typing import Any
 
 # Shells and tools open sockets and files; a log must not be able to start them.
 _PACKAGES = (
@@ -23,15 +24,18 @@
     "wire",
 )
 _STANDARD = {
+    "array": ("_array_reconstructor", "array"),
     "builtins": ("bytearray", "dict", "float", "frozenset", "int", "list", "set"),
     "collections": ("Counter", "OrderedDict", "defaultdict", "deque"),
     "random": ("Random",),
 }
 
 
-def find(module: str, name: str) -> type | None:
+def find(module: str, name: str) -> Any:
     """Return a type that a core may hold, None for any other name.
 
+    The library names the function that rebuilds an array; it takes plain values.
+
     Parameters
     ----------
     module, name : str
--- a/src/limpetreel/slopes/entry_packets.py
+++ b/src/limpetreel/slopes/entry_packets.py
@@ -50,7 +50,14 @@
     listen = frames.getsockname()
     frames.close()
     cfg = entry_settings.EntrySettings(
-        "entry", "zone-0", "east", listen, (sink.getsockname(),), KEY, LOOPBACK, 0
+        name="entry",
+        zone="zone-0",
+        region="east",
+        listen=listen,
+        control=(sink.getsockname(),),
+        cluster_key=KEY,
+        service_ip=LOOPBACK,
+        trace_every=0,
     )
     ident = node_identity.NodeIdentity(
         "entry", role.Role.ENTRY, "", "zone-0", "east", listen[0], listen[1], 1
--- a/src/limpetreel/slopes/site_slopes.py
+++ b/src/limpetreel/slopes/site_slopes.py
@@ -62,8 +62,8 @@
     profile = upstream_profile.UpstreamProfile(64, 0.01, 0.01)
     for i in range(members):
         name = f"agent-{i}"
-        site.start_agent("class-0", name, site.zones[i % 3])
         site.start_upstream(name, profile)
+        site.start_agent("class-0", name, site.zones[i % 3])
     site.queue.run_until(12.0)
     caller = site.add_caller(1)
     counts: collections.Counter[str] = collections.Counter()
