--- a/src/limpetreel/measure/control_measure.py
+++ b/src/limpetreel/measure/control_measure.py
@@ -21,6 +21,7 @@
 from limpetreel.consensus import entry, entry_kind, member
 from limpetreel.consensus.actions import persist
 from limpetreel.control import control_core
+from limpetreel.control.events import leave
 from limpetreel.entry import entry_core
 from limpetreel.measure import (
     control_processes,
@@ -68,6 +69,7 @@
         measure_delta(seed),
         measure_config(seed),
         measure_node_bytes(seed),
+        measure_planned_stop(seed),
         *measure_processes(seed),
     ]
 
@@ -242,6 +244,28 @@
     return _made("control_bytes_per_node_per_s", rate, "B/s", bound, baseline, seed)
 
 
+def measure_planned_stop(seed: int) -> measurement.Measurement:
+    """Return the time from a planned stop of the leader to a new leader's lease.
+
+    Until then no command is accepted and no new lease granted. In the baseline the
+    leader ends without notice.
+    """
+    gaps = []
+    for is_planned in (True, False):
+        site = _make_site(seed)
+        site.queue.run_until(READY_SECONDS)
+        old = site.leader()
+        begin = site.queue.now
+        if is_planned:
+            site.controls[old].handle(leave.Leave())
+        else:
+            site.controls[old].stop()
+        while not _has_new_leader(site, old):
+            site.queue.run_until(site.queue.now + 0.01)
+        gaps.append(site.queue.now - begin)
+    return _made("planned_stop_gap_s", gaps[0], "s", None, gaps[1], seed)
+
+
 def measure_processes(seed: int) -> list[measurement.Measurement]:
     """Return CPU and memory of real entry and agent processes without load.
 
@@ -256,6 +280,12 @@
     ]
 
 
+def _has_new_leader(site: fake_site.FakeSite, old: str) -> bool:
+    if site.leader() in ("", old):
+        return False
+    return _leader(site).raft.lease_remaining(site.queue.now) > 0
+
+
 def _make_site(seed: int) -> fake_site.FakeSite:
     zones = tuple(f"zone-{i}" for i in range(SIZE.zones))
     site = fake_site.FakeSite(zones, 0.0015, seed, 0.001)
--- a/tests/control/test_peer_links.py
+++ b/tests/control/test_peer_links.py
@@ -62,6 +62,7 @@
     while time.monotonic() < began + 8.0:
         number += 1
         a.send(f"127.0.0.1:{ports[3]}", 17, b"%d" % number)
+        a.send(f"127.0.0.1:{ports[2]}", 17, b"a")
         c.send(f"127.0.0.1:{ports[0]}", 17, b"c")
         await asyncio.sleep(0.05)
         arrived = [int(body) for name, body in heard if name == "b"]
