Let operator commands wait for an election past an instance that is down

Cause: the client went on only if the last address answered 'not leader'. With the last instance down, a command during an election ended as unreachable. Change: one 'not leader' in a round is enough to try again within the time of an election.

--- a/src/limpetreel/console/operator_client.py
+++ b/src/limpetreel/console/operator_client.py
@@ -41,22 +41,25 @@
             Request with its kind under ``type``.
         """
         data = self._codec.seal(msgspec.json.encode(body))
-        found = failure.Failure(reason.Reason.TIMEOUT, "operator.call")
         until = time.monotonic() + ELECTION_SECONDS
         while True:
+            is_late = time.monotonic() > until
+            found = failure.Failure(reason.Reason.TIMEOUT, "operator.call")
+            is_leaderless = False
             for host, port in self._addresses:
                 answer = self._ask(f"tcp://{host}:{port}", data)
                 if isinstance(answer, failure.Failure):
                     found = answer
                 elif answer.get("status") == operator_answers.NOT_LEADER:
+                    is_leaderless = True
                     found = failure.Failure(
                         reason.Reason.NOT_LEADER, "operator.call", f"{host}:{port}"
                     )
                 else:
                     return answer
-            if found.reason is not reason.Reason.NOT_LEADER:
-                return found
-            if time.monotonic() > until:
+            # An instance that is down says nothing of the election among the others,
+            # and waiting for it may take as long as the election.
+            if not is_leaderless or is_late:
                 return found
             time.sleep(RETRY_SECONDS)
 
