--- a/src/limpetreel/slopes/__main__.py
+++ b/src/limpetreel/slopes/__main__.py
@@ -57,9 +57,10 @@
 def _measure(part: str, quick: bool, scratch: pathlib.Path) -> list[slope.Slope]:
     scales = QUICK_SCALES if quick else SCALES
     repeats = 2 if quick else 15
+    members = (3, 4, 5) if quick else (3, 10, 30, 100)
     if part == "entry":
         packets = entry_packets.slopes(8 * repeats)
-        return [*packets, *entry_slopes.slopes(scales, repeats)]
+        return [*packets, *entry_slopes.slopes(scales, repeats, members)]
     if part == "agent":
         return agent_slopes.slopes(quick, repeats)
     if part == "site":
--- a/src/limpetreel/slopes/entry_slopes.py
+++ b/src/limpetreel/slopes/entry_slopes.py
@@ -17,7 +17,9 @@
 """Agents of a large class; the mean at the design size is 3.4."""
 
 
-def slopes(sizes: tuple[float, float, float], repeats: int) -> list[slope.Slope]:
+def slopes(
+    sizes: tuple[float, float, float], repeats: int, members: tuple[int, ...]
+) -> list[slope.Slope]:
     """Return memory and the cost of a table change.
 
     Parameters
@@ -26,6 +28,8 @@
         Parts of the design size at which to measure.
     repeats : int
         Calls of which the least processor time counts.
+    members : tuple of int
+        Sizes of classes for the first packets after a change.
     """
     memory = {
         round(design_size.CLASSES * s): child.resident_mb("entry", s) for s in sizes
@@ -39,7 +43,7 @@
         for n in (1_000, 4_000, 16_000)
     }
     change = {round(design_size.CLASSES * s): _change_us(s, repeats) for s in sizes}
-    first = {float(n): _first_packets_us(n, repeats) for n in (3, 10, 30, 100)}
+    first = {float(n): _first_packets_us(n, repeats) for n in members}
     return [
         slope.fit(
             "entry.resident_all_buckets_used",
--- a/src/limpetreel/slopes/process_slopes.py
+++ b/src/limpetreel/slopes/process_slopes.py
@@ -115,7 +115,7 @@
         """Start everything and return figures by name and unit."""
         self._start_control()
         self._create()
-        self._renew_for(self._settle_seconds / 2)
+        self._renew_for(self._settle_seconds / 4)
         self._start_nodes()
         self._renew_for(self._settle_seconds)
         before = {name: _cpu_seconds(p.pid) for name, p in self._running.items()}
