--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -323,7 +323,8 @@
         """End a request that the admission does not accept."""
         hint = why.retry_after if isinstance(why, refusal.Refusal) else 1
         told = outcomes.Outcome.UNKNOWN
-        if not pending.token:
+        is_known = bool(pending.claim_id) or self._router.is_history_known(now)
+        if not pending.token and is_known:
             told = self._log.finish(pending.key, outcomes.Outcome.NOT_RUN)
         return self._end(now, pending, told, retry_after=hint)
 
@@ -395,6 +396,8 @@
         req: request.Request,
     ) -> Actions:
         certain = self._right.has_own_lease(now)
+        if req.idempotent:
+            certain = certain and self._router.is_history_known(now)
         told = self._log.refuse(now, key, certain=certain)
         return self._tell(now, carrier, req, told)
 
--- a/src/limpetreel/flows/flow_router.py
+++ b/src/limpetreel/flows/flow_router.py
@@ -136,6 +136,14 @@
         """Return for how long this agent has owned a flow."""
         return self._owned.held_ms(now, flow)
 
+    def is_history_known(self, now: float) -> bool:
+        """Return whether no earlier owner can have run a request that still arrives.
+
+        Idempotent requests have no claims, so that nobody else knows whether an
+        agent that has left the class or whose zone was removed ran one.
+        """
+        return self._takeover.departed_at + lifetime.EXCHANGE_SECONDS <= now
+
     def claim_peers(self, bucket: int) -> tuple[Peer, ...]:
         """Return holder and deputy of a bucket as far as they are known."""
         state = self._takeover.state(bucket)
--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -75,7 +75,10 @@
         self._last_modified = 0
         self._next_check = float("-inf")
         self._is_settled = False
+        self._present: set[Peer] = set()
         self.view: class_view.ClassView | None = None
+        self.departed_at = float("-inf")
+        """When this agent last learned that a member no longer serves."""
         self.changed: set[int] = set()
         """Buckets whose queued packets can be routed now."""
 
@@ -125,6 +128,7 @@
             for m in view.members
             if m.state is not member_state.MemberState.LOST
         }
+        self._note_departures(now, view)
         own = self._live.get(self._me[0])
         is_member = self.is_live(self._me)
         changed = own is not None and own.modified > self._last_modified
@@ -143,6 +147,14 @@
             self._assign(bucket)
         return self.advance(now)
 
+    def _note_departures(self, now: float, view: class_view.ClassView) -> None:
+        present = {(m.node_id, m.incarnation) for m in self._live.values() if m.serving}
+        is_first = not self._present
+        has_absent = view.has_departed or len(present) < len(view.members)
+        if self._present - present or (is_first and has_absent):
+            self.departed_at = now
+        self._present = present
+
     def advance(self, now: float) -> list[send.Send]:
         """Send what is due and finish takeovers that have all replies."""
         if self._is_settled:
--- a/tests/flows/test_takeover.py
+++ b/tests/flows/test_takeover.py
@@ -273,6 +273,19 @@
     assert _owner(cluster) not in busy
 
 
+def test_history_is_unknown_while_requests_of_a_lost_member_arrive():
+    """Guards against "not run" for a GET that a lost agent has run."""
+    cluster = _cluster()
+    routers = {i: a.router for i, a in cluster.agents.items()}
+    assert all(r.is_history_known(cluster.now) for r in routers.values())
+    cluster.crash(4)
+    cluster.advance(8)
+    others = [r for i, r in routers.items() if i != 4]
+    assert not any(r.is_history_known(cluster.now) for r in others)
+    cluster.advance(260)
+    assert all(r.is_history_known(cluster.now) for r in others)
+
+
 def test_offers_end_with_a_refusal():
     """Guards against offers that go round for ever."""
     cluster = _cluster(6)
--- a/tests/measure/test_site_measure.py
+++ b/tests/measure/test_site_measure.py
@@ -77,9 +77,9 @@
 def test_command_prints_one_object_a_line():
     """Guards against output that other tools cannot read."""
     out = io.StringIO()
-    with mock.patch.object(__main__, "FUNCTIONS", (_measure, _measure)):
-        with contextlib.redirect_stdout(out):
-            assert __main__.main(["--seed", "7"]) == 0
+    patched = mock.patch.object(__main__, "FUNCTIONS", (_measure, _measure))
+    with patched, contextlib.redirect_stdout(out):
+        assert __main__.main(["--seed", "7"]) == 0
     lines = [json.loads(line) for line in out.getvalue().splitlines()]
     keys = ["measure", "value", "unit", "bound", "baseline", "seed", "deployment"]
     assert [list(line) for line in lines] == [keys, keys]
