Do not take a warm upstream for cold by one late request

Cause: answers count towards coldness up to a score of 6, open requests up to 4. With a score of almost 4 from answers, one slightly late request decided.

Open requests now decide alone at 4, together with answers at 6.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -379,7 +379,12 @@
         return self._detector.score_with(ages)
 
     def _check_overdue(self, now: float) -> None:
-        if self._score(now) >= cold_detector.COLD_SCORE:
+        # Answers before may have brought the score near the bound of answered requests;
+        # one request that is a little slow must not decide then.
+        score = self._score(now)
+        of_ages = score - self._detector.score_with(())
+        is_late = of_ages >= cold_detector.COLD_SCORE
+        if is_late or score >= cold_detector.ANSWERED_COLD_SCORE:
             self._turn_cold(now, self._has_grown())
 
     def _note_answer(self, now: float, ended: open_request.OpenRequest) -> None:
--- a/tests/admission/test_admission_controller.py
+++ b/tests/admission/test_admission_controller.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from limpetreel.admission import back_off, expired, outcome, queued, refusal, refused
+from limpetreel.admission import (
+    back_off,
+    cold_detector,
+    expired,
+    outcome,
+    queued,
+    refusal,
+    refused,
+)
 from limpetreel.core import reason
 from tests import fixtures
 from tests.admission import builders
@@ -226,6 +234,20 @@
     assert not isinstance(got, refusal.Refusal)
 
 
+def test_one_slow_request_after_slow_answers_is_no_coldness():
+    """Guards against seconds of slow start at a warm upstream by chance."""
+    load = builders.warm_load(slots=4)
+    controller = load.controller
+    _end_all(load)
+    controller._detector._score = cold_detector.COLD_SCORE - 0.1
+    typical = controller._detector.service_seconds
+    load.offer(seconds=100.0)
+    load.take(controller.tick(load.now + 1.7 * typical))
+    assert not controller.is_cold
+    load.take(controller.tick(load.now + 20.0 * typical))
+    assert controller.is_cold
+
+
 def test_last_agent_lets_flows_wait_briefly():
     """Guards against refusals and against flows that wait until their deadline."""
     load = builders.warm_load(slots=4)
