Go on forwarding after a planned stop; restart an upstream in measurements

An entry closed its sockets at once when it stopped, so packets were lost until the fabric had noticed. It now leaves and goes on forwarding for 1 s, as the measured stand-in does.

The site run had no upstream that was cold under load.

--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -23,6 +23,9 @@
     from limpetreel.wire import frame_codec
 
 TICK_SECONDS = 0.02
+LEAVING_SECONDS = 1.0
+"""Time for which a planned stop goes on forwarding, until the fabric has noticed."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -54,13 +57,20 @@
         """Forward packets until stopped."""
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         while not stopped.is_set():
-            self._handle(tick.Tick())
-            await asyncio.sleep(TICK_SECONDS)
+            await self._tick()
+        # Agents send answers through other entries from now on.
         for action in self._core.link.leave(time.monotonic()):
             self._do(action)
+        end = time.monotonic() + LEAVING_SECONDS
+        while time.monotonic() < end:
+            await self._tick()
         for sock in (self._frames, *self._classes.values()):
             sock.close()
 
+    async def _tick(self) -> None:
+        self._handle(tick.Tick())
+        await asyncio.sleep(TICK_SECONDS)
+
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
--- a/src/limpetreel/measure/fake_site.py
+++ b/src/limpetreel/measure/fake_site.py
@@ -18,7 +18,7 @@
 from limpetreel.control import control_core
 from limpetreel.control.actions import answer_operator, send_peer
 from limpetreel.control.events import operator_call, peer_message
-from limpetreel.entry import entry_core
+from limpetreel.entry import entry_core, entry_shell
 from limpetreel.entry.actions import open_class, send_caller
 from limpetreel.entry.events import caller_datagram
 from limpetreel.measure import (
@@ -43,8 +43,8 @@
 FABRIC_NOTICE_SECONDS = 0.2
 """Time after which the fabric knows that an entry has opened or closed a class."""
 
-LEAVING_SECONDS = 1.0
-"""Time for which an entry that leaves goes on forwarding."""
+RESTART_SECONDS = 1.0
+"""Time for which an upstream that restarts is down."""
 
 
 class FakeSite(measured_site.MeasuredSite):
@@ -78,6 +78,7 @@
         self.callers: dict[address.Address, fake_caller.FakeCaller] = {}
         self.answers: dict[int, tuple[float, dict[str, object]]] = {}
         self.packets = 0
+        self._run_ids: dict[str, str] = {}
         self._fabric: dict[int, list[fake_node.FakeNode]] = {}
         self.cut_controls: set[str] = set()
         self._calls = 0
@@ -121,7 +122,7 @@
         for action in node.core.link.leave(self.queue.now):
             node.do(action)
         start = functools.partial(self.start_entry, name, zone)
-        self.queue.after(LEAVING_SECONDS, start)
+        self.queue.after(entry_shell.LEAVING_SECONDS, start)
 
     def start_agent(
         self, class_name: str, name: str, zone: str, upstream: str = ""
@@ -134,7 +135,7 @@
         other = functools.partial(self._agent_action, upstream or name)
         node = self._node(name, zone, decisions, other, link)
         self.agents[name] = node
-        self._announce(node, class_name)
+        self._announce(node, class_name, upstream or name)
 
     def start_upstream(
         self, name: str, profile: upstream_profile.UpstreamProfile
@@ -146,6 +147,21 @@
             name, self.queue, profile, rng, sender
         )
 
+    def restart_upstream(self, name: str, class_name: str) -> None:
+        """Lose all requests of an upstream and start it cold, with an announcement."""
+        load = self.upstreams[name].load
+        load.stop()
+        self._run_ids[name] = f"run-{self.queue.now}"
+
+        def start() -> None:
+            load.start(self.queue.now)
+            event = upstream_announced.UpstreamAnnounced(
+                class_name, self._run_ids[name], False
+            )
+            self.agents[name].handle(event)
+
+        self.queue.after(RESTART_SECONDS, start)
+
     def add_caller(self, class_id: int) -> fake_caller.FakeCaller:
         """Add a caller of a class."""
         where = address.Address(0x0A000000 + len(self.callers) // 4, 40000)
@@ -236,10 +252,16 @@
         if name in nodes:
             nodes[name].stop()
 
-    def _announce(self, node: fake_node.FakeNode, class_name: str) -> None:
+    def _announce(
+        self, node: fake_node.FakeNode, class_name: str, upstream: str
+    ) -> None:
         if node.is_up:
-            node.handle(upstream_announced.UpstreamAnnounced(class_name, "run", False))
-            again = functools.partial(self._announce, node, class_name)
+            found = self.upstreams.get(upstream)
+            if found is None or not found.load.is_down:
+                run_id = self._run_ids.get(upstream, "run")
+                event = upstream_announced.UpstreamAnnounced(class_name, run_id, False)
+                node.handle(event)
+            again = functools.partial(self._announce, node, class_name, upstream)
             self.queue.after(ANNOUNCE_SECONDS, again)
 
     def _to_entry(self, caller: fake_caller.FakeCaller, datagram: bytes) -> None:
--- a/src/limpetreel/measure/hash_run.py
+++ b/src/limpetreel/measure/hash_run.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
-from limpetreel.measure import hash_site, load_run
+from limpetreel.measure import fake_site, hash_site, load_run
 
 if TYPE_CHECKING:
-    from limpetreel.measure import deployment, site_plan
+    from limpetreel.measure import deployment, fake_upstream, site_plan
 
 
 class HashRun(load_run.LoadRun):
@@ -50,6 +51,15 @@
     def _zone_in(self) -> None:
         self.site.set_gone(self._drained)
 
+    def _restart_upstream(self) -> None:
+        load = self.site.upstreams[self.restarted].load
+        load.stop()
+        start = functools.partial(self._start_again, load)
+        self.site.queue.after(fake_site.RESTART_SECONDS, start)
+
+    def _start_again(self, load: fake_upstream.FakeUpstream) -> None:
+        load.start(self.site.queue.now)
+
     def _drain(self) -> None:
         self._drained = {"upstream-0"}
         self.site.set_gone(self._drained)
--- a/src/limpetreel/measure/load_run.py
+++ b/src/limpetreel/measure/load_run.py
@@ -76,6 +76,7 @@
         queue.at(begin + plan.drain_at - IMBALANCE_SECONDS, self._note_busy)
         queue.at(begin + plan.drain_at, self._note_busy)
         queue.at(begin + plan.drain_at, self._drain)
+        queue.at(begin + plan.upstream_restart_at, self._restart_upstream)
         self._plan_changes(begin)
         queue.run_until(begin + plan.end + SETTLE_SECONDS)
 
@@ -95,6 +96,10 @@
     def _zone_in(self) -> None:
         """Bring the last zone back."""
 
+    @abc.abstractmethod
+    def _restart_upstream(self) -> None:
+        """Restart the last upstream of the first class."""
+
     @abc.abstractmethod
     def _drain(self) -> None:
         """Let the first upstream leave gracefully."""
@@ -231,6 +236,11 @@
         )
         self.last_packet_s = max(0.0, last - self.zone_out_accepted_at)
 
+    @property
+    def restarted(self) -> str:
+        """Name of the upstream that restarts."""
+        return f"upstream-{self.size.class_sizes[0] - 1}"
+
     def _zone(self, name: str) -> str:
         if name.startswith("entry-"):
             return name.removeprefix("entry-")
--- a/src/limpetreel/measure/site_plan.py
+++ b/src/limpetreel/measure/site_plan.py
@@ -20,6 +20,8 @@
         When the entries restart without memory, one a second.
     has_graceful_restarts : bool
         Whether the entries stop gracefully before.
+    upstream_restart_at : float
+        When one upstream restarts without notice to its callers, and is cold.
     drain_at : float
         When one upstream leaves gracefully.
     changes_at : float
@@ -36,6 +38,7 @@
     zone_in_at: float = 27.0
     entries_restart_at: float = 36.0
     has_graceful_restarts: bool = True
+    upstream_restart_at: float = 50.0
     drain_at: float = 42.0
     changes_at: float = 45.0
     changes: int = 100
--- a/src/limpetreel/measure/site_run.py
+++ b/src/limpetreel/measure/site_run.py
@@ -86,6 +86,9 @@
         }
         self._await_answer(self.site.change("class_set", name, **targets))
 
+    def _restart_upstream(self) -> None:
+        self.site.restart_upstream(self.restarted, self._class_name(0))
+
     def _drain(self) -> None:
         """Let the first upstream leave gracefully."""
         self.site.agents["upstream-0"].handle(drain_requested.DrainRequested())
--- /dev/null
+++ b/tests/entry/test_entry_shell.py
@@ -0,0 +1,41 @@
+"""A planned stop of an entry must not lose packets."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+
+from limpetreel.entry import entry_shell
+from limpetreel.node import tick
+from tests import fixtures
+
+
+class _Core:
+    """Core that notes what happens after it was told to leave."""
+
+    def __init__(self):
+        self.link = self
+        self.left = False
+        self.ticks_after = 0
+
+    def leave(self, now):
+        self.left = True
+        return []
+
+    def handle(self, now, event):
+        self.ticks_after += self.left and isinstance(event, tick.Tick)
+        return []
+
+
+def test_entry_goes_on_forwarding_after_it_left():
+    """Guards against packets lost until the fabric notices a planned stop."""
+    core = _Core()
+    cfg = types.SimpleNamespace(listen=("127.0.0.1", 0), service_ip="127.0.0.1")
+    stopped = asyncio.Event()
+    stopped.set()
+    asyncio.run(entry_shell.EntryShell(cfg, core, None).serve(stopped))
+    assert core.left
+    assert core.ticks_after > 1
+
+
+load_tests = fixtures.load_functions(globals())
