--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -248,10 +248,13 @@
     ) -> Actions:
         if self._class is None or self._requests is None:
             return self._drop(reason.Reason.STALE)
+        flow = flow_key.FlowKey(self._class.class_id, event.caller)
+        actions = self._requests.from_upstream(now, flow, event.datagram)
         if not self.link.right.may_serve(now, self.link.table):
+            # The answer shows that the upstream is well, but goes nowhere. Without
+            # it the upstream would be taken for a cold one when the zone returns.
             return self._drop(reason.Reason.NO_LEASE)
-        flow = flow_key.FlowKey(self._class.class_id, event.caller)
-        return self._requests.from_upstream(now, flow, event.datagram)
+        return actions
 
     def _carry_out(self, now: float, found: Actions) -> Actions:
         """Turn actions of the parts into actions of the shell.
--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -29,6 +29,8 @@
     from limpetreel.wire import frame_codec
 
 TICK_SECONDS = 0.02
+LEAVING_SECONDS = 1.0
+"""Time for which a planned stop goes on forwarding, until the fabric has noticed."""
 
 
 class EntryShell:
@@ -65,9 +67,12 @@
         self._frames = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         self._watch.watch("send_errors_total", "sends", "socket", self._send_errors)
         while not stopped.is_set():
-            self._handle(tick.Tick())
-            await asyncio.sleep(TICK_SECONDS)
+            await self._tick()
+        # Agents send answers through other entries from now on.
         self._handle(leave_requested.LeaveRequested())
+        end = time.monotonic() + LEAVING_SECONDS
+        while time.monotonic() < end:
+            await self._tick()
         for sock in (self._frames, *self._classes.values()):
             sock.close()
         await self._watch.close()
@@ -76,6 +81,10 @@
         callers = sum(sock.send_errors for sock in self._classes.values())
         return {"frames": self._frames.send_errors, "callers": callers}
 
+    async def _tick(self) -> None:
+        self._handle(tick.Tick())
+        await asyncio.sleep(TICK_SECONDS)
+
     def _frame(self, data: bytes, source: tuple[str, int]) -> None:
         found = self._codec.decode(data)
         if isinstance(found, failure.Failure):
--- a/src/limpetreel/measure/fake_site.py
+++ b/src/limpetreel/measure/fake_site.py
@@ -18,7 +18,7 @@
 from limpetreel.control import control_core
 from limpetreel.control.actions import answer_operator, send_peer
 from limpetreel.control.events import operator_call, peer_message
-from limpetreel.entry import entry_core
+from limpetreel.entry import entry_core, entry_shell
 from limpetreel.entry.actions import open_class, send_caller
 from limpetreel.entry.events import caller_datagram
 from limpetreel.measure import (
@@ -43,8 +43,8 @@
 FABRIC_NOTICE_SECONDS = 0.2
 """Time after which the fabric knows that an entry has opened or closed a class."""
 
-LEAVING_SECONDS = 1.0
-"""Time for which an entry that leaves goes on forwarding."""
+RESTART_SECONDS = 1.0
+"""Time for which an upstream that restarts is down."""
 
 
 class FakeSite(measured_site.MeasuredSite):
@@ -121,7 +121,7 @@
         for action in node.core.link.leave(self.queue.now):
             node.do(action)
         start = functools.partial(self.start_entry, name, zone)
-        self.queue.after(LEAVING_SECONDS, start)
+        self.queue.after(entry_shell.LEAVING_SECONDS, start)
 
     def start_agent(
         self, class_name: str, name: str, zone: str, upstream: str = ""
@@ -155,6 +155,21 @@
         name = self.leader()
         return self._control(name).catalog.table if name else None
 
+    def restart_upstream(self, name: str, class_name: str) -> None:
+        """Lose all requests of an upstream and start it cold, with an announcement."""
+        found = self.upstreams[name]
+        found.load.stop()
+        found.run_id = f"run-{self.queue.now}"
+
+        def start() -> None:
+            found.load.start(self.queue.now)
+            event = upstream_announced.UpstreamAnnounced(
+                class_name, found.run_id, False
+            )
+            self.agents[name].handle(event)
+
+        self.queue.after(RESTART_SECONDS, start)
+
     def add_caller(self, class_id: int) -> fake_caller.FakeCaller:
         """Add a caller of a class."""
         where = address.Address(0x0A000000 + len(self.callers) // 4, 40000)
