Drop requests that wait when the own zone is taken out

Requests that wait are now forgotten with the flows, without a word to the caller, whose copies the new owner answers. The new test saw the late run before.

--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -353,8 +353,11 @@
             self._start(now, self._class, self.link.own_record)
         if self._router is None:
             return []
+        actions: Actions = []
+        if self._requests and not records.is_zone_serving(self._ident.zone):
+            actions += self._requests.forget_waiting(now)
         view = class_view.from_table(records, self._class, self._assignments)
-        return self._router.handle(now, table_changed.TableChanged(view))
+        return actions + self._router.handle(now, table_changed.TableChanged(view))
 
     def _start(
         self,
--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -191,6 +191,21 @@
         """Accept no new flow from now on; requests that wait go on."""
         return self._decide(now, self.admission.drain(now))
 
+    def forget_waiting(self, now: float) -> Actions:
+        """Drop the requests that wait after the own zone was taken out.
+
+        Other agents place their flows anew, so a copy is answered there. Run here
+        later, when the zone is back, they would belong to a flow of another agent.
+        """
+        actions: Actions = []
+        for pending in [p for p in self._pending.values() if not p.token]:
+            self._pending.pop(pending.number, None)
+            self._by_key.pop(pending.key, None)
+            self._log.finish(pending.key, outcomes.Outcome.UNKNOWN)
+            decisions = self.admission.abandoned(now, pending.number)
+            actions += self._decide(now, decisions)
+        return actions
+
     def upstream_restarted(self, now: float) -> Actions:
         """End the requests that were open when the upstream restarted."""
         self._streams.clear()
--- a/tests/agent/mutants.py
+++ b/tests/agent/mutants.py
@@ -66,6 +66,14 @@
         "tests.agent.test_zone_out."
         "test_requests_that_wait_are_not_sent_after_the_zone_was_taken_out",
     ),
+    (
+        "keep waiting requests when the zone is taken out",
+        _AGENT + "agent_core.py",
+        "            actions += self._requests.forget_waiting(now)\n",
+        "            pass\n",
+        "tests.agent.test_zone_out."
+        "test_requests_that_wait_do_not_run_after_the_zone_came_back",
+    ),
     (
         "run without waiting for the claim",
         _AGENT + "request_service.py",
