Leave a control instance that answers without a lease

Nodes kept renewing with a control instance that was cut off from the others: it answered, so they never tried another one, were taken for lost and went on to serve an old table on zone evidence. An answer without a lease now counts as none when the next instance is chosen.

--- a/src/limpetreel/catalog/table_sync.py
+++ b/src/limpetreel/catalog/table_sync.py
@@ -209,7 +209,9 @@
             return []
         is_after_outage = now - self._answered_at > OUTAGE_SECONDS
         self._answered_at = now
-        self._is_answered = True
+        # An instance that is cut off from the others answers but has no lease to
+        # grant; the next renewal then goes to another one.
+        self._is_answered = message.lease_ms > 0
         self.newest_incarnation = max(self.newest_incarnation, message.incarnation)
         if self.is_superseded:
             return []
