Tell a returned member by its record, and repeat refusals on owned flows

(1) An agent that got two tables at once and whose own record had changed gave up its copies, since it could not see whether it had been lost; a drain or a share was enough. The refusals in these copies were gone. (2) A caller that had come back after a refusal owned a flow, and a late copy of the refused request ran there, because refusals were looked up for unknown flows only. Ruled out: a lost handover; the reply carried the refusal once (1) was mended. Change: the member record names the revision of its last return; copies are given up only then. The request service repeats a refusal for every request. Conclusion: both faults could make a refusal false.

--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -122,6 +122,10 @@
             return []
         if found.kind is verdicts.Kind.REPEATED:
             return self._repeat(now, carrier, read, found)
+        if self._router.is_refused(key):
+            # The flow may have come here with a later request of its caller.
+            told = self._log.finish(key, outcomes.Outcome.NOT_RUN)
+            return self._tell(now, carrier, read, told)
         if found.kind is verdicts.Kind.FULL:
             certain = self._is_first_owner(now)
             return self._refuse_new(now, key, carrier, read, certain=certain)
--- a/src/limpetreel/catalog/commands/member_changed.py
+++ b/src/limpetreel/catalog/commands/member_changed.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from limpetreel.catalog import member_state  # noqa: TC001 (msgspec reads it)
+from limpetreel.catalog import member_state
 from limpetreel.catalog.commands import member_event
 
 if TYPE_CHECKING:
@@ -28,4 +28,9 @@
         self, old: member_record.MemberRecord, index: int
     ) -> member_record.MemberRecord:
         """Return the record in the new state."""
-        return msgspec.structs.replace(old, state=self.state, modified=index)
+        lost = member_state.MemberState.LOST
+        is_return = old.state is lost and self.state is not lost
+        returned = index if is_return else old.returned
+        return msgspec.structs.replace(
+            old, state=self.state, modified=index, returned=returned
+        )
--- a/src/limpetreel/catalog/member_record.py
+++ b/src/limpetreel/catalog/member_record.py
@@ -44,6 +44,9 @@
     first_incarnation : int
         Incarnation with which the name first joined. A node whose own incarnation
         is this one has certainly never served before.
+    returned : int
+        Revision at which the member was last lost no longer, 0 if it never was lost.
+        A node that missed tables learns from it whether others may have replaced it.
     """
 
     node_id: int
@@ -60,6 +63,7 @@
     modified: int
     removed: bool = False
     first_incarnation: int = 0
+    returned: int = 0
 
     @property
     def key(self) -> str:
--- a/src/limpetreel/flows/class_member.py
+++ b/src/limpetreel/flows/class_member.py
@@ -25,6 +25,8 @@
     serving : bool
         False if its zone is out of service. Such an agent still answers
         messages, but its flows are abandoned.
+    returned : int
+        Revision at which it was last lost no longer, 0 if it never was lost.
     """
 
     node_id: int
@@ -33,3 +35,4 @@
     region: str
     modified: int
     serving: bool = True
+    returned: int = 0
--- a/src/limpetreel/flows/class_view.py
+++ b/src/limpetreel/flows/class_view.py
@@ -67,6 +67,7 @@
             m.region,
             m.modified,
             records.is_zone_serving(m.zone),
+            m.returned,
         )
         for m in records.agents_of(record.name)
     )
--- a/src/limpetreel/flows/takeover_core.py
+++ b/src/limpetreel/flows/takeover_core.py
@@ -72,7 +72,6 @@
         self._claims = claims
         self._states: dict[int, bucket_state.BucketState] = {}
         self._live: dict[int, class_member.ClassMember] = {}
-        self._last_modified = 0
         self._next_check = float("-inf")
         self._is_settled = False
         self.view: class_view.ClassView | None = None
@@ -118,7 +117,7 @@
         self._is_settled = False
         if self.view is not None and view.revision <= self.view.revision:
             return []
-        gap = self.view is not None and view.revision > self.view.revision + 1
+        earlier = self.view.revision if self.view is not None else view.revision
         self.view = view
         self._live = {
             m.node_id: m
@@ -127,16 +126,14 @@
         }
         own = self._live.get(self._me[0])
         is_member = self.is_live(self._me)
-        changed = own is not None and own.modified > self._last_modified
-        if not is_member or (gap and changed and self._last_modified):
+        has_returned = own is not None and own.returned > earlier
+        if not is_member or has_returned:
             # While this agent was lost, others may have taken its buckets over
-            # without asking it. Unseen revisions can hide that it was lost.
+            # without asking it, also if it has not seen that it was lost.
             self._leave_all()
             self._owned.restart_ages(now)
-        if own is not None and is_member:
-            self._last_modified = own.modified
-            if not own.serving:
-                self._owned.clear()
+        if own is not None and is_member and not own.serving:
+            self._owned.clear()
         if not is_member:
             return []
         for bucket in range(len(view.candidates)):
@@ -325,13 +322,16 @@
         return (node_id, member.incarnation) if member else bucket_state.NOBODY
 
     def _leave_all(self) -> None:
-        """Give up all roles and copies from before the last change of the own record.
+        """Give up all roles and copies from before the return of this agent.
 
         A later epoch was entered by a holder that knew this agent as a member.
         """
         record = self.view.member(self._me[0]) if self.view else None
         known = record is not None and record.incarnation == self._me[1]
-        since = record.modified if record and known else float("inf")
+        since = float("inf")
+        if record is not None and known:
+            is_lost = record.state is member_state.MemberState.LOST
+            since = record.modified if is_lost else record.returned
         for bucket, state in self._states.items():
             if state.copy_epoch < since:
                 state.lose_copy()
@@ -359,11 +359,10 @@
             return
         state = self.state(bucket)
         is_holder = state.role in (_Role.TAKING_OVER, _Role.PRIMARY)
-        # A deputy whose record has changed since may have given up its role, because
-        # it cannot tell whether it was lost in between.
+        # A deputy that was lost in between has given up its role.
         member = self._live.get(deputy[0])
-        is_changed = member is not None and member.modified > state.epoch
-        is_current = state.deputy == deputy and not is_changed
+        has_returned = member is not None and member.returned > state.epoch
+        is_current = state.deputy == deputy and not has_returned
         if is_holder and is_current and max(state.seen) <= state.epoch:
             return
         if self.view.revision <= state.epoch:
--- a/tests/flows/harness.py
+++ b/tests/flows/harness.py
@@ -348,9 +348,16 @@
             state,
             self.regions[node_id - 1],
             len(self.history) + 1,
+            returned=self._returned(old, incarnation, state),
         )
         return True
 
+    def _returned(self, old, incarnation, state):
+        if old is None or old.incarnation != incarnation:
+            return 0
+        is_return = old.state is LOST and state is not LOST
+        return len(self.history) + 1 if is_return else old.returned
+
     def _publish(self):
         for node_id, agent in self.agents.items():
             if node_id not in self.records:
