Probe an idle upstream whose estimate exceeds the answer time

Reproduced on the controller alone: after answers of 0.45 s, requests with 0.4 s to answer were refused for 100 s with nothing open, because only an answer refreshes the estimate and a request that seems too late is never sent. Ruled out: the concurrency limit, which was 1 with 0 open. Change: an upstream that has been sent nothing for 2 s gets one request whatever the estimate says. After: a request is sent after 2 s.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -45,6 +45,9 @@
 Service times vary, and the flow stays where it was placed.
 """
 
+PROBE_SECONDS = 2.0
+"""Time without a request after which one is sent whatever the estimate says."""
+
 MAX_LINGER_SECONDS = 1.0
 """Longest time for which a cancelled request still counts as open.
 
@@ -96,6 +99,7 @@
         self._displaced: list[refused.Refused] = []
         self._cold_since = float("-inf")
         self._answered_sent_at = float("-inf")
+        self._sent_at = now
         self._proven = 0
         self._warm_latency: float | None = None
         self._target: int | None = None
@@ -195,7 +199,8 @@
         elif not self._budget.try_spend(now):
             return self._refuse(now, reason.Reason.OVERLOADED, "admission.retry")
         deadline_at = min(deadline_at, now + self._config.answer_seconds)
-        if not self._queue and self._can_send(now) and self._in_time(now, deadline_at):
+        is_worth = self._in_time(now, deadline_at) or self._may_probe(now, deadline_at)
+        if is_worth and not self._queue and self._can_send(now):
             return self._send(now, request_id, caller, deadline_at)
         return self._enqueue(now, request_id, caller, deadline_at)
 
@@ -302,6 +307,7 @@
         self, now: float, request_id: int, caller: int, deadline_at: float
     ) -> admitted.Admitted:
         count = self.open_count + 1
+        self._sent_at = now
         sent = open_request.OpenRequest(caller, now, deadline_at, count)
         self._open[request_id] = sent
         self._open_by_caller[caller] += 1
@@ -340,6 +346,15 @@
         wait = ahead * service / self.limit
         return now + wait + service < deadline_at
 
+    def _may_probe(self, now: float, deadline_at: float) -> bool:
+        """Return whether an idle upstream gets a request in spite of its estimate.
+
+        Only an answer refreshes the estimate. Without a probe, one that is above the
+        deadline would refuse every request for ever.
+        """
+        is_idle = self.open_count == 0 and now >= self._sent_at + PROBE_SECONDS
+        return is_idle and now < deadline_at
+
     def _is_wait_short(self) -> bool:
         """Return whether one more request would wait briefly."""
         service = self._service_seconds()
--- a/tests/admission/test_admission_controller.py
+++ b/tests/admission/test_admission_controller.py
@@ -286,4 +286,19 @@
     assert load.controller.throughput() > 0
 
 
+def test_idle_upstream_gets_a_probe_in_spite_of_its_estimate():
+    """Guards against an estimate that refuses every request and is never refreshed."""
+    controller = builders.make_controller(answer_seconds=0.5)
+    now = 0.0
+    for request_id in range(3):
+        assert controller.offer(now, request_id, 1, now + 0.5)
+        controller.finished(now + 0.45, request_id, outcome.Outcome.ANSWERED)
+        now += 0.5
+    assert not controller.offer(now, 3, 1, now + 0.4)
+    now += 2.0
+    assert controller.offer(now, 4, 1, now + 0.4)
+    controller.finished(now + 0.05, 4, outcome.Outcome.ANSWERED)
+    assert not controller.offer(now, 5, 1, now)
+
+
 load_tests = fixtures.load_functions(globals())
