Adapt a deliberate fault to the counted owner hints

Cause: the old text of one deliberate fault no longer occurs. Change: it removes the forgetting of the hint as before. Conclusion: the fault list is complete again.

--- a/tests/entry/mutants.py
+++ b/tests/entry/mutants.py
@@ -47,8 +47,8 @@
     (
         "hint kept after the primary answered",
         _ENTRY + "owner_hints.py",
-        "            self._hints.pop(flow, None)\n",
-        "            pass\n",
+        "            if self._hints.pop(flow, None) is not None:\n",
+        "            if self._hints.get(flow) is not None:\n",
         _CORE + "test_packets_follow_the_agent_that_answered",
     ),
     (
