Bring the deliberate faults up to the merged code

Change: their texts and tests; two new faults for the probe and for a loss that was not seen, the latter with a focused test.

--- a/tests/admission/mutants.py
+++ b/tests/admission/mutants.py
@@ -101,4 +101,11 @@
         "            pass\n",
         _TESTS + "test_growth_beyond_the_slots_is_not_taken_for_coldness_for_ever",
     ),
+    (
+        "no probe of an idle upstream",
+        _SOURCE + "admission_controller.py",
+        "self._in_time(now, deadline_at) or self._may_probe(now, deadline_at)\n",
+        "self._in_time(now, deadline_at)\n",
+        _TESTS + "test_idle_upstream_gets_a_probe_in_spite_of_its_estimate",
+    ),
 ]
--- a/tests/agent/mutants.py
+++ b/tests/agent/mutants.py
@@ -63,8 +63,8 @@
         _AGENT + "agent_core.py",
         "                    if not self.link.right.may_serve(now, self.link.table):\n",
         "                    if False:\n",
-        "tests.agent.test_zone_out."
-        "test_requests_that_wait_are_not_sent_after_the_zone_was_taken_out",
+        "tests.agent.test_agent_right."
+        "test_request_that_waited_is_not_sent_without_a_lease",
     ),
     (
         "keep waiting requests when the zone is taken out",
@@ -100,8 +100,8 @@
     (
         "forget the refusal of an earlier holder",
         _AGENT + "request_service.py",
-        "            if not self._router.is_refused(key):\n",
-        "            if True:\n",
+        "        if self._router.is_refused(key):\n",
+        "        if False:\n",
         "tests.site.test_refusals.test_refusal_survives_the_removal_of_the_zone",
     ),
     (
--- a/tests/entry/mutants.py
+++ b/tests/entry/mutants.py
@@ -19,8 +19,10 @@
     (
         "entry of a removed zone drops packets",
         _ENTRY + "entry_core.py",
-        "self.link.right.may_forward(now, self.link.table)",
-        "self.link.right.may_serve(now, self.link.table)",
+        "        if not self.link.right.may_forward(now, self.link.table):\n"
+        "            return self._drop(reason.Reason.NO_LEASE)\n",
+        "        if not self.link.right.may_serve(now, self.link.table):\n"
+        "            return self._drop(reason.Reason.NO_LEASE)\n",
         _CORE + "test_entry_of_removed_zone_hands_packets_on",
     ),
     (
--- a/tests/flows/mutants.py
+++ b/tests/flows/mutants.py
@@ -158,4 +158,11 @@
         "        if False:\n",
         TAKEOVER + "test_offer_of_an_agent_that_is_not_holder_is_not_taken",
     ),
+    (
+        "keep roles after a loss that was not seen",
+        SOURCE + "flows/takeover_core.py",
+        "        if not is_member or has_returned:\n",
+        "        if not is_member:\n",
+        TAKEOVER + "test_unseen_loss_ends_roles_and_an_unseen_change_does_not",
+    ),
 ]
--- a/tests/flows/test_takeover.py
+++ b/tests/flows/test_takeover.py
@@ -269,6 +269,23 @@
         assert _outcomes(_ask(cluster)) == [ANSWERED]
 
 
+def test_unseen_loss_ends_roles_and_an_unseen_change_does_not():
+    """Guards against an outdated copy, and against copies lost with every drain.
+
+    The agent gets two tables at once, so that it does not see the first of them.
+    """
+    member = class_member.ClassMember(1, 10, harness.ACTIVE, "r1", 1)
+    for returned in (0, 3):
+        router = _alone(max_flows=4)
+        assert router.role(BUCKET) is bucket_role.BucketRole.PRIMARY
+        changed = msgspec.structs.replace(member, modified=3, returned=returned)
+        other = msgspec.structs.replace(member, node_id=9, state=harness.LOST)
+        view = harness.make_view(4, [changed, other])
+        router.handle(1.0, table_changed.TableChanged(view))
+        epoch = router._takeover.state(BUCKET).epoch
+        assert (epoch > 1) == (returned > 0)
+
+
 def test_flow_that_primary_and_deputy_refuse_goes_to_another_agent():
     """Guards against refusals while other agents of the class are idle."""
     cluster = _cluster()
