--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -32,7 +32,7 @@
     table_changed,
 )
 from limpetreel.flows import tick as flow_tick
-from limpetreel.messages import claim_ack, offer_refused
+from limpetreel.messages import claim_ack, mismatch, offer_refused
 from limpetreel.node import (
     drained,
     frame_arrived,
@@ -203,7 +203,7 @@
         if self._class is None or self._router is None or self._requests is None:
             return self._drop(reason.Reason.NO_MEMBER)
         if found.class_id != self._class.class_id:
-            return self._drop(reason.Reason.WRONG_CLASS)
+            return self._report_mismatch(event, found.class_id)
         # A flow is placed before its owner reads the request; without this check
         # any datagram would take a place in the directory.
         if not self._protocol.is_message(found.datagram):
@@ -221,6 +221,21 @@
             return actions + self._drop(reason.Reason.NO_LEASE)
         return actions + self._route(now, event.frame, found)
 
+    def _report_mismatch(
+        self, event: frame_arrived.FrameArrived, class_id: int
+    ) -> Actions:
+        """Drop a packet and tell its sender that its table is out of date."""
+        self._drop(reason.Reason.WRONG_CLASS)
+        report = mismatch.Mismatch(class_id, self.link.table.revision)
+        return [
+            send_frame.SendFrame(
+                event.source,
+                event.frame.incarnation,
+                kind.Kind.MESSAGE,
+                message_codec.encode(report),
+            )
+        ]
+
     def _route(
         self, now: float, received: frame.Frame, found: packet.Packet
     ) -> Actions:
--- a/tests/agent/test_agent_core.py
+++ b/tests/agent/test_agent_core.py
@@ -6,7 +6,8 @@
 
 from limpetreel.agent.events import drain_requested
 from limpetreel.core import reason
-from limpetreel.wire import address
+from limpetreel.messages import mismatch
+from limpetreel.wire import address, message_codec
 from tests import fixtures
 from tests.agent import builders
 
@@ -41,7 +42,9 @@
     """Guards against a packet for the process that had the address before."""
     agent = builders.Agent()
     agent.now += 3.0
-    assert agent.ask(class_id=2, lease_ms=1500) == []
+    (report,) = agent.ask(class_id=2, lease_ms=1500)
+    expected = mismatch.Mismatch(2, agent.link.table.revision)
+    assert message_codec.decode(report.body) == expected
     assert agent.core.dropped == {reason.Reason.WRONG_CLASS: 1}
     assert agent.link.right.lease_ms(agent.now) == 0
     assert builders.sent(agent.ask(lease_ms=1500))
