Give packets through different entries different traces

Cause: in the demonstration one trace held the spans of two packets of a flow, since entries mix only the flow and their own packet count into the trace id. Change: the node id is mixed in as well; a test compares two entries. Before: 2 packets in the trace that was printed. After: 6 of 6 ids differ. Conclusion: a trace is one packet again.

--- a/src/limpetreel/entry/entry_core.py
+++ b/src/limpetreel/entry/entry_core.py
@@ -127,7 +127,9 @@
         self._count += 1
         if not self._trace_every or self._count % self._trace_every:
             return 0
-        return (flow_hash ^ self._count * _ODD_CONSTANT) % 2**64 | 1
+        # Entries count alike, so that two packets of a flow would share a trace.
+        mixed = flow_hash ^ self.link.node_id ^ self._count * _ODD_CONSTANT
+        return mixed % 2**64 | 1
 
     def _receive(
         self, now: float, event: frame_arrived.FrameArrived
--- a/tests/entry/test_entry_core.py
+++ b/tests/entry/test_entry_core.py
@@ -162,4 +162,15 @@
             assert (found is not None) == (zone_b and owner == known)
 
 
+def test_traces_of_two_entries_differ():
+    """Guards against the spans of two packets of a flow in one trace."""
+    found = set()
+    for node_id in (1, 2):
+        core, link = _core()
+        link.node_id = node_id << 8
+        link.right.renew(0.0, 2000)
+        found |= {packet.decode(_sent(core, 1.0)[0].body).trace_id for _ in range(3)}
+    assert len(found) == 6
+
+
 load_tests = fixtures.load_functions(globals())
