--- a/tests/admission/mutants.py
+++ b/tests/admission/mutants.py
@@ -108,4 +108,19 @@
         "self._in_time(now, deadline_at)\n",
         _TESTS + "test_idle_upstream_gets_a_probe_in_spite_of_its_estimate",
     ),
+    (
+        "no slow start at the first start",
+        _SOURCE + "admission_controller.py",
+        "        if self._slow_start.active:\n"
+        "            return self._slow_start.limit\n",
+        "",
+        _TESTS + "test_fresh_upstream_gets_one_request",
+    ),
+    (
+        "take new flows while draining",
+        _SOURCE + "admission_controller.py",
+        "        if self._draining:\n            return False\n",
+        "",
+        _TESTS + "test_new_flow_is_accepted_by_true_load_only",
+    ),
 ]
