--- /dev/null
+++ b/src/limpetreel/cluster/__init__.py
@@ -0,0 +1,3 @@
+"""Control instances that replicate the configuration and track upstreams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/cluster/actions/answer_call.py
@@ -0,0 +1,28 @@
+"""Answer to an operator."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.cluster import call_status
+
+
+class AnswerCall(msgspec.Struct, frozen=True, tag="answer_call"):
+    """Answer a call.
+
+    Attributes
+    ----------
+    call_id : int
+        Number of the call.
+    status : CallStatus
+        What became of it.
+    document : bytes
+        The document, if the call was a read.
+    leader : str
+        Host of the leader, if the call has to go there.
+    """
+
+    call_id: int
+    status: call_status.CallStatus
+    document: bytes = b""
+    leader: str = ""
--- /dev/null
+++ b/src/limpetreel/cluster/actions/send_control.py
@@ -0,0 +1,20 @@
+"""Message to a control instance."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class SendControl(msgspec.Struct, frozen=True, tag="send_control"):
+    """Send a message to another control instance; it may be lost.
+
+    Attributes
+    ----------
+    address : str
+        Where to, ``host:port``.
+    data : bytes
+        The encoded message.
+    """
+
+    address: str
+    data: bytes
--- /dev/null
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -0,0 +1,371 @@
+"""Decisions of a control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.cluster import (
+    call_status,
+    cluster_state,
+    node_session,
+    pending_call,
+    upstream_directory,
+)
+from limpetreel.cluster.actions import answer_call, send_control, send_session
+from limpetreel.cluster.events import (
+    change_requested,
+    consensus_arrived,
+    leave,
+    node_connected,
+    node_disconnected,
+    read_requested,
+    report_arrived,
+)
+from limpetreel.cluster.messages import cluster_codec, consensus_message
+from limpetreel.consensus import role
+from limpetreel.consensus.actions import (
+    apply,
+    install_snapshot,
+    membership_changed,
+    persist,
+    proposal_result,
+    read_result,
+    role_changed,
+    save_snapshot,
+    send,
+)
+from limpetreel.consensus.events import (
+    message_received,
+    proposal,
+    propose,
+    read,
+    resign,
+    snapshot_available,
+)
+from limpetreel.consensus.events import tick as raft_tick
+from limpetreel.consensus.messages import envelope, envelope_codec
+from limpetreel.core import core, failure
+from limpetreel.node import tick
+from limpetreel.streams.actions import note
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    import msgspec
+
+    from limpetreel.cluster.messages import report
+    from limpetreel.configuration import document_parser
+    from limpetreel.consensus import raft_core
+
+    Actions = list[msgspec.Struct]
+    Fields = dict[str, str | int | float]
+
+CALL_SECONDS = 0.9
+"""Operators wait a second for an answer."""
+SNAPSHOT_ENTRIES = 64
+"""Entries after which a snapshot replaces the log; documents take some tens of
+kilobytes each, and the disk is small."""
+RELAY_SECONDS = 0.5
+"""Time between repetitions of agents' reports to the other control instances."""
+SEED_SECONDS = 2.0
+"""Time between two looks at the settings file."""
+MAX_CALLS = 256
+
+
+class ClusterCore(core.Core):
+    """Joins the replicated log, the state on it, nodes and operators' calls.
+
+    Parameters
+    ----------
+    raft : RaftCore
+        Replicated log of this instance.
+    parser : DocumentParser
+        Format of configuration documents.
+    address : str
+        Where other control instances reach this one.
+    seeds : callable
+        Returns the addresses in the settings, which may change.
+    """
+
+    def __init__(
+        self,
+        raft: raft_core.RaftCore,
+        parser: document_parser.DocumentParser,
+        address: str,
+        seeds: Callable[[], Sequence[str]] = tuple,
+    ) -> None:
+        self._raft = raft
+        self._seeds = seeds
+        self._seeds_at = 0.0
+        self._address = address
+        self._state = cluster_state.ClusterState(parser)
+        self._snapshot_at = raft.snapshot.index
+        if raft.snapshot.data:
+            self._state.restore(raft.snapshot.index, raft.snapshot.data)
+        self._directory = upstream_directory.UpstreamDirectory()
+        self._sessions: dict[int, node_session.NodeSession] = {}
+        self._direct: dict[str, report.Report] = {}
+        self._relay_at = 0.0
+        self._calls: list[pending_call.PendingCall] = []
+        self._next_number = 0
+        self._is_leaving = False
+        self.outcomes: dict[str, int] = {}
+
+    @property
+    def state(self) -> cluster_state.ClusterState:
+        """Return the replicated state."""
+        return self._state
+
+    @property
+    def raft(self) -> raft_core.RaftCore:
+        """Return the replicated log."""
+        return self._raft
+
+    @property
+    def has_calls(self) -> bool:
+        """Return whether calls of operators wait."""
+        return bool(self._calls)
+
+    def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
+        """Take one event; see `core.Core.handle`."""
+        match event:
+            case consensus_arrived.ConsensusArrived():
+                return self._from_control(now, event.envelope)
+            case tick.Tick():
+                return self._tick(now)
+            case report_arrived.ReportArrived():
+                return self._report(now, event)
+            case node_connected.NodeConnected():
+                return self._connect(now, event)
+            case node_disconnected.NodeDisconnected():
+                return self._disconnect(event)
+            case change_requested.ChangeRequested():
+                return self._call(now, event.call_id, event.command)
+            case read_requested.ReadRequested():
+                return self._call(now, event.call_id, None)
+            case leave.Leave():
+                self._is_leaving = True
+                return self._run(now, resign.Resign())
+        raise TypeError(type(event))
+
+    def _tick(self, now: float) -> Actions:
+        if now >= self._seeds_at:
+            self._seeds_at = now + SEED_SECONDS
+            self._raft.change_seeds(self._seeds())
+        actions = self._run(now, raft_tick.Tick())
+        actions += self._serve_calls(now)
+        for name in self._directory.expire(now):
+            actions.append(note.Note("warning", "upstream.silent", {"agent": name}))
+        if now >= self._relay_at:
+            self._relay_at = now + RELAY_SECONDS
+            for item in self._direct.values():
+                actions += self._relay(item)
+        actions += self._snapshot(now)
+        return actions + self._update_nodes(now)
+
+    # Nodes
+
+    def _connect(self, now: float, event: node_connected.NodeConnected) -> Actions:
+        session = node_session.NodeSession(event.name, event.wants_upstreams)
+        self._sessions[event.session_id] = session
+        return self._update_node(now, event.session_id, session)
+
+    def _disconnect(self, event: node_disconnected.NodeDisconnected) -> Actions:
+        session = self._sessions.pop(event.session_id, None)
+        still = {s.name for s in self._sessions.values()}
+        if session is not None and session.name not in still:
+            self._direct.pop(session.name, None)
+        return []
+
+    def _report(self, now: float, event: report_arrived.ReportArrived) -> Actions:
+        is_new = self._directory.note(now, event.report)
+        if not event.is_direct:
+            return self._update_nodes(now) if is_new else []
+        self._direct[event.report.record.name] = event.report
+        if not is_new:
+            return []
+        return self._relay(event.report) + self._update_nodes(now)
+
+    def _relay(self, item: report.Report) -> Actions:
+        data = cluster_codec.encode(item)
+        return [
+            send_control.SendControl(address, data)
+            for address in self._other_addresses()
+        ]
+
+    def _other_addresses(self) -> list[str]:
+        found = {m.address for m in self._raft.members}
+        return sorted(found - {self._address})
+
+    def _update_nodes(self, now: float) -> Actions:
+        actions: Actions = []
+        for session_id, session in self._sessions.items():
+            actions += self._update_node(now, session_id, session)
+        return actions
+
+    def _update_node(
+        self, now: float, session_id: int, session: node_session.NodeSession
+    ) -> Actions:
+        lease_ms = int(self._raft.lease_remaining(now) * 1000)
+        if self._is_leaving:
+            lease_ms = 0
+        controls = tuple(sorted(m.address for m in self._raft.members))
+        message = session.next_update(
+            now, self._state, self._directory, lease_ms, controls
+        )
+        if message is None:
+            return []
+        return [send_session.SendSession(session_id, message)]
+
+    # Operators
+
+    def _call(
+        self, now: float, call_id: int, command: cluster_state.Command | None
+    ) -> Actions:
+        if len(self._calls) >= MAX_CALLS:
+            return [self._answer(call_id, call_status.CallStatus.UNAVAILABLE)]
+        call = pending_call.PendingCall(call_id, command, now + CALL_SECONDS)
+        self._calls.append(call)
+        return self._serve_calls(now)
+
+    def _serve_calls(self, now: float) -> Actions:
+        """Pass calls on to the log, redirect them, or give them up."""
+        actions: Actions = []
+        leader = self._leader_host(now)
+        is_leader = self._raft.role is role.Role.LEADER
+        for call in list(self._calls):
+            if now >= call.expires_at:
+                self._calls.remove(call)
+                status = call_status.CallStatus.UNAVAILABLE
+                actions.append(self._answer(call.call_id, status))
+            elif call.number:
+                continue
+            elif is_leader:
+                actions += self._submit(now, call)
+            elif leader:
+                self._calls.remove(call)
+                status = call_status.CallStatus.REDIRECT
+                actions.append(self._answer(call.call_id, status, leader=leader))
+        return actions
+
+    def _leader_host(self, now: float) -> str:
+        """Return where the leader is, empty if it was not heard within its lease."""
+        if self._raft.lease_remaining(now) <= 0:
+            return ""
+        for item in self._raft.members:
+            if item.identity == self._raft.leader:
+                return item.address.rpartition(":")[0]
+        return ""
+
+    def _submit(self, now: float, call: pending_call.PendingCall) -> Actions:
+        self._next_number += 1
+        call.number = self._next_number
+        if call.command is None:
+            return self._run(now, read.Read(call.number))
+        data = cluster_state.encode(call.command)
+        item = proposal.Proposal(call.number, data)
+        return self._run(now, propose.Propose((item,)))
+
+    def _finish(self, number: int, status: call_status.CallStatus) -> Actions:
+        for call in self._calls:
+            if call.number != number:
+                continue
+            self._calls.remove(call)
+            document = b""
+            if call.command is None and status is call_status.CallStatus.DONE:
+                document = self._state.document
+                if not document:
+                    status = call_status.CallStatus.MISSING
+            return [self._answer(call.call_id, status, document)]
+        return []
+
+    def _answer(
+        self,
+        call_id: int,
+        status: call_status.CallStatus,
+        document: bytes = b"",
+        leader: str = "",
+    ) -> msgspec.Struct:
+        self.outcomes[status] = self.outcomes.get(status, 0) + 1
+        return answer_call.AnswerCall(call_id, status, document, leader)
+
+    # Replicated log
+
+    def _from_control(self, now: float, data: bytes) -> Actions:
+        found = envelope_codec.decode(data)
+        if isinstance(found, failure.Failure):
+            return [note.Note("warning", found.step, {"reason": str(found.reason)})]
+        return self._run(now, message_received.MessageReceived(found))
+
+    def _run(self, now: float, event: msgspec.Struct) -> Actions:
+        actions: Actions = []
+        before = self._state.version, self._state.zones_out
+        for action in self._raft.handle(now, event):
+            if isinstance(action, persist.Persist | save_snapshot.SaveSnapshot):
+                actions.append(action)
+            elif isinstance(action, send.Send):
+                actions.append(self._to_control(action))
+            else:
+                actions += self._take(action)
+        if (self._state.version, self._state.zones_out) != before:
+            actions += self._update_nodes(now)
+        return actions
+
+    def _to_control(self, action: send.Send) -> msgspec.Struct:
+        item = envelope.Envelope(
+            self._raft.identity, self._address, action.peer, action.message
+        )
+        message = consensus_message.ConsensusMessage(envelope_codec.encode(item))
+        return send_control.SendControl(action.address, cluster_codec.encode(message))
+
+    def _take(self, action: msgspec.Struct) -> Actions:
+        match action:
+            case apply.Apply():
+                return self._apply(action)
+            case install_snapshot.InstallSnapshot():
+                self._state.restore(action.index, action.data)
+                self._snapshot_at = action.index
+            case proposal_result.ProposalResult():
+                is_done = not isinstance(action.result, failure.Failure)
+                return self._finish(action.proposal_id, _status(is_done))
+            case read_result.ReadResult():
+                return self._finish(action.read_id, _status(action.current))
+            case role_changed.RoleChanged():
+                fields: Fields = {
+                    "state": str(action.role),
+                    "term": action.term,
+                    "leader": action.leader,
+                }
+                return [note.Note("info", "control.role", fields)]
+            case membership_changed.MembershipChanged():
+                names = [
+                    f"{m.identity}@{m.address}{'' if m.voting else ' (no vote)'}"
+                    for m in action.members
+                ]
+                fields = {"members": ", ".join(names)}
+                return [note.Note("info", "control.members", fields)]
+        return []
+
+    def _apply(self, action: apply.Apply) -> Actions:
+        has_changed = self._state.apply(action.index, action.data)
+        fields: Fields = {
+            "revision": action.index,
+            "version": self._state.version,
+            "zones_out": ",".join(sorted(self._state.zones_out)),
+            "changed": int(has_changed),
+        }
+        return [note.Note("info", "state.applied", fields)]
+
+    def _snapshot(self, now: float) -> Actions:
+        applied = self._state.applied
+        if applied - self._snapshot_at < SNAPSHOT_ENTRIES:
+            return []
+        self._snapshot_at = applied
+        data = self._state.snapshot()
+        return self._run(now, snapshot_available.SnapshotAvailable(applied, data))
+
+
+def _status(is_done: bool) -> call_status.CallStatus:
+    if is_done:
+        return call_status.CallStatus.DONE
+    return call_status.CallStatus.UNAVAILABLE
--- /dev/null
+++ b/src/limpetreel/cluster/cluster_state.py
@@ -0,0 +1,115 @@
+"""State machine on the replicated log."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from limpetreel import exceptions
+from limpetreel.cluster.commands import set_configuration, set_zone
+
+if TYPE_CHECKING:
+    from limpetreel.configuration import configuration as configurations
+    from limpetreel.configuration import document_parser
+
+Command = set_configuration.SetConfiguration | set_zone.SetZone
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+COMPRESSION_LEVEL = 1
+"""The fastest; documents repeat their field names and shrink to a tenth anyway."""
+
+
+class _Image(msgspec.Struct, frozen=True):
+    """State as a snapshot holds it."""
+
+    version: int
+    document: bytes
+    zones_out: tuple[str, ...]
+
+
+class ClusterState:
+    """Configuration in force and data centres that are out of service.
+
+    Parameters
+    ----------
+    parser : DocumentParser
+        Format of the documents.
+    """
+
+    def __init__(self, parser: document_parser.DocumentParser) -> None:
+        self._parser = parser
+        self._compressed = b""
+        self.applied = 0
+        self.version = 0
+        self.configuration: configurations.Configuration | None = None
+        self.zones_out: frozenset[str] = frozenset()
+
+    @property
+    def document(self) -> bytes:
+        """Return the document in force as it was sent, empty before the first."""
+        return zlib.decompress(self._compressed) if self._compressed else b""
+
+    def apply(self, index: int, data: bytes) -> bool:
+        """Apply a command; return whether it changed anything.
+
+        Parameters
+        ----------
+        index : int
+            Index of the entry.
+        data : bytes
+            The encoded command.
+        """
+        self.applied = index
+        command = _DECODER.decode(data)
+        if isinstance(command, set_zone.SetZone):
+            return self._set_zone(command)
+        if command.version <= self.version:
+            return False
+        self._take(command.version, command.document)
+        return True
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        zones = tuple(sorted(self.zones_out))
+        return _ENCODER.encode(_Image(self.version, self._compressed, zones))
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replace the state by that of a snapshot.
+
+        Raises
+        ------
+        CorruptError
+            If the snapshot cannot be read.
+        """
+        try:
+            image = msgspec.msgpack.decode(data, type=_Image)
+        except msgspec.DecodeError as exc:
+            raise exceptions.CorruptError("cluster.restore", str(exc)) from exc
+        self.applied = index
+        self.zones_out = frozenset(image.zones_out)
+        if image.document:
+            self._take(image.version, image.document)
+
+    def _set_zone(self, command: set_zone.SetZone) -> bool:
+        before = self.zones_out
+        changed = {command.name}
+        self.zones_out = before | changed if command.is_out else before - changed
+        return self.zones_out != before
+
+    def _take(self, version: int, compressed: bytes) -> None:
+        self.version = version
+        self._compressed = compressed
+        self.configuration = self._parser.parse(zlib.decompress(compressed))
+
+
+def encode(command: Command) -> bytes:
+    """Return the data of a log entry."""
+    return _ENCODER.encode(command)
+
+
+def compress(document: bytes) -> bytes:
+    """Return a document as `SetConfiguration` holds it."""
+    return zlib.compress(document, COMPRESSION_LEVEL)
--- /dev/null
+++ b/src/limpetreel/cluster/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Commands of the replicated log."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/cluster/control_client.py
@@ -0,0 +1,191 @@
+"""Connection of an entry or agent to a control instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from limpetreel.cluster import fleet_view
+from limpetreel.cluster.messages import alive, cluster_codec, hello, report, update
+from limpetreel.runtime import frame_protocol
+
+if TYPE_CHECKING:
+    import random as randoms
+
+    from limpetreel.cluster import upstream_record
+    from limpetreel.telemetry import telemetry
+
+CONNECT_SECONDS = 0.8
+SILENT_SECONDS = 1.2
+"""Three updates; a control instance that is silent for so long is left."""
+UNCONFIRMED_SECONDS = 1.5
+"""Time without a lease after which another control instance is tried; an election
+takes less."""
+RETRY_SECONDS = 0.1
+DOUBT_SECONDS = 5.0
+"""Time for which upstreams are kept that another control instance does not list; one
+that has just started hears of all upstreams within a second."""
+REPORT_SECONDS = 0.4
+"""Time between signs of life; control drops a connection after some three."""
+
+OnView = Callable[[fleet_view.FleetView], None]
+
+
+class ControlClient:
+    """Keeps the view of the fleet up to date.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node.
+    seeds : callable
+        Returns the addresses in the settings, which may change.
+    wants_upstreams : bool
+        Whether the node needs the list of upstreams.
+    on_view : callable
+        Called with each new view.
+    watch : Telemetry
+        Logs and metrics.
+    random : random.Random
+        Source of the order of control instances.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        seeds: Callable[[], Sequence[str]],
+        wants_upstreams: bool,
+        on_view: OnView,
+        watch: telemetry.Telemetry,
+        random: randoms.Random,
+    ) -> None:
+        self._greeting = cluster_codec.encode(hello.Hello(name, "", wants_upstreams))
+        self._seeds = seeds
+        self._on_view = on_view
+        self._watch = watch
+        self._random = random
+        self._known: tuple[str, ...] = ()
+        self._link: frame_protocol.FrameProtocol | None = None
+        self._records: dict[str, upstream_record.UpstreamRecord] = {}
+        self._doubted_until: dict[str, float] = {}
+        self._confirmed_at = 0.0
+        self._start = random.getrandbits(52)
+        self._sequence = 0
+        self._record: upstream_record.UpstreamRecord | None = None
+        self.view = fleet_view.FleetView()
+
+    def report(self, record: upstream_record.UpstreamRecord) -> None:
+        """Report the upstream; repeated until the next report."""
+        if record != self._record:
+            self._record = record
+            self._send_report()
+
+    async def run(self) -> None:
+        """Stay connected for ever."""
+        while True:
+            for address in self._addresses():
+                await self._attend(address)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def _addresses(self) -> list[str]:
+        known = sorted({*self._known, *self._seeds()})
+        self._random.shuffle(known)
+        return known
+
+    async def _attend(self, address: str) -> None:
+        """Use one control instance until it falls silent or loses its quorum."""
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        link = frame_protocol.FrameProtocol(self._receive, lambda link: None)
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await loop.create_connection(lambda: link, host, int(port))
+        except (OSError, TimeoutError) as exc:
+            link.abort()
+            self._watch.refuse("control.connect", address, type(exc).__name__)
+            return
+        self._link = link
+        self._confirmed_at = loop.time()
+        link.send(self._greeting)
+        self._watch.line("info", "control.connected", peer=address)
+        why = ""
+        while not why:
+            self._send_report()
+            await asyncio.sleep(REPORT_SECONDS)
+            why = self._problem(link, loop.time())
+        self._link = None
+        link.abort()
+        self._watch.line("warning", "control.lost", peer=address, reason=why)
+
+    def _problem(self, link: frame_protocol.FrameProtocol, now: float) -> str:
+        if not link.is_open:
+            return "connection closed"
+        if now - link.heard_at > SILENT_SECONDS:
+            return "silent"
+        if now - self._confirmed_at > UNCONFIRMED_SECONDS:
+            return "without a quorum"
+        return ""
+
+    def _send_report(self) -> None:
+        if self._link is None:
+            return
+        if self._record is None:
+            message = alive.Alive(self.view.revision)
+            self._link.send(cluster_codec.encode(message))
+            return
+        self._sequence += 1
+        item = report.Report(self._start, self._sequence, self._record)
+        self._link.send(cluster_codec.encode(item))
+
+    def _receive(self, link: frame_protocol.FrameProtocol, data: bytes) -> None:
+        message = cluster_codec.decode(data)
+        if not isinstance(message, update.Update):
+            self._watch.refuse("control.update", link.peer, "malformed")
+            return
+        if message.lease_ms > 0:
+            self._confirmed_at = asyncio.get_running_loop().time()
+        if message.controls:
+            self._known = message.controls
+        self._merge(message)
+
+    def _merge(self, message: update.Update) -> None:
+        self._merge_upstreams(message, asyncio.get_running_loop().time())
+        known = self.view
+        configuration, zones_out = known.configuration, known.zones_out
+        if message.revision >= known.revision:
+            # A control instance that has just restarted may be behind.
+            zones_out = frozenset(message.zones_out)
+            configuration = message.configuration or configuration
+        view = fleet_view.FleetView(
+            max(message.revision, known.revision),
+            configuration,
+            zones_out,
+            tuple(self._records.values()),
+        )
+        if view != known:
+            self.view = view
+            self._log_change(known, view)
+            self._on_view(view)
+
+    def _merge_upstreams(self, message: update.Update, now: float) -> None:
+        if message.is_full:
+            self._doubted_until = dict.fromkeys(self._records, now + DOUBT_SECONDS)
+        for item in message.upstreams:
+            self._records[item.name] = item
+            self._doubted_until.pop(item.name, None)
+        doubted = [n for n, at in self._doubted_until.items() if now > at]
+        for name in (*message.removed, *doubted):
+            self._records.pop(name, None)
+            self._doubted_until.pop(name, None)
+
+    def _log_change(
+        self, known: fleet_view.FleetView, view: fleet_view.FleetView
+    ) -> None:
+        before, after = known.configuration, view.configuration
+        if after is not None and after is not before:
+            fields: dict[str, Any] = {"version": after.version}
+            self._watch.line("info", "configuration.applied", **fields)
+        if known.zones_out != view.zones_out:
+            zones = ",".join(sorted(view.zones_out))
+            self._watch.line("info", "zones.applied", out=zones)
--- /dev/null
+++ b/src/limpetreel/cluster/events/change_requested.py
@@ -0,0 +1,22 @@
+"""Order of an operator."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.cluster.commands import set_configuration, set_zone
+
+
+class ChangeRequested(msgspec.Struct, frozen=True, tag="change_requested"):
+    """An operator wants a change.
+
+    Attributes
+    ----------
+    call_id : int
+        Number of the call, for the answer.
+    command : SetConfiguration or SetZone
+        The valid change.
+    """
+
+    call_id: int
+    command: set_configuration.SetConfiguration | set_zone.SetZone
--- /dev/null
+++ b/src/limpetreel/cluster/fleet_view.py
@@ -0,0 +1,29 @@
+"""All that an entry or agent learns from control."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.cluster import upstream_record
+from limpetreel.configuration import configuration as configurations
+
+
+class FleetView(msgspec.Struct, frozen=True):
+    """State of the fleet at one revision.
+
+    Attributes
+    ----------
+    revision : int
+        Last entry of the replicated log that the view includes.
+    configuration : Configuration or None
+        The configuration in force; None before the first one.
+    zones_out : frozenset of str
+        Data centres that take no new flows.
+    upstreams : tuple of UpstreamRecord
+        Known upstreams.
+    """
+
+    revision: int = 0
+    configuration: configurations.Configuration | None = None
+    zones_out: frozenset[str] = frozenset()
+    upstreams: tuple[upstream_record.UpstreamRecord, ...] = ()
--- /dev/null
+++ b/src/limpetreel/cluster/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between nodes and control instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/cluster/messages/alive.py
@@ -0,0 +1,17 @@
+"""Sign of life of a node without an upstream."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Alive(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Sent by an entry to its control instance, which drops silent connections.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the node has.
+    """
+
+    revision: int
--- /dev/null
+++ b/src/limpetreel/cluster/node_session.py
@@ -0,0 +1,72 @@
+"""Connection of an entry or agent at its control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.cluster.messages import update
+
+if TYPE_CHECKING:
+    from limpetreel.cluster import cluster_state, upstream_directory, upstream_record
+
+REFRESH_SECONDS = 0.4
+"""Time after which an update is sent even if nothing has changed; nodes take a
+silence of three for a lost connection."""
+
+
+class NodeSession:
+    """What one node has been sent.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node.
+    wants_upstreams : bool
+        Whether it needs the list of upstreams.
+    """
+
+    def __init__(self, name: str, wants_upstreams: bool) -> None:
+        self.name = name
+        self._wants_upstreams = wants_upstreams
+        self._sent_at = float("-inf")
+        self._version = 0
+        self._zones_out: frozenset[str] = frozenset()
+        self._change = -1
+        self._had_lease = False
+
+    def next_update(
+        self,
+        now: float,
+        state: cluster_state.ClusterState,
+        directory: upstream_directory.UpstreamDirectory,
+        lease_ms: int,
+        controls: tuple[str, ...],
+    ) -> update.Update | None:
+        """Return an update if there is news or the last one is old."""
+        is_new = state.version > self._version or state.zones_out != self._zones_out
+        if self._wants_upstreams and directory.change > self._change:
+            is_new = True
+        if not is_new and now - self._sent_at < REFRESH_SECONDS:
+            return None
+        is_full = self._change < 0
+        records: tuple[upstream_record.UpstreamRecord, ...] = ()
+        removed: tuple[str, ...] = ()
+        if self._wants_upstreams:
+            records, removed = directory.changed_since(self._change)
+        configuration = None
+        if state.version > self._version:
+            configuration = state.configuration
+        self._sent_at = now
+        self._version = state.version
+        self._zones_out = state.zones_out
+        self._change = directory.change
+        return update.Update(
+            state.applied,
+            lease_ms,
+            configuration,
+            tuple(sorted(state.zones_out)),
+            is_full,
+            records,
+            removed,
+            controls,
+        )
--- /dev/null
+++ b/src/limpetreel/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Routes and services that operators configure, versioned as one document."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/consensus/known_names.py
@@ -0,0 +1,30 @@
+"""Policy of a group whose members an operator names."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.consensus import membership_changes, membership_policy
+
+if TYPE_CHECKING:
+    from limpetreel.consensus import membership
+
+
+class KnownNames(membership_policy.MembershipPolicy):
+    """Admits a known name with a later data folder, which replaces the lost one."""
+
+    def admits(
+        self, members: membership.Members, name: str, incarnation: int, address: str
+    ) -> bool:
+        """Return whether a known name asks with a higher incarnation."""
+        known = [m.incarnation for m in members if m.name == name]
+        return bool(known) and incarnation > max(known)
+
+    def next_change(
+        self,
+        members: membership.Members,
+        caught_up: set[str],
+        silent_seconds: dict[str, float],
+    ) -> membership.Members | None:
+        """Return the members after the next step of replacing a lost folder."""
+        return membership_changes.next_repair(members, caught_up)
--- a/src/limpetreel/consensus/leadership.py
+++ b/src/limpetreel/consensus/leadership.py
@@ -7,6 +7,7 @@
 from limpetreel.consensus import (
     entry,
     entry_kind,
+    member,
     membership,
     membership_changes,
     progress,
@@ -19,7 +20,7 @@
 from limpetreel.core import failure, reason
 
 if TYPE_CHECKING:
-    from limpetreel.consensus import member, node_state
+    from limpetreel.consensus import membership_policy, node_state
     from limpetreel.consensus.events import change_membership, propose
     from limpetreel.consensus.messages import (
         append_reply,
@@ -37,10 +38,18 @@
         State of the instance, which has just won the election of its term.
     now : float
         Monotonic time in seconds.
+    policy : MembershipPolicy
+        Which members join and are replaced.
     """
 
-    def __init__(self, state: node_state.NodeState, now: float) -> None:
+    def __init__(
+        self,
+        state: node_state.NodeState,
+        now: float,
+        policy: membership_policy.MembershipPolicy,
+    ) -> None:
         self._state = state
+        self._policy = policy
         self._rounds = quorum_rounds.QuorumRounds(state.identity)
         self._progress: dict[str, progress.Progress] = {}
         self._proposals: dict[int, int] = {}
@@ -115,11 +124,12 @@
     def on_join_request(self, now: float, message: join_request.JoinRequest) -> None:
         """Add an instance that lost its disk as a member without a vote."""
         state = self._state
-        known = [m.incarnation for m in state.members if m.name == message.name]
-        # An unknown name is added only by an operator's command.
-        if not known or message.incarnation <= max(known) or not self._may_change():
+        admits = self._policy.admits(
+            state.members, message.name, message.incarnation, message.address
+        )
+        if not admits or not self._may_change():
             return
-        new = type(state.members[0])(
+        new = member.Member(
             message.name, message.incarnation, message.address, voting=False
         )
         self._append_members(now, (*state.members, new))
@@ -132,7 +142,7 @@
         self, now: float, sender: str, message: append_reply.AppendReply
     ) -> None:
         """Take an answer to a heartbeat."""
-        peer = self._heard(sender, message.round)
+        peer = self._heard(now, sender, message.round)
         if peer is None:
             return
         known = self._progress_of(sender)
@@ -151,7 +161,7 @@
         self, now: float, sender: str, message: snapshot_reply.SnapshotReply
     ) -> None:
         """Take an answer to a part of a snapshot."""
-        peer = self._heard(sender, message.round)
+        peer = self._heard(now, sender, message.round)
         known = self._progress_of(sender)
         if peer is None or known.snapshot is None:
             return
@@ -226,7 +236,11 @@
             for identity, known in self._progress.items()
             if known.match >= state.commit
         }
-        changed = membership_changes.next_repair(state.members, caught_up)
+        silent = {
+            m.identity: now - max(self._since, self._progress_of(m.identity).heard_at)
+            for m in state.peers()
+        }
+        changed = self._policy.next_change(state.members, caught_up, silent)
         if changed is not None:
             self._append_members(now, changed)
 
@@ -237,10 +251,11 @@
             self._progress[identity] = known
         return known
 
-    def _heard(self, sender: str, number: int) -> member.Member | None:
+    def _heard(self, now: float, sender: str, number: int) -> member.Member | None:
         peer = membership.find(self._state.members, sender)
         if peer is not None:
             self._rounds.answer(sender, number)
+            self._progress_of(sender).heard_at = now
         return peer
 
     def _retry_index(self, message: append_reply.AppendReply) -> int:
--- /dev/null
+++ b/src/limpetreel/consensus/membership_policy.py
@@ -0,0 +1,55 @@
+"""Base class of the policies for the members of the group."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from limpetreel.consensus import membership
+
+
+class MembershipPolicy(abc.ABC):
+    """Decides who is added without an operator, and which members are replaced.
+
+    Attributes
+    ----------
+    may_voter_rejoin : bool
+        Whether a voter may have been replaced while it was away, so that it has to
+        ask.
+    """
+
+    may_voter_rejoin = False
+
+    @abc.abstractmethod
+    def admits(
+        self, members: membership.Members, name: str, incarnation: int, address: str
+    ) -> bool:
+        """Return whether an instance that asks is added without a vote.
+
+        Parameters
+        ----------
+        members : tuple of Member
+            Members in effect.
+        name, incarnation, address : str, int, str
+            Who asks.
+        """
+
+    @abc.abstractmethod
+    def next_change(
+        self,
+        members: membership.Members,
+        caught_up: set[str],
+        silent_seconds: dict[str, float],
+    ) -> membership.Members | None:
+        """Return the members after the next step, None if nothing is to be done.
+
+        Parameters
+        ----------
+        members : tuple of Member
+            Members in effect, which are known to be accepted.
+        caught_up : set of str
+            Identities that hold every accepted entry.
+        silent_seconds : dict of str to float
+            Time since each other member answered the leader.
+        """
--- a/src/limpetreel/consensus/node_state.py
+++ b/src/limpetreel/consensus/node_state.py
@@ -45,10 +45,15 @@
         What was recovered from disk.
     random : random.Random
         Source of election timeouts.
+    trailing_entries : int
+        Entries that are kept in memory before a snapshot.
     """
 
     def __init__(
-        self, durable: durable_state.DurableState, random: randoms.Random
+        self,
+        durable: durable_state.DurableState,
+        random: randoms.Random,
+        trailing_entries: int = timing.TRAILING_ENTRIES,
     ) -> None:
         self.name = durable.name
         self.incarnation = durable.incarnation
@@ -65,6 +70,7 @@
         self.election_at = float("inf")
         self.actions: list[msgspec.Struct] = []
         self._random = random
+        self._trailing_entries = trailing_entries
         self._session = random.getrandbits(63)
         self._configs = [(base.index, base.members)]
         self._track_members(durable.entries)
@@ -166,7 +172,7 @@
         members = [c[1] for c in self._configs if c[0] <= index][-1]
         made = type(self.snapshot)(index, term, members, data)
         self._save(made, keep_log=True)
-        self.log.compact(index - timing.TRAILING_ENTRIES)
+        self.log.compact(index - self._trailing_entries)
 
     def adopt_snapshot(self, received: snapshot.Snapshot) -> None:
         """Replace the log up to the index of a snapshot from the leader."""
--- a/src/limpetreel/consensus/progress.py
+++ b/src/limpetreel/consensus/progress.py
@@ -18,6 +18,7 @@
     """
 
     __slots__ = (
+        "heard_at",
         "match",
         "next_index",
         "offset",
@@ -29,6 +30,7 @@
     def __init__(self, next_index: int) -> None:
         self.next_index = next_index
         self.match = 0
+        self.heard_at = float("-inf")
         self.snapshot: snapshot.Snapshot | None = None
         self.offset = 0
         self.stamp: stamp.Stamp | None = None
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -8,6 +8,7 @@
 from limpetreel.consensus import (
     election,
     following,
+    known_names,
     leadership,
     membership,
     node_state,
@@ -44,7 +45,7 @@
 
     import msgspec
 
-    from limpetreel.consensus import durable_state, snapshot
+    from limpetreel.consensus import durable_state, membership_policy, snapshot
     from limpetreel.consensus.messages import envelope
 
 
@@ -65,6 +66,10 @@
         Where other instances reach this one.
     seeds : sequence of str
         Addresses that an instance without a vote asks to be added.
+    policy : MembershipPolicy or None
+        Which members join and are replaced; None admits known names only.
+    trailing_entries : int
+        Entries that are kept in memory before a snapshot.
     """
 
     def __init__(
@@ -73,10 +78,13 @@
         random: randoms.Random,
         address: str,
         seeds: Sequence[str] = (),
+        policy: membership_policy.MembershipPolicy | None = None,
+        trailing_entries: int = timing.TRAILING_ENTRIES,
     ) -> None:
-        self._state = node_state.NodeState(durable, random)
+        self._state = node_state.NodeState(durable, random, trailing_entries)
         self._address = address
         self._seeds = tuple(seeds)
+        self._policy = policy or known_names.KnownNames()
         self._election = election.Election(self._state)
         self._following = following.Following(self._state)
         self._leadership: leadership.Leadership | None = None
@@ -174,9 +182,13 @@
             else:
                 self._follow(now, "")
             return
-        if not state.is_voter():
+        # A voter that was replaced while it was away is told so by nobody, since it
+        # is no longer a peer of any leader.
+        if not state.is_voter() or self._policy.may_voter_rejoin:
             self._ask_to_join(now)
-        elif now >= state.election_at and self._election.begin(now):
+        if not state.is_voter():
+            return
+        if now >= state.election_at and self._election.begin(now):
             self._lead(now)
 
     def _ask_to_join(self, now: float) -> None:
@@ -184,13 +196,27 @@
         # An instance that has been added may have to ask again: the entry that added
         # it can be replaced by a leader that does not know it.
         silent_for = now - state.leader_heard_at
-        if now < self._join_at or silent_for < timing.JOIN_RETRY_SECONDS:
+        patience = timing.JOIN_RETRY_SECONDS
+        if state.is_voter():
+            patience = timing.REJOIN_SECONDS
+        if now < self._join_at or silent_for < patience:
             return
         self._join_at = now + timing.JOIN_RETRY_SECONDS
         request = join_request.JoinRequest(state.name, state.incarnation, self._address)
-        for address in self._seeds:
+        known = {m.address for m in state.members}
+        for address in sorted({*self._seeds, *known} - {self._address}):
             state.actions.append(send.Send("", address, request))
 
+    def change_seeds(self, seeds: Sequence[str]) -> None:
+        """Take the addresses that are asked from now on."""
+        self._seeds = tuple(seeds)
+
+    def _pass_on(self, message: join_request.JoinRequest) -> None:
+        """Pass a request to join on to the leader, which the sender may not know."""
+        leader = membership.find(self._state.members, self._state.leader)
+        if leader is not None and self._policy.may_voter_rejoin:
+            self._state.send(leader, message)
+
     def _propose(self, now: float, event: propose.Propose) -> None:
         if self._leadership is not None:
             self._leadership.propose(now, event)
@@ -221,7 +247,7 @@
         self._state.actions.append(stale)
 
     def _lead(self, now: float) -> None:
-        self._leadership = leadership.Leadership(self._state, now)
+        self._leadership = leadership.Leadership(self._state, now, self._policy)
 
     def _follow(self, now: float, leader: str) -> None:
         if self._leadership is not None:
@@ -245,6 +271,8 @@
         if isinstance(message, join_request.JoinRequest):
             if self._leadership is not None:
                 self._leadership.on_join_request(now, message)
+            else:
+                self._pass_on(message)
             return
         if isinstance(message, pre_vote_request.PreVoteRequest):
             # The term of a pre-vote has not started.
--- a/src/limpetreel/consensus/timing.py
+++ b/src/limpetreel/consensus/timing.py
@@ -7,6 +7,9 @@
 ELECTION_MAX_SECONDS = 0.6
 LEASE_SECONDS = 2.0
 JOIN_RETRY_SECONDS = 0.5
+REJOIN_SECONDS = 2.0
+"""Time without a leader after which a voter asks whether it has been replaced; some
+elections."""
 
 BATCH_BYTES = 64 * 1024
 CHUNK_BYTES = 64 * 1024
--- a/src/limpetreel/exceptions.py
+++ b/src/limpetreel/exceptions.py
@@ -59,3 +59,7 @@
         super().__init__(
             "settings.load", f"{name}={value!r} is not allowed; use {allowed}"
         )
+
+
+class DocumentError(LimpetreelError):
+    """A configuration document is not valid."""
--- /dev/null
+++ b/src/limpetreel/platform/announcement_format.py
@@ -0,0 +1,58 @@
+"""Announcements of upstreams."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from limpetreel.core import failure, reason
+from limpetreel.streams import upstream_status
+
+_Positive = Annotated[int, msgspec.Meta(gt=0)]
+_NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Announcement(msgspec.Struct, rename="pascal"):
+    """Body of an announcement."""
+
+    backend: str
+    address: str
+    zone: str
+    max_concurrency: _Positive
+    state: Literal["ready", "draining"]
+    sequence: _NotNegative
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    born: int | None = msgspec.field(name="born", default=None)
+
+
+_DECODER = msgspec.json.Decoder(_Announcement)
+
+
+def decode(
+    instance_id: str, body: bytes
+) -> upstream_status.UpstreamStatus | failure.Failure:
+    """Return the announcement in a request.
+
+    Parameters
+    ----------
+    instance_id : str
+        Which start of the upstream, from the path.
+    body : bytes
+        Body of the request.
+    """
+    try:
+        found = _DECODER.decode(body)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        return failure.Failure(
+            reason.Reason.MALFORMED, "announcement.decode", detail=str(exc)
+        )
+    return upstream_status.UpstreamStatus(
+        instance_id,
+        found.born,
+        found.sequence,
+        found.backend,
+        found.max_concurrency,
+        found.state == "draining",
+        int(found.warmup_left_ms),
+    )
--- /dev/null
+++ b/src/limpetreel/platform/process_settings.py
@@ -0,0 +1,178 @@
+"""Settings file of a process."""
+
+from __future__ import annotations
+
+import dataclasses
+import tomllib
+from typing import TYPE_CHECKING, Any
+
+from limpetreel import exceptions
+
+if TYPE_CHECKING:
+    import pathlib
+
+ENVIRONMENT_NAME = "LIMPETREEL_CONFIG"
+DEFAULT_PATH = "/etc/limpetreel/settings.toml"
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class ProcessSettings:
+    """What the platform tells a process.
+
+    Attributes
+    ----------
+    node : str
+        Name of the machine.
+    role : str
+        Name of the role in the deploy file.
+    host : str
+        IP number of the machine.
+    data_centre : str
+        Data centre of the machine; the platform calls it a zone.
+    data_centres : frozenset of str
+        All data centres.
+    internal_ports : tuple of (int, int)
+        First and last port for traffic between nodes.
+    seeds : tuple of str
+        Hosts of some control instances. The file gives the address for operators,
+        of which only the host matters here.
+    packets : Address or None
+        Where the routers or other nodes send packets.
+    outbound : Address or None
+        Where the upstream beside an agent sends its packets.
+    upstream : Address or None
+        Where the upstream beside an agent takes packets.
+    ready : Address or None
+        Where the routers ask whether the node is ready.
+    control : Address or None
+        Where operators, or the upstream beside an agent, call.
+    service : str
+        Service of the upstream beside an agent.
+    beat_ms : int
+        Time between announcements of an upstream.
+    is_first_start : bool
+        Whether the whole system starts with empty disks.
+    data_folder : str
+        Folder on the disk, empty for a machine without one.
+    lost_machines : int
+        Machines with a disk that may be lost at once.
+    max_flow_s : float
+        Age up to which a flow must be kept.
+    grace_s : float
+        Time from SIGTERM to SIGKILL.
+    """
+
+    node: str
+    role: str
+    host: str
+    data_centre: str
+    data_centres: frozenset[str]
+    internal_ports: tuple[int, int]
+    seeds: tuple[str, ...]
+    packets: Address | None
+    outbound: Address | None
+    upstream: Address | None
+    ready: Address | None
+    control: Address | None
+    service: str
+    beat_ms: int
+    is_first_start: bool
+    data_folder: str
+    lost_machines: int
+    max_flow_s: float
+    grace_s: float
+
+
+def read(path: pathlib.Path) -> ProcessSettings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    SettingError
+        If the file cannot be read, or a value is missing or not allowed.
+    """
+    try:
+        fields = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise exceptions.SettingError(str(path), str(exc), "a TOML file") from exc
+    return decode(fields)
+
+
+def decode(fields: dict[str, Any]) -> ProcessSettings:
+    """Return the settings in the fields of a file.
+
+    Raises
+    ------
+    SettingError
+        If a value is missing or not allowed.
+    """
+    listen = _take(fields, "ListenAddrs", dict, {})
+    bounds = _take(fields, "Bounds", dict, {})
+    tolerance = _take(fields, "FaultTolerance", dict, {})
+    zones = _take(fields, "Zones", dict, {})
+    zone = _take(fields, "Zone", str)
+    return ProcessSettings(
+        node=_take(fields, "NodeName", str),
+        role=_take(fields, "Role", str, ""),
+        host=_take(fields, "Ip", str),
+        data_centre=zone,
+        data_centres=frozenset(zones) | {zone},
+        internal_ports=_ports(fields),
+        seeds=tuple(_seed(s) for s in _take(fields, "SeedNodes", list, [])),
+        packets=_address(listen, "UdpListen"),
+        outbound=_address(listen, "outbound"),
+        upstream=_address(fields, "app"),
+        ready=_address(listen, "Ready"),
+        control=_address(listen, "Control"),
+        service=_take(fields, "Backend", str, ""),
+        beat_ms=_positive(fields, "HeartbeatMs", 1200),
+        is_first_start=_take(fields, "Bootstrap", bool, False),
+        data_folder=_take(fields, "DataDir", str, ""),
+        lost_machines=_take(tolerance, "Machines", int, 1),
+        max_flow_s=float(_positive(bounds, "MaxFlowS", 60)),
+        grace_s=float(_positive(bounds, "GraceS", 6)),
+    )
+
+
+def _take(fields: dict[str, Any], name: str, kind: type, default: Any = None) -> Any:
+    value = fields.get(name, default)
+    if value is None or not isinstance(value, kind):
+        raise exceptions.SettingError(name, str(value), f"a value of type {kind}")
+    return value
+
+
+def _positive(fields: dict[str, Any], name: str, default: int) -> Any:
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise exceptions.SettingError(name, str(value), "a number above 0")
+    return value
+
+
+def _ports(fields: dict[str, Any]) -> tuple[int, int]:
+    name, allowed = "InternalPortRange", "two ports, the first below the last"
+    value = _take(fields, name, list)
+    if len(value) != 2 or not all(isinstance(p, int) for p in value):
+        raise exceptions.SettingError(name, str(value), allowed)
+    first, last = value
+    if not 0 < first < last < 65536:
+        raise exceptions.SettingError(name, str(value), allowed)
+    return first, last
+
+
+def _seed(value: object) -> str:
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdecimal():
+        raise exceptions.SettingError("SeedNodes", str(value), "host:port")
+    return host
+
+
+def _address(fields: dict[str, Any], name: str) -> Address | None:
+    value = fields.get(name, "")
+    if not value:
+        return None
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise exceptions.SettingError(name, str(value), "host:port")
+    return host, int(port)
--- /dev/null
+++ b/src/limpetreel/platform/seed_source.py
@@ -0,0 +1,53 @@
+"""Seeds in a settings file that may change."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel import exceptions
+from limpetreel.platform import process_settings
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from limpetreel.telemetry import telemetry
+
+
+class SeedSource:
+    """Reads the file again whenever seeds are needed, since it may change silently.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The settings file.
+    port : int
+        Port of control instances for nodes, the same on all machines.
+    known : tuple of str
+        Hosts of the seeds at the start.
+    watch : Telemetry
+        Logs and metrics.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        port: int,
+        known: tuple[str, ...],
+        watch: telemetry.Telemetry,
+    ) -> None:
+        self._path = path
+        self._port = port
+        self._hosts = known
+        self._watch = watch
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of the seeds."""
+        try:
+            hosts = process_settings.read(self._path).seeds
+        except exceptions.SettingError as exc:
+            self._watch.refuse("settings.reload", self._path, exc.detail)
+            hosts = self._hosts
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._watch.line("info", "settings.reload", seeds=",".join(hosts))
+        return [f"{host}:{self._port}" for host in self._hosts]
--- /dev/null
+++ b/src/limpetreel/platform_factory.py
@@ -0,0 +1,206 @@
+"""Composition root of the roles on the users' platform.
+
+It is apart from `factory` because the libraries of the CoAP roles would take twice
+the memory of these processes.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import random
+import sys
+import time
+from typing import TYPE_CHECKING
+
+from limpetreel import exceptions
+from limpetreel.platform import (
+    configuration_format,
+    process_settings,
+    seed_source,
+    segment_format,
+)
+from limpetreel.telemetry import log_writer, telemetry
+
+if TYPE_CHECKING:
+    from limpetreel.cluster import cluster_shell, control_client
+    from limpetreel.consensus import durable_state
+    from limpetreel.storage import log_store
+    from limpetreel.streams import stream_agent_shell, stream_entry_shell, stream_shell
+
+    Settings = process_settings.ProcessSettings
+
+TRAILING_ENTRIES = 32
+"""Log entries kept before a snapshot; documents take some kilobytes each."""
+_MS_PER_SECOND = 1000
+
+
+def settings_path() -> pathlib.Path:
+    """Return the path of the settings file."""
+    name = process_settings.ENVIRONMENT_NAME
+    return pathlib.Path(os.environ.get(name) or process_settings.DEFAULT_PATH)
+
+
+def build_entry(path: pathlib.Path) -> stream_entry_shell.StreamEntryShell:
+    """Return an entry that is ready to serve."""
+    from limpetreel.platform import http_ready_api
+    from limpetreel.streams import stream_entry_core, stream_entry_shell
+
+    cfg = process_settings.read(path)
+    packets = _needed("UdpListen", cfg.packets)
+    ready = _needed("Ready", cfg.ready)
+    watch = _telemetry(cfg)
+    core = stream_entry_core.StreamEntryCore(
+        segment_format.SegmentFormat(), cfg.data_centre, random.getrandbits(63)
+    )
+    watch.watch("offers_total", "offers by outcome", "outcome", lambda: core.outcomes)
+    watch.watch("open_flows", "flows", "", lambda: {"": core.open_flows})
+    watch.watch_drops("entry.core", lambda: core.dropped)
+    api = http_ready_api.HttpReadyApi(ready, watch)
+    node_listen = (cfg.host, cfg.internal_ports[0] + 1)
+    shell = stream_entry_shell.StreamEntryShell(packets, node_listen, core, api, watch)
+    _attach_control(path, cfg, shell, watch, wants_upstreams=True)
+    return shell
+
+
+def build_agent(path: pathlib.Path) -> stream_agent_shell.StreamAgentShell:
+    """Return an agent that is ready to serve."""
+    from limpetreel.platform import http_upstream_api
+    from limpetreel.streams import stream_agent_core, stream_agent_shell
+
+    cfg = process_settings.read(path)
+    watch = _telemetry(cfg)
+    core = stream_agent_core.StreamAgentCore(
+        time.monotonic(),
+        segment_format.SegmentFormat(),
+        cfg.service,
+        cfg.data_centre,
+        cfg.beat_ms / _MS_PER_SECOND,
+        cfg.max_flow_s,
+    )
+    watch.watch("offers_total", "offers by outcome", "outcome", lambda: core.outcomes)
+    watch.watch_drops("agent.core", lambda: core.dropped)
+    api = http_upstream_api.HttpUpstreamApi(
+        _needed("Control", cfg.control), cfg.ready, watch
+    )
+    shell = stream_agent_shell.StreamAgentShell(
+        cfg.node,
+        cfg.data_centre,
+        cfg.service,
+        _needed("UdpListen", cfg.packets),
+        _needed("outbound", cfg.outbound),
+        _needed("app", cfg.upstream),
+        cfg.grace_s,
+        core,
+        api,
+        watch,
+    )
+    _attach_control(path, cfg, shell, watch, wants_upstreams=False)
+    return shell
+
+
+def build_control(path: pathlib.Path) -> cluster_shell.ClusterShell:
+    """Return a control instance that is ready to serve."""
+    from limpetreel.cluster import cluster_core, cluster_shell
+    from limpetreel.consensus import open_membership, raft_core
+    from limpetreel.platform import http_operator_api
+
+    cfg = process_settings.read(path)
+    watch = _telemetry(cfg)
+    port = cfg.internal_ports[0]
+    store, durable = _open_store(cfg, port, watch)
+    address = f"{cfg.host}:{port}"
+    seeds = seed_source.SeedSource(path, port, cfg.seeds, watch)
+    raft = raft_core.RaftCore(
+        durable,
+        random.Random(),
+        address,
+        seeds.addresses(),
+        open_membership.OpenMembership(2 * cfg.lost_machines + 1),
+        TRAILING_ENTRIES,
+    )
+    parser = configuration_format.ConfigurationFormat()
+    core = cluster_core.ClusterCore(raft, parser, address, seeds.addresses)
+    watch.watch("calls_total", "calls by status", "status", lambda: core.outcomes)
+    api = http_operator_api.HttpOperatorApi(
+        _needed("Control", cfg.control), parser, cfg.data_centres, watch
+    )
+    listen = (cfg.host, port)
+    return cluster_shell.ClusterShell(listen, cfg.node, core, store, api, watch)
+
+
+def _needed(
+    name: str, value: process_settings.Address | None
+) -> process_settings.Address:
+    if value is None:
+        raise exceptions.SettingError(name, "", "host:port")
+    return value
+
+
+def _telemetry(cfg: Settings) -> telemetry.Telemetry:
+    log = log_writer.LogWriter(cfg.node, cfg.role, "info", sys.stdout.buffer)
+    return telemetry.Telemetry(cfg.node, cfg.role, log)
+
+
+def _attach_control(
+    path: pathlib.Path,
+    cfg: Settings,
+    shell: stream_shell.StreamShell,
+    watch: telemetry.Telemetry,
+    wants_upstreams: bool,
+) -> control_client.ControlClient:
+    from limpetreel.cluster import control_client
+
+    seeds = seed_source.SeedSource(path, cfg.internal_ports[0], cfg.seeds, watch)
+    client = control_client.ControlClient(
+        cfg.node,
+        seeds.addresses,
+        wants_upstreams,
+        shell.take_view,
+        watch,
+        random.Random(),
+    )
+    shell.attach(client)
+    return client
+
+
+def _open_store(
+    cfg: Settings, port: int, watch: telemetry.Telemetry
+) -> tuple[log_store.LogStore, durable_state.DurableState]:
+    """Recover the data folder, or put an empty one into use."""
+    from limpetreel.storage import folder_disk, log_store
+
+    files = folder_disk.FolderDisk(pathlib.Path(cfg.data_folder))
+    store = log_store.LogStore(files)
+    try:
+        durable = store.recover()
+    except exceptions.CorruptError as exc:
+        # Without its log the instance may not vote as before. It joins as another.
+        watch.line("error", exc.step, detail=exc.detail)
+        for name in files.list_files():
+            files.remove(name)
+        store = log_store.LogStore(files)
+        durable = None
+    if durable is None:
+        _create(cfg, port, store)
+        durable = store.recover()
+    assert durable is not None
+    return store, durable
+
+
+def _create(cfg: Settings, port: int, store: log_store.LogStore) -> None:
+    """Found the group with the other seeds, or leave it to the group to add this one.
+
+    Only the first start of the whole system founds a group, and only the seeds do,
+    since all machines are given the same seeds then.
+    """
+    from limpetreel.consensus import member
+
+    if cfg.is_first_start and cfg.host in cfg.seeds:
+        founders = tuple(
+            member.Member(host, 1, f"{host}:{port}") for host in sorted(set(cfg.seeds))
+        )
+        store.create(cfg.host, 1, founders)
+        return
+    incarnation = time.time_ns() // 1_000_000
+    store.create(cfg.host, incarnation, ())
--- /dev/null
+++ b/src/limpetreel/runtime/http_server.py
@@ -0,0 +1,147 @@
+"""Small HTTP/1.1 server on the protocol library ``h11``."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import h11
+
+from limpetreel.runtime import http_request, http_response
+
+RECEIVE_BYTES = 65536
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Holds a configuration of tens of thousands of routes."""
+MAX_CONNECTIONS = 128
+REQUEST_SECONDS = 5.0
+"""Time for a client to send a request; slower ones hold a connection for nothing."""
+IDLE_SECONDS = 30.0
+WRITE_SECONDS = 5.0
+
+Handler = Callable[[http_request.HttpRequest], Awaitable[http_response.HttpResponse]]
+Refuse = Callable[[str, object, str], None]
+
+
+class HttpServer:
+    """Serves requests of one address.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function that answers a request.
+    refuse : callable
+        Called with step, peer and reason for a request that is not served.
+    """
+
+    def __init__(self, handler: Handler, refuse: Refuse) -> None:
+        self._handler = handler
+        self._refuse = refuse
+        self._open = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._serve, host, port, limit=RECEIVE_BYTES, backlog=256
+        )
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address that the server listens on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()
+
+    def close(self) -> None:
+        """Stop to listen."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        peer = writer.get_extra_info("peername")
+        self._open += 1
+        try:
+            if self._open > MAX_CONNECTIONS:
+                self._refuse("http.accept", peer, "too many connections")
+                return
+            await self._serve_requests(reader, writer, peer)
+        except TimeoutError:
+            self._refuse("http.request", peer, "timeout")
+        except OSError:
+            self._refuse("http.request", peer, "connection closed")
+        finally:
+            self._open -= 1
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: object
+    ) -> None:
+        conn = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                req = await _read_request(conn, reader)
+            except h11.RemoteProtocolError as exc:
+                self._refuse("http.request", peer, "malformed")
+                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    res = http_response.HttpResponse(exc.error_status_hint)
+                    await _write(conn, writer, res)
+                return
+            if req is None:
+                return
+            await _write(conn, writer, await self._handler(req))
+            if conn.our_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+
+async def _read_request(
+    conn: h11.Connection, reader: asyncio.StreamReader
+) -> http_request.HttpRequest | None:
+    """Return the next request, None if the client has closed the connection."""
+    head: h11.Request | None = None
+    body = bytearray()
+    seconds = IDLE_SECONDS
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(seconds):
+                data = await reader.read(RECEIVE_BYTES)
+            conn.receive_data(data)
+            seconds = REQUEST_SECONDS
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            path = head.target.decode("ascii", "replace").partition("?")[0]
+            return http_request.HttpRequest(
+                head.method.decode("ascii", "replace"), path, bytes(body)
+            )
+        else:
+            return None
+
+
+async def _write(
+    conn: h11.Connection,
+    writer: asyncio.StreamWriter,
+    res: http_response.HttpResponse,
+) -> None:
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(res.body))),
+    ]
+    if res.location:
+        headers.append(("Location", res.location))
+    data = conn.send(h11.Response(status_code=res.status, headers=headers)) or b""
+    if res.body:
+        data += conn.send(h11.Data(data=res.body)) or b""
+    data += conn.send(h11.EndOfMessage()) or b""
+    writer.write(data)
+    async with asyncio.timeout(WRITE_SECONDS):
+        await writer.drain()
--- a/src/limpetreel/runtime/process.py
+++ b/src/limpetreel/runtime/process.py
@@ -22,4 +22,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    # Settings that may change are read when they are needed.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     await service(stopped)
--- /dev/null
+++ b/src/limpetreel/streams/actions/__init__.py
@@ -0,0 +1,3 @@
+"""Actions of the cores of entries and agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/streams/agent_hint.py
@@ -0,0 +1,58 @@
+"""What an entry last heard of an agent's load."""
+
+from __future__ import annotations
+
+HINT_SECONDS = 0.25
+"""Time after which a reported load says nothing any more; some service times."""
+SILENCE_SECONDS = 1.0
+"""First pause after an offer without an answer; doubled up to the maximum."""
+MAX_SILENCE_SECONDS = 4.0
+
+
+class AgentHint:
+    """Load and reachability of one agent as one entry sees them."""
+
+    __slots__ = (
+        "_avoid_until",
+        "_heard_at",
+        "_load",
+        "_pause",
+        "_service_seconds",
+        "_wait_seconds",
+    )
+
+    def __init__(self) -> None:
+        self._heard_at = float("-inf")
+        self._wait_seconds = 0.0
+        self._service_seconds = 0.0
+        self._load = 0.0
+        self._avoid_until = float("-inf")
+        self._pause = SILENCE_SECONDS
+
+    def hear(self, now: float, wait: float, service: float, load: float) -> None:
+        """Note what the agent reported."""
+        self._heard_at = now
+        self._wait_seconds = wait
+        self._service_seconds = service
+        self._load = load
+        self._pause = SILENCE_SECONDS
+
+    def avoid(self, now: float, seconds: float) -> None:
+        """Offer nothing to the agent for a while."""
+        self._avoid_until = now + seconds
+
+    def note_silence(self, now: float) -> None:
+        """Note that the agent did not answer."""
+        self.avoid(now, self._pause)
+        self._pause = min(MAX_SILENCE_SECONDS, 2 * self._pause)
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the agent is left out at present."""
+        return now < self._avoid_until
+
+    def cost(self, now: float) -> float:
+        """Return the expected wait and extra service time in seconds."""
+        fading = max(0.0, 1.0 - (now - self._heard_at) / HINT_SECONDS)
+        return self._service_seconds + fading * (
+            self._wait_seconds + self._load * self._service_seconds
+        )
--- /dev/null
+++ b/src/limpetreel/streams/capacity.py
@@ -0,0 +1,42 @@
+"""Estimate of what the upstream can take at once."""
+
+from __future__ import annotations
+
+import math
+
+INITIAL_SERVICE_SECONDS = 0.05
+"""Assumed time of a request before the first one is answered."""
+INITIAL_OPENING_SECONDS = 0.008
+"""A round trip to a caller at 3 ms and some processing."""
+WEIGHT = 0.1
+"""Weight of a new sample in the moving averages."""
+
+
+class Capacity:
+    """Concurrent flows that keep all slots of the upstream busy.
+
+    A flow occupies no slot while its caller's request is on the way, so somewhat
+    more flows than slots are admitted.
+    """
+
+    def __init__(self) -> None:
+        self.slots = 1
+        self.service_seconds = INITIAL_SERVICE_SECONDS
+        self._opening_seconds = INITIAL_OPENING_SECONDS
+
+    def note_service(self, seconds: float) -> None:
+        """Note the time from a request to the start of its answer."""
+        self.service_seconds += WEIGHT * (seconds - self.service_seconds)
+
+    def note_opening(self, seconds: float) -> None:
+        """Note the time from an opening packet to the request."""
+        self._opening_seconds += WEIGHT * (seconds - self._opening_seconds)
+
+    def limit(self) -> int:
+        """Return how many flows may be opening or working at once."""
+        share = self._opening_seconds / max(self.service_seconds, 0.001)
+        return self.slots + min(self.slots, max(1, math.ceil(self.slots * share)))
+
+    def wait_seconds(self, ahead: int) -> float:
+        """Return the expected wait behind a number of flows over the limit."""
+        return (ahead + 1) * self.service_seconds / max(1, self.slots)
--- /dev/null
+++ b/src/limpetreel/streams/events/fleet_changed.py
@@ -0,0 +1,19 @@
+"""News from control."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.cluster import fleet_view
+
+
+class FleetChanged(msgspec.Struct, frozen=True, tag="fleet_changed"):
+    """The configuration, the zones or the upstreams have changed.
+
+    Attributes
+    ----------
+    view : FleetView
+        All that is known now.
+    """
+
+    view: fleet_view.FleetView
--- /dev/null
+++ b/src/limpetreel/streams/events/node_datagram.py
@@ -0,0 +1,21 @@
+"""Datagram from another node."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class NodeDatagram(msgspec.Struct, frozen=True, tag="node_datagram"):
+    """A message between an entry and an agent.
+
+    Attributes
+    ----------
+    host, port : str, int
+        Where it came from.
+    data : bytes
+        The encoded message.
+    """
+
+    host: str
+    port: int
+    data: bytes
--- /dev/null
+++ b/src/limpetreel/streams/events/upstream_announced.py
@@ -0,0 +1,19 @@
+"""Announcement of the upstream."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.streams import upstream_status
+
+
+class UpstreamAnnounced(msgspec.Struct, frozen=True, tag="upstream_announced"):
+    """The upstream beside an agent has said how it is.
+
+    Attributes
+    ----------
+    status : UpstreamStatus
+        What it said.
+    """
+
+    status: upstream_status.UpstreamStatus
--- /dev/null
+++ b/src/limpetreel/streams/events/upstream_departed.py
@@ -0,0 +1,17 @@
+"""Departure of the upstream."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class UpstreamDeparted(msgspec.Struct, frozen=True, tag="upstream_departed"):
+    """The upstream beside an agent has signed off.
+
+    Attributes
+    ----------
+    instance_id : str
+        Which start of the upstream.
+    """
+
+    instance_id: str
--- /dev/null
+++ b/src/limpetreel/streams/flow_phase.py
@@ -0,0 +1,18 @@
+"""Phases of a flow at its owner."""
+
+from __future__ import annotations
+
+import enum
+
+
+class FlowPhase(enum.Enum):
+    """What the upstream does for a flow."""
+
+    OFFERED = "offered"
+    """The opening packet was sent to the upstream, which has not answered."""
+    OPENING = "opening"
+    """The upstream has accepted; the caller has not sent a request."""
+    WORKING = "working"
+    """A request has arrived that is not yet answered."""
+    IDLE = "idle"
+    """The answer has begun, or the flow waits for another request."""
--- /dev/null
+++ b/src/limpetreel/streams/flow_set.py
@@ -0,0 +1,127 @@
+"""Flows of one agent."""
+
+from __future__ import annotations
+
+from limpetreel.streams import flow_phase, owned_flow
+
+CLOSED_SECONDS = 3.0
+"""Time for which the last packets of a closed flow are still forwarded; the interval
+of retransmission grows up to 1.6 s."""
+SWEEP_SECONDS = 1.0
+MAX_WORKING_SECONDS = 5.0
+"""Time after which an unanswered request occupies nothing any more; all callers have
+given up by then."""
+
+_OCCUPYING = frozenset(
+    (
+        flow_phase.FlowPhase.OFFERED,
+        flow_phase.FlowPhase.OPENING,
+        flow_phase.FlowPhase.WORKING,
+    )
+)
+
+
+class FlowSet:
+    """Flows by key, with the number of those that occupy the upstream."""
+
+    def __init__(self) -> None:
+        self._flows: dict[bytes, owned_flow.OwnedFlow] = {}
+        self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
+        self._swept_at = 0.0
+        self.occupied = 0
+
+    def __len__(self) -> int:
+        """Return the number of flows."""
+        return len(self._flows)
+
+    @property
+    def offered(self) -> int:
+        """Return the flows whose opening packet is not answered."""
+        return len(self._offered)
+
+    def get(self, key: bytes) -> owned_flow.OwnedFlow | None:
+        """Return a flow, None if it is not known."""
+        return self._flows.get(key)
+
+    def add(
+        self, key: bytes, now: float, phase: flow_phase.FlowPhase
+    ) -> owned_flow.OwnedFlow:
+        """Add a flow."""
+        flow = owned_flow.OwnedFlow(now, phase)
+        self._flows[key] = flow
+        self.occupied += phase in _OCCUPYING
+        if phase is flow_phase.FlowPhase.OFFERED:
+            self._offered[key] = flow
+        return flow
+
+    def move(
+        self, flow: owned_flow.OwnedFlow, phase: flow_phase.FlowPhase, now: float
+    ) -> None:
+        """Change the phase of a flow."""
+        self.occupied += (phase in _OCCUPYING) - (flow.phase in _OCCUPYING)
+        flow.phase = phase
+        flow.phase_at = now
+
+    def remove(self, key: bytes) -> None:
+        """Forget a flow."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self.occupied -= flow.phase in _OCCUPYING
+        self._offered.pop(key, None)
+
+    def clear(self) -> int:
+        """Forget all flows and return how many there were."""
+        count = len(self._flows)
+        self._flows.clear()
+        self._offered.clear()
+        self.occupied = 0
+        return count
+
+    def take_unanswered(
+        self, before: float
+    ) -> list[tuple[bytes, owned_flow.OwnedFlow]]:
+        """Remove and return flows that were offered before a time, unanswered."""
+        answered = [
+            k
+            for k, f in self._offered.items()
+            if f.phase is not flow_phase.FlowPhase.OFFERED
+        ]
+        for key in answered:
+            del self._offered[key]
+        late = [(k, f) for k, f in self._offered.items() if f.phase_at <= before]
+        for key, _ in late:
+            self.remove(key)
+        return late
+
+    def sweep(self, now: float, idle_seconds: float, opening_seconds: float) -> None:
+        """Forget flows that have ended, and count those without a request as idle.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        idle_seconds : float
+            Time without packets after which a flow is forgotten; 0 for never.
+        opening_seconds : float
+            Time after which a flow without a request occupies nothing.
+        """
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        gone = []
+        for key, flow in self._flows.items():
+            silent = now - flow.last_at
+            is_over = flow.is_closed and silent > CLOSED_SECONDS
+            if is_over or (idle_seconds and silent > idle_seconds):
+                gone.append(key)
+            elif _is_stuck(flow, now, opening_seconds):
+                self.move(flow, flow_phase.FlowPhase.IDLE, now)
+        for key in gone:
+            self.remove(key)
+
+
+def _is_stuck(flow: owned_flow.OwnedFlow, now: float, opening_seconds: float) -> bool:
+    if flow.phase is flow_phase.FlowPhase.OPENING:
+        return now - flow.phase_at > opening_seconds
+    is_working = flow.phase is flow_phase.FlowPhase.WORKING
+    return is_working and now - flow.phase_at > MAX_WORKING_SECONDS
--- /dev/null
+++ b/src/limpetreel/streams/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between entries and agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/limpetreel/streams/messages/not_owned.py
@@ -0,0 +1,17 @@
+"""Packet that an agent gives back."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class NotOwned(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Sent by an agent that does not own the flow of a packet.
+
+    Attributes
+    ----------
+    packet : bytes
+        The packet, unchanged.
+    """
+
+    packet: bytes
--- /dev/null
+++ b/src/limpetreel/streams/messages/verdict.py
@@ -0,0 +1,31 @@
+"""Answer to an offer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.streams.messages import outcome
+
+
+class Verdict(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Sent by an agent to the entry that offered a flow.
+
+    Attributes
+    ----------
+    offer_id : int
+        From the offer.
+    outcome : Outcome
+        What became of it.
+    wait_ms : int
+        Expected wait for a slot.
+    service_ms : int
+        Expected time from a request to the start of its answer.
+    load : int
+        Occupied part of the capacity, in percent.
+    """
+
+    offer_id: int
+    outcome: outcome.Outcome
+    wait_ms: int
+    service_ms: int
+    load: int
--- /dev/null
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -0,0 +1,477 @@
+"""Decisions of the agent beside an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.cluster import fleet_view
+from limpetreel.core import core, failure
+from limpetreel.node import tick
+from limpetreel.streams import (
+    capacity,
+    flow_phase,
+    flow_set,
+    opening_queue,
+    owned_flow,
+    route_table,
+    start_rate,
+    stream_key,
+    upstream_watch,
+    waiting_flow,
+)
+from limpetreel.streams.actions import note, send_caller, send_node, send_upstream
+from limpetreel.streams.events import (
+    fleet_changed,
+    node_datagram,
+    upstream_announced,
+    upstream_departed,
+    upstream_packet,
+)
+from limpetreel.streams.messages import (
+    carry,
+    locate,
+    not_owned,
+    offer,
+    outcome,
+    owned,
+    stream_codec,
+    verdict,
+)
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.configuration import route
+    from limpetreel.streams import segment, segment_codec
+
+    Actions = list[msgspec.Struct]
+    Address = tuple[str, int]
+    Fields = dict[str, str | int | float]
+
+OPEN_ANSWER_SECONDS = 0.06
+"""Time in which an upstream answers an opening packet; it takes under 1 ms, the rest
+covers a pause of the machine."""
+MAX_OPENING_SECONDS = 1.0
+"""Time after which a flow without a request occupies nothing any more."""
+MAX_WAIT_SECONDS = 1.2
+"""Callers give an attempt up after 1.4 s; the rest is for the handshake."""
+SEQUENCE_WINDOW = 1 << 24
+"""Bytes of an answer that an acknowledgement may lie ahead of the handshake."""
+
+
+class StreamAgentCore(core.Core):
+    """Admits new flows to the upstream and forwards the packets of its flows.
+
+    Parameters
+    ----------
+    now : float
+        Time in seconds.
+    codec : SegmentCodec
+        Packet format.
+    service : str
+        Service of the upstream.
+    data_centre : str
+        Data centre of the machine.
+    beat_seconds : float
+        Time between announcements of the upstream.
+    max_flow_seconds : float
+        Age up to which a flow must be kept.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        codec: segment_codec.SegmentCodec,
+        service: str,
+        data_centre: str,
+        beat_seconds: float,
+        max_flow_seconds: float,
+    ) -> None:
+        self._codec = codec
+        self._service = service
+        self._data_centre = data_centre
+        # The upstream may hold flows from before a restart of this process.
+        self._unsure_until = now + max_flow_seconds
+        self._view = fleet_view.FleetView()
+        self._routes: route_table.RouteTable | None = None
+        self._flows = flow_set.FlowSet()
+        self._queue = opening_queue.OpeningQueue()
+        self._capacity = capacity.Capacity()
+        self._starts = start_rate.StartRate()
+        self._number = 0
+        self.watch = upstream_watch.UpstreamWatch(beat_seconds)
+        self.outcomes: dict[str, int] = {}
+        self.dropped: dict[str, int] = {}
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests the upstream works on at once."""
+        return self._capacity.slots
+
+    @property
+    def has_work(self) -> bool:
+        """Return whether flows are open or waiting."""
+        return bool(len(self._flows) or len(self._queue))
+
+    @property
+    def needs_tick_soon(self) -> bool:
+        """Return whether a flow waits for an answer or a slot."""
+        return bool(self._flows.offered or len(self._queue))
+
+    def is_accepting(self, now: float) -> bool:
+        """Return whether new flows are taken at all."""
+        if self._data_centre in self._view.zones_out:
+            return False
+        return self.watch.is_accepting(now)
+
+    def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
+        """Take one event; see `core.Core.handle`."""
+        if isinstance(event, node_datagram.NodeDatagram):
+            return self._from_node(now, event)
+        if isinstance(event, upstream_packet.UpstreamPacket):
+            return self._from_upstream(now, event.data)
+        if isinstance(event, tick.Tick):
+            return self._tick(now)
+        if isinstance(event, fleet_changed.FleetChanged):
+            return self._change_view(now, event.view)
+        if isinstance(event, upstream_announced.UpstreamAnnounced):
+            return self._announce(now, event)
+        if isinstance(event, upstream_departed.UpstreamDeparted):
+            return self._depart(event)
+        raise TypeError(type(event))
+
+    def _announce(
+        self, now: float, event: upstream_announced.UpstreamAnnounced
+    ) -> Actions:
+        status = event.status
+        was_draining = bool(self.watch.status and self.watch.status.is_draining)
+        is_first = self.watch.status is None
+        freshness = self.watch.announce(now, status)
+        fields: Fields = {
+            "instance": status.instance_id,
+            "sequence": status.sequence,
+            "cold_ms": status.cold_ms,
+            "draining": int(status.is_draining),
+        }
+        if freshness is upstream_watch.Freshness.LATE:
+            return [note.Note("warning", "upstream.late_announcement", fields)]
+        self._capacity.slots = status.slots
+        actions: Actions = []
+        if freshness is upstream_watch.Freshness.NEW_START:
+            actions.append(note.Note("info", "upstream.started", fields))
+            if is_first and status.sequence <= 1:
+                # It started with this process and holds no earlier flows.
+                self._unsure_until = now
+            elif not is_first:
+                actions += self._forget_flows()
+        if status.is_draining and not was_draining:
+            actions.append(note.Note("info", "upstream.draining", fields))
+        if not self.is_accepting(now):
+            actions += self._refuse_waiting(outcome.Outcome.CLOSED)
+        return actions + self._serve_waiting(now)
+
+    def _depart(self, event: upstream_departed.UpstreamDeparted) -> Actions:
+        if not self.watch.depart(event.instance_id):
+            return []
+        fields: Fields = {"instance": event.instance_id}
+        left: Actions = [note.Note("info", "upstream.departed", fields)]
+        return left + self._refuse_waiting(outcome.Outcome.CLOSED)
+
+    def _forget_flows(self) -> Actions:
+        lost = self._flows.clear()
+        self._unsure_until = float("-inf")
+        return [note.Note("warning", "flows.lost", {"flows": lost})] if lost else []
+
+    def _change_view(self, now: float, view: fleet_view.FleetView) -> Actions:
+        was_out = self._data_centre in self._view.zones_out
+        is_out = self._data_centre in view.zones_out
+        known = self._routes.version if self._routes is not None else 0
+        self._view = view
+        if view.configuration is not None and view.configuration.version > known:
+            self._routes = route_table.RouteTable(view.configuration)
+        if was_out and not is_out:
+            # Upstreams may have become cold while their zone was out.
+            self.watch.expect_cold()
+        if is_out and not was_out:
+            return self._refuse_waiting(outcome.Outcome.CLOSED)
+        return []
+
+    def _tick(self, now: float) -> Actions:
+        actions: Actions = []
+        for key, flow in self._flows.take_unanswered(now - OPEN_ANSWER_SECONDS):
+            self.watch.note_silence(now)
+            actions.append(self._answer(flow, outcome.Outcome.UNRESPONSIVE))
+            fields: Fields = {"flow": stream_key.text(key)}
+            actions.append(note.Note("warning", "upstream.unresponsive", fields))
+        for item in self._queue.take_expired(now):
+            actions.append(self._refuse(item, outcome.Outcome.BUSY))
+        idle = self._routes.idle_seconds if self._routes is not None else 0.0
+        self._flows.sweep(now, idle, MAX_OPENING_SECONDS)
+        return actions + self._serve_waiting(now)
+
+    def _from_node(self, now: float, event: node_datagram.NodeDatagram) -> Actions:
+        message = stream_codec.decode(event.data)
+        source = (event.host, event.port)
+        if isinstance(message, carry.Carry):
+            return self._carry(now, source, message.packet)
+        if isinstance(message, offer.Offer):
+            return self._offer(now, source, message)
+        if isinstance(message, locate.Locate):
+            return self._locate(now, source, message.packet)
+        if isinstance(message, failure.Failure):
+            return self._drop(str(message.reason))
+        return self._drop("message for an entry")
+
+    def _drop(self, why: str) -> Actions:
+        self.dropped[why] = self.dropped.get(why, 0) + 1
+        return []
+
+    # Packets of open flows
+
+    def _carry(self, now: float, source: Address, packet: bytes) -> Actions:
+        found = self._codec.from_caller(packet)
+        if isinstance(found, failure.Failure):
+            return self._drop(str(found.reason))
+        if self._owns(found):
+            return self._forward(now, found)
+        message = not_owned.NotOwned(packet)
+        return [send_node.SendNode(source, stream_codec.encode(message))]
+
+    def _locate(self, now: float, source: Address, packet: bytes) -> Actions:
+        found = self._codec.from_caller(packet)
+        if isinstance(found, failure.Failure):
+            return self._drop(str(found.reason))
+        if self._owns(found):
+            reply = stream_codec.encode(owned.Owned(found.flow))
+            return [*self._forward(now, found), send_node.SendNode(source, reply)]
+        if now < self._unsure_until:
+            # The upstream gives the packet back if it does not hold the flow.
+            return [send_upstream.SendUpstream(packet)]
+        return []
+
+    def _owns(self, found: segment.Segment) -> bool:
+        flow = self._flows.get(found.flow)
+        if flow is None or found.is_open:
+            return flow is not None
+        if flow.is_confirmed or flow.first_sequence is None or not found.is_ack:
+            return True
+        # Another upstream may have answered a copy of the opening packet.
+        ahead = (found.ack - flow.first_sequence) & 0xFFFFFFFF
+        return ahead <= SEQUENCE_WINDOW
+
+    def _forward(self, now: float, found: segment.Segment) -> Actions:
+        flow = self._flows.get(found.flow)
+        if flow is not None:
+            self._note_caller_packet(now, flow, found)
+        return [send_upstream.SendUpstream(found.data)]
+
+    def _note_caller_packet(
+        self, now: float, flow: owned_flow.OwnedFlow, found: segment.Segment
+    ) -> None:
+        flow.last_at = now
+        flow.is_confirmed = flow.is_confirmed or found.is_ack
+        flow.has_caller_fin = flow.has_caller_fin or found.is_fin or found.is_reset
+        if found.is_reset:
+            flow.has_upstream_fin = True
+        if found.size and self._is_new_data(flow, found):
+            flow.caller_end = (found.sequence + found.size) & 0xFFFFFFFF
+            if flow.phase is flow_phase.FlowPhase.OPENING:
+                self._capacity.note_opening(now - flow.phase_at)
+            if flow.phase is not flow_phase.FlowPhase.WORKING:
+                self._flows.move(flow, flow_phase.FlowPhase.WORKING, now)
+        if flow.is_closed:
+            self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
+
+    def _is_new_data(self, flow: owned_flow.OwnedFlow, found: segment.Segment) -> bool:
+        if flow.caller_end is None:
+            return True
+        ahead = (found.sequence + found.size - flow.caller_end) & 0xFFFFFFFF
+        return 0 < ahead < SEQUENCE_WINDOW
+
+    def _from_upstream(self, now: float, data: bytes) -> Actions:
+        found = self._codec.from_upstream(data)
+        if isinstance(found, failure.Failure):
+            return self._drop(str(found.reason))
+        if found.is_returned:
+            return self._take_back(now, found)
+        flow = self._flows.get(found.flow)
+        if flow is None:
+            # The flow is older than this process.
+            flow = self._flows.add(found.flow, now, flow_phase.FlowPhase.IDLE)
+            flow.is_confirmed = not found.is_open_reply
+        host = stream_key.caller(found.flow)[0]
+        actions: Actions = [send_caller.SendCaller(host, data)]
+        return actions + self._note_upstream_packet(now, flow, found)
+
+    def _note_upstream_packet(
+        self, now: float, flow: owned_flow.OwnedFlow, found: segment.Segment
+    ) -> Actions:
+        flow.last_at = now
+        self.watch.note_answer()
+        actions: Actions = []
+        if found.is_open_reply:
+            flow.first_sequence = found.sequence
+            if flow.phase is flow_phase.FlowPhase.OFFERED:
+                self._flows.move(flow, flow_phase.FlowPhase.OPENING, now)
+                actions.append(self._answer(flow, outcome.Outcome.ACCEPTED))
+        if found.is_fin or found.is_reset:
+            flow.has_upstream_fin = True
+            flow.has_caller_fin = flow.has_caller_fin or found.is_reset
+        has_answered = found.size > 0 and flow.phase is flow_phase.FlowPhase.WORKING
+        if has_answered:
+            self._capacity.note_service(now - flow.phase_at)
+        if has_answered or flow.is_closed:
+            self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
+        return actions + self._serve_waiting(now) if len(self._queue) else actions
+
+    def _take_back(self, now: float, found: segment.Segment) -> Actions:
+        flow = self._flows.get(found.flow)
+        if flow is None:
+            return []
+        if not found.is_open:
+            self._flows.remove(found.flow)
+            return []
+        if flow.phase is not flow_phase.FlowPhase.OFFERED:
+            return []
+        self._flows.remove(found.flow)
+        return [self._answer(flow, outcome.Outcome.FULL)]
+
+    # Admission of new flows
+
+    def _offer(self, now: float, source: Address, message: offer.Offer) -> Actions:
+        found = self._codec.from_caller(message.packet)
+        if isinstance(found, failure.Failure) or not found.is_open:
+            return self._drop("offer without an opening packet")
+        known = self._flows.get(found.flow)
+        if known is not None:
+            return self._repeat(source, message, known)
+        if found.flow in self._queue:
+            return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
+        refusal = self._refusal(now, found, message)
+        if refusal is None:
+            return self._open(now, source, message.offer_id, found.flow, found.data)
+        way = self._routes.find(found.flow) if self._routes is not None else None
+        may_wait = message.may_wait and refusal is outcome.Outcome.BUSY
+        if may_wait and way is not None and self._can_wait(way):
+            self._wait(now, source, message, found.flow, way)
+            return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
+        return [self._verdict(source, message.offer_id, refusal)]
+
+    def _repeat(
+        self, source: Address, message: offer.Offer, flow: owned_flow.OwnedFlow
+    ) -> Actions:
+        """Pass on a copy of an opening packet, whose answer may have been lost."""
+        if flow.phase is flow_phase.FlowPhase.OFFERED:
+            flow.entry, flow.offer_id = source, message.offer_id
+        accepted = self._verdict(source, message.offer_id, outcome.Outcome.ACCEPTED)
+        if flow.is_confirmed:
+            return [accepted]
+        return [send_upstream.SendUpstream(message.packet), accepted]
+
+    def _refusal(
+        self, now: float, found: segment.Segment, message: offer.Offer
+    ) -> outcome.Outcome | None:
+        if self._routes is None or not self.is_accepting(now):
+            return outcome.Outcome.CLOSED
+        way = self._routes.find(found.flow)
+        if way is None or not way.allows(self._service):
+            is_behind = self._routes.version < message.version
+            return outcome.Outcome.STALE if is_behind else outcome.Outcome.NO_ROUTE
+        if self.watch.is_blocked(now):
+            return outcome.Outcome.UNRESPONSIVE
+        limits = self._routes.service(self._service)
+        if limits is not None and len(self._flows) >= limits.max_connections:
+            return outcome.Outcome.FULL
+        cold_rate = limits.cold_per_second if limits is not None else 0.0
+        if self.watch.is_cold(now) and not self._starts.has_room(now, cold_rate):
+            return outcome.Outcome.WARMING
+        if self._flows.occupied >= self._capacity.limit() or len(self._queue):
+            return outcome.Outcome.BUSY
+        return None
+
+    def _open(
+        self, now: float, source: Address, offer_id: int, key: bytes, packet: bytes
+    ) -> Actions:
+        flow = self._flows.add(key, now, flow_phase.FlowPhase.OFFERED)
+        flow.entry, flow.offer_id, flow.opening = source, offer_id, packet
+        self._starts.note(now)
+        return [send_upstream.SendUpstream(packet)]
+
+    def _wait_seconds(self, priority: int) -> float:
+        over = self._flows.occupied - self._capacity.limit()
+        ahead = self._queue.count_ahead(priority)
+        return self._capacity.wait_seconds(max(0, over) + ahead)
+
+    def _can_wait(self, way: route.Route) -> bool:
+        wait = self._wait_seconds(way.priority)
+        until_answer = wait + self._capacity.service_seconds
+        is_in_time = until_answer < way.timeout_ms / 1000
+        return is_in_time and wait < MAX_WAIT_SECONDS and not self._queue.is_full
+
+    def _wait(
+        self,
+        now: float,
+        source: Address,
+        message: offer.Offer,
+        key: bytes,
+        way: route.Route,
+    ) -> None:
+        self._number += 1
+        limit = min(MAX_WAIT_SECONDS, way.timeout_ms / 1000)
+        item = waiting_flow.WaitingFlow(
+            way.priority,
+            self._number,
+            now + limit,
+            message.offer_id,
+            source,
+            key,
+            message.packet,
+        )
+        self._queue.put(item)
+
+    def _serve_waiting(self, now: float) -> Actions:
+        actions: Actions = []
+        while len(self._queue) and self._flows.occupied < self._capacity.limit():
+            if not self._has_cold_room(now):
+                break
+            item = self._queue.pop()
+            if item is not None:
+                actions += self._open(
+                    now, item.entry, item.offer_id, item.flow, item.packet
+                )
+        return actions
+
+    def _has_cold_room(self, now: float) -> bool:
+        if not self.watch.is_cold(now):
+            return True
+        limits = self._routes.service(self._service) if self._routes else None
+        return self._starts.has_room(now, limits.cold_per_second if limits else 0.0)
+
+    def _refuse_waiting(self, why: outcome.Outcome) -> Actions:
+        return [self._refuse(item, why) for item in self._queue.take_all()]
+
+    def _refuse(
+        self, item: waiting_flow.WaitingFlow, why: outcome.Outcome
+    ) -> msgspec.Struct:
+        return self._verdict(item.entry, item.offer_id, why)
+
+    def _answer(
+        self, flow: owned_flow.OwnedFlow, result: outcome.Outcome
+    ) -> msgspec.Struct:
+        return self._verdict(flow.entry, flow.offer_id, result)
+
+    def _verdict(
+        self, target: Address, offer_id: int, result: outcome.Outcome
+    ) -> msgspec.Struct:
+        self.outcomes[result.name] = self.outcomes.get(result.name, 0) + 1
+        limit = self._capacity.limit()
+        occupied = self._flows.occupied + len(self._queue)
+        wait = self._wait_seconds(0) if occupied >= limit else 0.0
+        message = verdict.Verdict(
+            offer_id,
+            result,
+            int(wait * 1000),
+            int(self._capacity.service_seconds * 1000),
+            100 * occupied // limit,
+        )
+        return send_node.SendNode(target, stream_codec.encode(message))
--- /dev/null
+++ b/src/limpetreel/streams/stream_agent_shell.py
@@ -0,0 +1,150 @@
+"""Sockets of an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from limpetreel.cluster import upstream_record
+from limpetreel.runtime import udp_socket
+from limpetreel.streams import stream_shell
+from limpetreel.streams.events import (
+    node_datagram,
+    upstream_announced,
+    upstream_departed,
+    upstream_packet,
+)
+
+if TYPE_CHECKING:
+    from limpetreel.streams import stream_agent_core, upstream_api, upstream_status
+    from limpetreel.telemetry import telemetry
+
+STOP_RESERVE_SECONDS = 1.0
+"""Part of the grace time that is left for the end of the process."""
+
+
+class StreamAgentShell(stream_shell.StreamShell):
+    """Runs the agent beside an upstream.
+
+    Parameters
+    ----------
+    name, data_centre, service : str
+        Name of the node, its data centre and the service of the upstream.
+    listen : tuple of (str, int)
+        Where entries send packets; callers have the same port.
+    outbound : tuple of (str, int)
+        Where the upstream sends its packets.
+    upstream : tuple of (str, int)
+        Where the upstream takes packets.
+    grace_seconds : float
+        Time from a planned stop to the end of the process.
+    core : StreamAgentCore
+        The decisions.
+    api : UpstreamApi
+        Takes the announcements of the upstream.
+    watch : Telemetry
+        Logs and metrics.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        service: str,
+        listen: tuple[str, int],
+        outbound: tuple[str, int],
+        upstream: tuple[str, int],
+        grace_seconds: float,
+        core: stream_agent_core.StreamAgentCore,
+        api: upstream_api.UpstreamApi,
+        watch: telemetry.Telemetry,
+    ) -> None:
+        super().__init__(core, watch)
+        self._name = name
+        self._data_centre = data_centre
+        self._service = service
+        self._listen = listen
+        self._outbound = outbound
+        self._upstream = upstream
+        self._grace_seconds = grace_seconds
+        self._core = core
+        self._api = api
+        self._is_leaving = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the upstream takes new flows."""
+        return not self._is_leaving and self._core.is_accepting(time.monotonic())
+
+    async def serve(self, stopped: asyncio.Event) -> None:
+        """Serve until stopped."""
+        assert self._control is not None
+        await self._watch.start()
+        self._nodes = udp_socket.UdpSocket(self._from_node, *self._listen)
+        self._local = udp_socket.UdpSocket(self._from_upstream, *self._outbound)
+        await self._api.start(self)
+        self._schedule(stream_shell.IDLE_SECONDS)
+        task = asyncio.create_task(self._control.run())
+        await stopped.wait()
+        self._is_leaving = True
+        self._report()
+        self._watch.line("info", "agent.leaving")
+        await self._wait_for_flows()
+        task.cancel()
+        self._api.close()
+        self._nodes.close()
+        self._local.close()
+        await self._watch.close()
+
+    def announce(self, status: upstream_status.UpstreamStatus) -> None:
+        """Take an announcement of the upstream."""
+        if status.service != self._service:
+            self._watch.refuse("upstream.announce", status.service, "other service")
+            return
+        self._handle(upstream_announced.UpstreamAnnounced(status))
+        self._report()
+
+    def depart(self, instance_id: str) -> None:
+        """Take the sign-off of the upstream."""
+        self._handle(upstream_departed.UpstreamDeparted(instance_id))
+        self._report()
+
+    async def _wait_for_flows(self) -> None:
+        until = time.monotonic() + self._grace_seconds - STOP_RESERVE_SECONDS
+        while self._core.has_work and time.monotonic() < until:
+            await asyncio.sleep(stream_shell.SOON_SECONDS)
+
+    def _after_tick(self) -> None:
+        self._report()
+
+    def _report(self) -> None:
+        if self._control is None or self._core.watch.status is None:
+            return
+        record = upstream_record.UpstreamRecord(
+            self._name,
+            *self._listen,
+            self._data_centre,
+            self._service,
+            not self._is_leaving and self._core.watch.is_accepting(time.monotonic()),
+            self._core.slots,
+        )
+        self._control.report(record)
+
+    def _from_node(self, data: bytes, source: tuple[str, int]) -> None:
+        self._handle(node_datagram.NodeDatagram(*source, data))
+
+    def _from_upstream(self, data: bytes, source: tuple[str, int]) -> None:
+        self._handle(upstream_packet.UpstreamPacket(data))
+
+    def _needs_tick_soon(self) -> bool:
+        return self._core.needs_tick_soon
+
+    def _send_node(self, data: bytes, address: tuple[str, int]) -> None:
+        self._nodes.send(data, address)
+
+    def _send_caller(self, data: bytes, host: str) -> None:
+        self._nodes.send(data, (host, self._listen[1]))
+
+    def _send_upstream(self, data: bytes) -> None:
+        self._local.send(data, self._upstream)
--- /dev/null
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -0,0 +1,309 @@
+"""Decisions of an entry about flows with a handshake."""
+
+from __future__ import annotations
+
+import random as randoms
+from typing import TYPE_CHECKING
+
+from limpetreel.cluster import fleet_view
+from limpetreel.core import core, failure
+from limpetreel.node import tick
+from limpetreel.streams import (
+    candidates,
+    known_owner,
+    pending_offer,
+    route_table,
+    stream_key,
+)
+from limpetreel.streams.actions import note, send_caller, send_node
+from limpetreel.streams.events import caller_packet, fleet_changed, node_datagram
+from limpetreel.streams.messages import (
+    carry,
+    locate,
+    not_owned,
+    offer,
+    outcome,
+    owned,
+    stream_codec,
+    verdict,
+)
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.streams import segment, segment_codec
+
+    Actions = list[msgspec.Struct]
+    Address = tuple[str, int]
+    Fields = dict[str, str | int | float]
+
+OFFER_SECONDS = 0.08
+"""Time in which an agent answers an offer: a round trip between data centres, the
+wait for the upstream's handshake, and a pause of a busy machine."""
+QUEUED_SECONDS = 1.25
+"""Time after which a queued flow is refused even if the agent is silent; the caller
+gives up 1.4 s after its first packet."""
+LOCATE_SECONDS = 0.15
+"""Pause between two searches for the owner of one flow; packets are repeated after
+200 ms at the earliest."""
+SWEEP_SECONDS = 1.0
+DEFAULT_IDLE_SECONDS = 15.0
+MAX_FLOWS = 200_000
+"""Bounds the memory of the owners that an entry remembers."""
+
+
+class StreamEntryCore(core.Core):
+    """Finds an upstream for each new flow and forwards packets to flows' owners.
+
+    Parameters
+    ----------
+    codec : SegmentCodec
+        Packet format.
+    data_centre : str
+        Own data centre.
+    seed : int
+        Seed of the choice among equal upstreams.
+    """
+
+    def __init__(
+        self, codec: segment_codec.SegmentCodec, data_centre: str, seed: int
+    ) -> None:
+        self._codec = codec
+        random = randoms.Random(seed)
+        self._random = random
+        self._view = fleet_view.FleetView()
+        self._routes: route_table.RouteTable | None = None
+        self._candidates = candidates.Candidates(data_centre, random)
+        self._owners: dict[bytes, known_owner.KnownOwner] = {}
+        self._pending: dict[int, pending_offer.PendingOffer] = {}
+        self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
+        self._located_at: dict[bytes, float] = {}
+        self._next_id = random.getrandbits(31)
+        self._swept_at = 0.0
+        self.outcomes: dict[str, int] = {}
+        self.dropped: dict[str, int] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether there are a configuration and upstreams to serve by."""
+        return self._routes is not None and bool(self._view.upstreams)
+
+    @property
+    def needs_tick_soon(self) -> bool:
+        """Return whether an offer waits for its answer."""
+        return bool(self._pending)
+
+    @property
+    def open_flows(self) -> int:
+        """Return the number of flows whose owner is remembered."""
+        return len(self._owners)
+
+    def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
+        """Take one event; see `core.Core.handle`."""
+        if isinstance(event, caller_packet.CallerPacket):
+            return self._from_caller(now, event.data)
+        if isinstance(event, node_datagram.NodeDatagram):
+            return self._from_node(now, event)
+        if isinstance(event, tick.Tick):
+            return self._tick(now)
+        if isinstance(event, fleet_changed.FleetChanged):
+            return self._change_view(event.view)
+        raise TypeError(type(event))
+
+    def _change_view(self, view: fleet_view.FleetView) -> Actions:
+        known = self._routes.version if self._routes is not None else 0
+        self._view = view
+        self._candidates.update(view.upstreams, view.zones_out)
+        if view.configuration is not None and view.configuration.version > known:
+            self._routes = route_table.RouteTable(view.configuration)
+        return []
+
+    def _from_caller(self, now: float, data: bytes) -> Actions:
+        found = self._codec.from_caller(data)
+        if isinstance(found, failure.Failure):
+            return self._drop(str(found.reason))
+        if found.is_open:
+            return self._open(now, found)
+        if found.is_open_reply:
+            return self._drop("forged handshake")
+        owner = self._owners.get(found.flow)
+        if owner is None:
+            return self._locate(now, found)
+        owner.last_at = now
+        message = stream_codec.encode(carry.Carry(data))
+        return [send_node.SendNode(owner.address, message)]
+
+    def _drop(self, why: str) -> Actions:
+        self.dropped[why] = self.dropped.get(why, 0) + 1
+        return []
+
+    # Owners of open flows
+
+    def _locate(self, now: float, found: segment.Segment) -> Actions:
+        """Ask all upstreams that the route allows for the owner of a flow."""
+        way = self._routes.find(found.flow) if self._routes is not None else None
+        if way is None:
+            return self._drop("no route")
+        if now - self._located_at.get(found.flow, float("-inf")) < LOCATE_SECONDS:
+            return self._drop("search under way")
+        self._located_at[found.flow] = now
+        message = stream_codec.encode(locate.Locate(found.data))
+        targets = self._candidates.addresses([s.name for s in way.services])
+        return [send_node.SendNode(address, message) for address in targets]
+
+    def _remember(self, now: float, flow: bytes, address: Address) -> None:
+        if len(self._owners) >= MAX_FLOWS:
+            self._owners.pop(next(iter(self._owners)))
+        self._owners[flow] = known_owner.KnownOwner(address, now)
+        self._located_at.pop(flow, None)
+
+    def _from_node(self, now: float, event: node_datagram.NodeDatagram) -> Actions:
+        message = stream_codec.decode(event.data)
+        source = (event.host, event.port)
+        if isinstance(message, verdict.Verdict):
+            return self._judge(now, source, message)
+        if isinstance(message, owned.Owned):
+            self._remember(now, message.flow, source)
+            return []
+        if isinstance(message, not_owned.NotOwned):
+            return self._take_back(now, source, message.packet)
+        if isinstance(message, failure.Failure):
+            return self._drop(str(message.reason))
+        return self._drop("message for an agent")
+
+    def _take_back(self, now: float, source: Address, packet: bytes) -> Actions:
+        found = self._codec.from_caller(packet)
+        if isinstance(found, failure.Failure):
+            return self._drop(str(found.reason))
+        owner = self._owners.get(found.flow)
+        if owner is not None and owner.address == source:
+            del self._owners[found.flow]
+        return self._locate(now, found)
+
+    # Placement of new flows
+
+    def _open(self, now: float, found: segment.Segment) -> Actions:
+        if self._routes is None:
+            return self._drop("no configuration")
+        way = self._routes.find(found.flow)
+        if way is None:
+            return self._reject(found.flow, {"reason": "no route"})
+        if found.flow in self._by_flow:
+            return []
+        service = route_table.choose_service(way, found.flow)
+        pending = pending_offer.PendingOffer(
+            now, found.flow, found.data, service, way.timeout_ms / 1000
+        )
+        self._by_flow[found.flow] = pending
+        owner = self._owners.get(found.flow)
+        name = self._candidates.name_at(owner.address) if owner is not None else ""
+        if name:
+            # A copy of an opening packet goes where the first one went.
+            return self._offer(now, pending, name)
+        return self._offer_next(now, pending)
+
+    def _offer_next(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        name = self._candidates.best(now, pending.service, pending.tried)
+        if name:
+            return self._offer(now, pending, name)
+        if not pending.may_wait and self._candidates.knows(pending.best):
+            pending.may_wait = True
+            return self._offer(now, pending, pending.best)
+        return self._refuse(now, pending)
+
+    def _offer(
+        self, now: float, pending: pending_offer.PendingOffer, name: str
+    ) -> Actions:
+        self._pending.pop(pending.offer_id, None)
+        self._next_id += 1
+        pending.offer_id = self._next_id
+        pending.asked_at = now
+        pending.target = name
+        pending.is_queued = False
+        pending.tried.add(name)
+        self._pending[pending.offer_id] = pending
+        version = self._routes.version if self._routes is not None else 0
+        message = offer.Offer(
+            pending.offer_id, version, pending.may_wait, pending.packet
+        )
+        address = self._candidates.address(name)
+        return [send_node.SendNode(address, stream_codec.encode(message))]
+
+    def _judge(self, now: float, source: Address, message: verdict.Verdict) -> Actions:
+        name = self._candidates.name_at(source)
+        if name:
+            self._candidates.hear(now, name, message)
+        pending = self._pending.get(message.offer_id)
+        if pending is None:
+            return []
+        result = outcome.Outcome(message.outcome)
+        self._count(result.name)
+        if result is outcome.Outcome.QUEUED:
+            pending.is_queued = True
+            return []
+        if result is outcome.Outcome.ACCEPTED:
+            self._end(pending)
+            self._remember(now, pending.flow, source)
+            return []
+        pending.reasons[result.name] = pending.reasons.get(result.name, 0) + 1
+        wait = (message.wait_ms + message.service_ms) / 1000
+        if result is outcome.Outcome.BUSY and wait < pending.best_wait:
+            pending.best, pending.best_wait = name, wait
+        return self._offer_next(now, pending)
+
+    def _refuse(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        self._end(pending)
+        fields: Fields = {
+            "reason": "no upstream takes it",
+            "service": pending.service,
+            "tried": len(pending.tried),
+            "held_ms": int((now - pending.started_at) * 1000),
+            "version": self._routes.version if self._routes is not None else 0,
+            **{f"said_{k.lower()}": v for k, v in pending.reasons.items()},
+        }
+        return self._reject(pending.flow, fields)
+
+    def _reject(self, flow: bytes, fields: Fields) -> Actions:
+        """Reset a flow that has not opened, so nothing of it has run."""
+        self._count("REFUSED")
+        host = stream_key.caller(flow)[0]
+        fields = {"flow": stream_key.text(flow), **fields}
+        return [
+            send_caller.SendCaller(host, self._codec.reset(flow, 0)),
+            note.Note("info", "flow.refused", fields),
+        ]
+
+    def _end(self, pending: pending_offer.PendingOffer) -> None:
+        self._pending.pop(pending.offer_id, None)
+        self._by_flow.pop(pending.flow, None)
+
+    def _count(self, name: str) -> None:
+        self.outcomes[name] = self.outcomes.get(name, 0) + 1
+
+    def _tick(self, now: float) -> Actions:
+        actions: Actions = []
+        for pending in list(self._pending.values()):
+            silent = now - pending.asked_at
+            if silent < (QUEUED_SECONDS if pending.is_queued else OFFER_SECONDS):
+                continue
+            self._candidates.note_silence(now, pending.target)
+            pending.reasons["SILENT"] = pending.reasons.get("SILENT", 0) + 1
+            if now - pending.started_at > QUEUED_SECONDS:
+                actions += self._refuse(now, pending)
+            else:
+                actions += self._offer_next(now, pending)
+        if now - self._swept_at >= SWEEP_SECONDS:
+            self._sweep(now)
+        return actions
+
+    def _sweep(self, now: float) -> None:
+        self._swept_at = now
+        idle = DEFAULT_IDLE_SECONDS
+        if self._routes is not None:
+            idle = self._routes.idle_seconds
+        gone = [k for k, o in self._owners.items() if now - o.last_at > idle]
+        for key in gone:
+            del self._owners[key]
+        old = [k for k, at in self._located_at.items() if now - at > SWEEP_SECONDS]
+        for key in old:
+            del self._located_at[key]
--- /dev/null
+++ b/src/limpetreel/streams/stream_entry_shell.py
@@ -0,0 +1,94 @@
+"""Sockets of an entry."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from limpetreel.runtime import udp_socket
+from limpetreel.streams import stream_shell
+from limpetreel.streams.events import caller_packet, node_datagram
+
+if TYPE_CHECKING:
+    from limpetreel.streams import ready_api, stream_entry_core
+    from limpetreel.telemetry import telemetry
+
+STOP_SECONDS = 2.5
+"""Time for the fabric to notice that the entry is not ready: two questions at two a
+second, and the packets that are then under way."""
+
+
+class StreamEntryShell(stream_shell.StreamShell):
+    """Runs an entry.
+
+    Parameters
+    ----------
+    listen : tuple of (str, int)
+        Where the fabric sends packets; callers have the same port.
+    node_listen : tuple of (str, int)
+        Where agents send their answers.
+    core : StreamEntryCore
+        The decisions.
+    api : ReadyApi
+        Tells the fabric whether the entry is ready.
+    watch : Telemetry
+        Logs and metrics.
+    """
+
+    def __init__(
+        self,
+        listen: tuple[str, int],
+        node_listen: tuple[str, int],
+        core: stream_entry_core.StreamEntryCore,
+        api: ready_api.ReadyApi,
+        watch: telemetry.Telemetry,
+    ) -> None:
+        super().__init__(core, watch)
+        self._listen = listen
+        self._node_listen = node_listen
+        self._core = core
+        self._api = api
+        self._is_leaving = False
+        self._was_ready = False
+
+    async def serve(self, stopped: asyncio.Event) -> None:
+        """Serve until stopped."""
+        assert self._control is not None
+        await self._watch.start()
+        self._callers = udp_socket.UdpSocket(self._from_caller, *self._listen)
+        self._nodes = udp_socket.UdpSocket(self._from_node, *self._node_listen)
+        await self._api.start(self.is_ready)
+        self._schedule(stream_shell.IDLE_SECONDS)
+        task = asyncio.create_task(self._control.run())
+        await stopped.wait()
+        self._is_leaving = True
+        self._watch.line("info", "entry.leaving", open_flows=self._core.open_flows)
+        await asyncio.sleep(STOP_SECONDS)
+        task.cancel()
+        self._api.close()
+        self._callers.close()
+        self._nodes.close()
+        await self._watch.close()
+
+    def is_ready(self) -> bool:
+        """Return whether the fabric shall send packets."""
+        ready = self._core.is_ready and not self._is_leaving
+        if ready != self._was_ready:
+            self._was_ready = ready
+            self._watch.line("info", "entry.ready" if ready else "entry.not_ready")
+        return ready
+
+    def _from_caller(self, data: bytes, source: tuple[str, int]) -> None:
+        self._handle(caller_packet.CallerPacket(data))
+
+    def _from_node(self, data: bytes, source: tuple[str, int]) -> None:
+        self._handle(node_datagram.NodeDatagram(*source, data))
+
+    def _needs_tick_soon(self) -> bool:
+        return self._core.needs_tick_soon
+
+    def _send_node(self, data: bytes, address: tuple[str, int]) -> None:
+        self._nodes.send(data, address)
+
+    def _send_caller(self, data: bytes, host: str) -> None:
+        self._callers.send(data, (host, self._listen[1]))
--- /dev/null
+++ b/src/limpetreel/streams/stream_shell.py
@@ -0,0 +1,108 @@
+"""What the shells of entries and agents share."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from limpetreel.node import tick
+from limpetreel.streams.actions import note, send_caller, send_node, send_upstream
+from limpetreel.streams.events import fleet_changed
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.cluster import control_client, fleet_view
+    from limpetreel.core import core
+    from limpetreel.telemetry import telemetry
+
+SOON_SECONDS = 0.02
+"""Time between ticks while an answer is awaited; a quarter of the shortest wait."""
+IDLE_SECONDS = 0.25
+LATE_SECONDS = 0.5
+"""Pause of the process after which a line says that it stood still."""
+
+
+class StreamShell(abc.ABC):
+    """Passes events to a core and carries out its actions.
+
+    Parameters
+    ----------
+    core : Core
+        The decisions.
+    watch : Telemetry
+        Logs and metrics.
+    """
+
+    def __init__(self, core: core.Core, watch: telemetry.Telemetry) -> None:
+        self._decisions = core
+        self._watch = watch
+        self._control: control_client.ControlClient | None = None
+        self._ticking: asyncio.TimerHandle | None = None
+        self._tick_at = float("inf")
+
+    def attach(self, control: control_client.ControlClient) -> None:
+        """Take the connection to control."""
+        self._control = control
+
+    def take_view(self, view: fleet_view.FleetView) -> None:
+        """Take news from control."""
+        self._handle(fleet_changed.FleetChanged(view))
+
+    def _handle(self, event: msgspec.Struct) -> None:
+        actions = self._decisions.handle(time.monotonic(), event)
+        self._watch.decided(0.0, event, actions)
+        for action in actions:
+            self._do(action)
+        if self._tick_at > time.monotonic() + SOON_SECONDS and self._needs_tick_soon():
+            self._schedule(SOON_SECONDS)
+
+    def _do(self, action: msgspec.Struct) -> None:
+        match action:
+            case send_node.SendNode():
+                self._send_node(action.data, action.address)
+            case send_caller.SendCaller():
+                self._send_caller(action.data, action.host)
+            case send_upstream.SendUpstream():
+                self._send_upstream(action.data)
+            case note.Note():
+                self._watch.decision(action.level, action.step, action.fields)
+
+    def _schedule(self, seconds: float) -> None:
+        if self._ticking is not None:
+            self._ticking.cancel()
+        loop = asyncio.get_running_loop()
+        self._tick_at = loop.time() + seconds
+        self._ticking = loop.call_later(seconds, self._tick)
+
+    def _tick(self) -> None:
+        late = time.monotonic() - self._tick_at
+        if late > LATE_SECONDS:
+            self._watch.line("warning", "process.late", seconds=round(late, 3))
+        self._tick_at = float("inf")
+        self._handle(tick.Tick())
+        self._after_tick()
+        if self._tick_at == float("inf"):
+            is_soon = self._needs_tick_soon()
+            self._schedule(SOON_SECONDS if is_soon else IDLE_SECONDS)
+
+    def _after_tick(self) -> None:  # noqa: B027 - an entry has nothing to do
+        """Do what the role does at each tick."""
+
+    @abc.abstractmethod
+    def _needs_tick_soon(self) -> bool:
+        """Return whether the core waits for an answer."""
+
+    @abc.abstractmethod
+    def _send_node(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a message to another node."""
+
+    @abc.abstractmethod
+    def _send_caller(self, data: bytes, host: str) -> None:
+        """Send a packet to a caller's machine."""
+
+    def _send_upstream(self, data: bytes) -> None:
+        """Send a packet to the upstream; only agents have one."""
+        raise TypeError("only agents send to upstreams")
--- a/src/limpetreel/telemetry/rate_limit.py
+++ b/src/limpetreel/telemetry/rate_limit.py
@@ -8,6 +8,8 @@
 
 LINES_PER_PERIOD = 5
 PERIOD_SECONDS = 10.0
+DECISIONS_PER_PERIOD = 400
+"""Lines about single flows; under 2 ms of processor time a second."""
 MAX_KEYS = 256
 """Kinds of lines that are told apart; bounds the memory under any input."""
 
@@ -22,9 +24,16 @@
 
 
 class RateLimit:
-    """Admits a few lines of each kind in each period and counts the others."""
+    """Admits a few lines of each kind in each period and counts the others.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    lines_per_period : int
+        Lines of each kind that are admitted in a period.
+    """
+
+    def __init__(self, lines_per_period: int = LINES_PER_PERIOD) -> None:
+        self._lines_per_period = lines_per_period
         self._periods: dict[Key, _Period] = {}
 
     def admit(self, now: float, key: Key) -> int | None:
@@ -42,7 +51,7 @@
             left_out = period.left_out if period is not None else 0
             self._begin(now, key)
             return left_out
-        if period.lines < LINES_PER_PERIOD:
+        if period.lines < self._lines_per_period:
             period.lines += 1
             return 0
         period.left_out += 1
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -58,6 +58,7 @@
         self._metrics_address = metrics_address
         self._clock = clock
         self._limit = rate_limit.RateLimit()
+        self._decision_limit = rate_limit.RateLimit(rate_limit.DECISIONS_PER_PERIOD)
         self._server: metrics_server.MetricsServer | None = None
         self._flushing: asyncio.Task[None] | None = None
         self._drops: dict[str, Callable[[], Mapping[Any, float]]] = {}
@@ -137,6 +138,24 @@
         more = {"left_out": left_out} if left_out else {}
         self._log.log("warning", step, _peer(peer), {"reason": why, **more})
 
+    def decision(self, level: str, step: str, fields: Mapping[str, Any]) -> None:
+        """Log what a core decided, at a limited rate.
+
+        Parameters
+        ----------
+        level, step : str
+            As in `line`.
+        fields : mapping
+            What decided it, and the outcome.
+        """
+        if self._log is None:
+            return
+        left_out = self._decision_limit.admit(self._clock(), (step, level))
+        if left_out is None:
+            return
+        more = {"left_out": left_out} if left_out else {}
+        self._log.log(level, step, "", {**fields, **more})
+
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter.
 
@@ -218,6 +237,9 @@
         now = self._clock()
         for (step, why), count in self._limit.take_left_out(now, at_end).items():
             self.line("warning", step, reason=why, left_out=count)
+        left_out = self._decision_limit.take_left_out(now, at_end)
+        for (step, level), count in left_out.items():
+            self.line(level, step, left_out=count)
         if at_end or now - self._reported_at >= rate_limit.PERIOD_SECONDS:
             self._reported_at = now
             self._report_drops()
