Let flows wait only while they can be answered in time

Flows waited for up to 1.2 s, callers give up after 0.8 s, and each opening of a flow whose caller had left occupied a slot for a second, so upstreams worked for nobody.

Change: a flow waits at most for the answer time less three service times, and a flow without a request stops to count after 0.15 s. The demo names the processes that have ended when members are missing.

Test: tests/streams/test_load_patterns.py, of which the recovery after a restart and the overload failed before.

Conclusion: the wait has to be bounded by the callers' answer time, not their timeout.

--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -51,10 +51,15 @@
 OPEN_ANSWER_SECONDS = 0.06
 """Time in which an upstream answers an opening packet; it takes under 1 ms, the rest
 covers a pause of the machine."""
-MAX_OPENING_SECONDS = 1.0
-"""Time after which a flow without a request occupies nothing any more."""
+MAX_OPENING_SECONDS = 0.15
+"""Time after which a flow without a request occupies nothing; a caller that is still
+there sends it within a round trip."""
+HANDSHAKE_SECONDS = 0.02
+"""Part of the answer time that the handshake and the way of the answer take."""
 MAX_WAIT_SECONDS = 1.2
 """Callers give an attempt up after 1.4 s; the rest is for the handshake."""
+LONG_SERVICE_FACTOR = 3
+"""Time of a long request, as a multiple of the mean; few take longer."""
 SEQUENCE_WINDOW = 1 << 24
 """Bytes of an answer that an acknowledgement may lie ahead of the handshake."""
 
@@ -402,11 +407,19 @@
         ahead = self._queue.count_ahead(priority)
         return self._capacity.wait_seconds(max(0, over) + ahead)
 
+    def _patience(self, way: route.Route) -> float:
+        """Return for how long a flow may wait and still be answered in time.
+
+        Answers that come later serve few callers, and the slots that they take make
+        those behind them late as well.
+        """
+        service = LONG_SERVICE_FACTOR * self._capacity.service_seconds
+        spare = way.answer_ms / 1000 - service - HANDSHAKE_SECONDS
+        return min(MAX_WAIT_SECONDS, max(0.0, spare))
+
     def _can_wait(self, way: route.Route) -> bool:
         wait = self._wait_seconds(way.priority)
-        until_answer = wait + self._capacity.service_seconds
-        is_in_time = until_answer < way.timeout_ms / 1000
-        return is_in_time and wait < MAX_WAIT_SECONDS and not self._queue.is_full
+        return wait <= self._patience(way) and not self._queue.is_full
 
     def _wait(
         self,
@@ -417,7 +430,7 @@
         way: route.Route,
     ) -> None:
         self._number += 1
-        limit = min(MAX_WAIT_SECONDS, way.timeout_ms / 1000)
+        limit = self._patience(way)
         item = waiting_flow.WaitingFlow(
             way.priority,
             self._number,
--- a/src/limpetreel/workload/demo.py
+++ b/src/limpetreel/workload/demo.py
@@ -123,7 +123,11 @@
             if len(members) >= count:
                 return {r["name"]: r["port"] for r in records if r["type"] == "class"}
             if time.monotonic() > until:
-                raise TimeoutError(f"{len(members)} of {count} members have joined")
+                names = ", ".join(sorted(str(m.get("name")) for m in members))
+                raise TimeoutError(
+                    f"{len(members)} of {count} members have joined: {names}; "
+                    f"processes that have ended: {self._site.ended()}"
+                )
             await asyncio.sleep(0.2)
 
     async def _operate(self, *words: str) -> None:
--- a/src/limpetreel/workload/site.py
+++ b/src/limpetreel/workload/site.py
@@ -14,6 +14,7 @@
 PUBLIC_IP = "127.0.0.1"
 CLUSTER_KEY = "demonstration-cluster-key"
 OPERATOR_KEY = "demonstration-operator-key"
+LOG_TAIL_CHARS = 2000
 STOP_SECONDS = 20.0
 TRACE_FILE = "spans.jsonl"
 DECISION_LOG = "decisions.log"
@@ -141,6 +142,14 @@
         """Return the files of a name that entries and agents have written."""
         return sorted((self._folder / "data").glob(f"*/{name}"))
 
+    def ended(self) -> dict[str, str]:
+        """Return the last lines of the processes that have ended."""
+        return {
+            name: (self._folder / f"{name}.log").read_text()[-LOG_TAIL_CHARS:]
+            for name, proc in self._running.items()
+            if proc.returncode is not None
+        }
+
     @property
     def upstream_ports(self) -> dict[str, int]:
         """Ports of the upstreams by name."""
--- /dev/null
+++ b/tests/streams/stream_site.py
@@ -0,0 +1,411 @@
+"""Entries, agents, upstreams and callers on one simulated clock.
+
+The model drives the cores that the programs run. Upstreams have slots, a short queue
+and a speed; callers repeat the opening packet, give up, and try again on a new flow.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+import msgspec
+import xxhash
+
+from limpetreel.cluster import fleet_view, upstream_record
+from limpetreel.configuration import (
+    configuration,
+    request_kind,
+    route,
+    service,
+    weighted_service,
+)
+from limpetreel.node import tick
+from limpetreel.platform import segment_format
+from limpetreel.streams import (
+    stream_agent_core,
+    stream_entry_core,
+    stream_key,
+    upstream_status,
+)
+from limpetreel.streams.actions import note, send_caller, send_node, send_upstream
+from limpetreel.streams.events import (
+    caller_packet,
+    fleet_changed,
+    node_datagram,
+    upstream_announced,
+    upstream_packet,
+)
+
+SERVICE = "bookings"
+HOST, PORT = "198.18.0.1", 8080
+CALLER_SECONDS = 0.003
+LINK_SECONDS = 0.0005
+BEAT_SECONDS = 1.2
+TICK_SECONDS = 0.02
+COPY_SECONDS = (0.2, 0.6)
+OPEN_SECONDS = 1.4
+RETRY_SECONDS = 0.05
+CODEC = segment_format.SegmentFormat()
+
+
+def make_configuration(version=1, answer_ms=200, timeout_ms=1200, cold_per_s=0.0):
+    """Return a configuration with one route."""
+    part = weighted_service.WeightedService(SERVICE, 1)
+    way = route.Route(
+        "checks",
+        HOST,
+        PORT,
+        request_kind.RequestKind.IDEMPOTENT,
+        timeout_ms,
+        answer_ms,
+        1,
+        (part,),
+    )
+    limits = service.Service(SERVICE, 2000, 2.0, cold_per_s)
+    return configuration.Configuration(version, (way,), (limits,), 15_000)
+
+
+def make_packet(flow, flags, seq=0, ack=0, data=b"", from_caller=True):
+    """Return a packet in the platform's format."""
+    head = bytearray(CODEC.reset(flow, seq))
+    head[0] = flags
+    head[2:4] = len(data).to_bytes(2, "big")
+    if from_caller:
+        head[8:12], head[16:20] = flow[0:4], flow[6:10]
+        head[12:14], head[14:16] = flow[10:12], flow[4:6]
+    head[24:28] = ack.to_bytes(4, "big")
+    return bytes(head) + data
+
+
+SYN, SYN_ACK, ACK, FIN, RST, BOUNCED = 128, 130, 2, 34, 16, 8
+
+
+@dataclasses.dataclass
+class Request:
+    """One request of a caller, over all its tries."""
+
+    began_at: float
+    answered_at: float | None = None
+    refused: int = 0
+    tries: int = 0
+
+
+class Upstream:
+    """Back end with slots and a bounded queue."""
+
+    def __init__(self, site, name, slots, work_s):
+        self.site, self.name, self.slots, self.work_s = site, name, slots, work_s
+        self.is_up = True
+        self.working = 0
+        self.waiting = []
+        self.flows = {}
+        self.served = 0
+        self.sequence = itertools.count(1)
+        self.start = 0
+        self.cold_ms = 0
+        self.draining = False
+
+    def take(self, now, data):
+        """Take a packet from the agent."""
+        if not self.is_up:
+            return
+        found = CODEC.from_caller(data)
+        if found.is_open:
+            first = self.flows.setdefault(found.flow, self.site.random.getrandbits(31))
+            self.send(found.flow, SYN_ACK, first)
+        elif found.flow not in self.flows:
+            returned = bytearray(data)
+            returned[0] |= BOUNCED
+            self.site.from_upstream(self.name, bytes(returned))
+        elif found.size:
+            if self.working < self.slots:
+                self.work(now, found.flow)
+            elif len(self.waiting) < 4 * self.slots:
+                self.waiting.append(found.flow)
+            else:
+                self.answer(found.flow, b"shed")
+
+    def work(self, now, flow):
+        """Occupy a slot."""
+        self.working += 1
+        work_s = self.site.random.uniform(0.5, 1.5) * self.work_s
+        start = self.start
+        self.site.after(work_s, lambda at: self.finish(at, flow, start))
+
+    def finish(self, now, flow, start):
+        """Answer and take the next request."""
+        if start != self.start:
+            return
+        self.working -= 1
+        self.served += 1
+        self.answer(flow, b"ok")
+        if self.waiting:
+            self.work(now, self.waiting.pop(0))
+
+    def answer(self, flow, data):
+        """Send the whole answer."""
+        self.send(flow, ACK, self.flows.get(flow, 0) + 1, data)
+
+    def send(self, flow, flags, seq, data=b""):
+        """Send a packet through the agent."""
+        if self.is_up:
+            packet = make_packet(flow, flags, seq, 0, data, from_caller=False)
+            self.site.from_upstream(self.name, packet)
+
+    def restart(self, cold_ms=0):
+        """Lose all flows and start again."""
+        self.start += 1
+        self.working, self.waiting, self.flows = 0, [], {}
+        self.sequence = itertools.count(1)
+        self.cold_ms = cold_ms
+
+    def status(self):
+        """Return the next announcement."""
+        return upstream_status.UpstreamStatus(
+            f"i-{self.name}-{self.start}",
+            self.start,
+            next(self.sequence),
+            SERVICE,
+            self.slots,
+            self.draining,
+            self.cold_ms,
+        )
+
+
+class StreamSite:
+    """A whole site on a simulated clock.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all chances.
+    speeds : sequence of float
+        Mean work in seconds of each upstream.
+    slots : int
+        Slots of each upstream.
+    entries : int
+        Number of entries.
+    configuration : Configuration
+        Configuration in force.
+    """
+
+    def __init__(self, seed, speeds, slots=2, entries=3, configuration=None):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.queue = []
+        self.order = itertools.count()
+        self.cfg = configuration or make_configuration()
+        self.zones_out = frozenset()
+        self.names = [f"agent-{i}" for i in range(len(speeds))]
+        self.upstreams = {
+            n: Upstream(self, n, slots, s)
+            for n, s in zip(self.names, speeds, strict=True)
+        }
+        self.agents = {}
+        self.entries = {}
+        self.down = set()
+        self.notes = []
+        self.requests = []
+        self.callers = {}
+        self.opened = []
+        for name in self.names:
+            self.start_agent(name)
+            self.beat(0.0, name)
+        for i in range(entries):
+            self.start_entry(f"entry-{i}")
+        self.ticks(0.0)
+
+    def start_agent(self, name):
+        """Start an agent that knows nothing."""
+        self.agents[name] = stream_agent_core.StreamAgentCore(
+            self.now, CODEC, SERVICE, "zone-a", BEAT_SECONDS, 60.0
+        )
+        self.to_core(name, self.news())
+
+    def start_entry(self, name):
+        """Start an entry that knows nothing of open flows."""
+        self.entries[name] = stream_entry_core.StreamEntryCore(
+            CODEC, "zone-a", self.random.getrandbits(32)
+        )
+        self.to_core(name, self.news())
+
+    def news(self):
+        """Return what control tells all nodes."""
+        records = tuple(
+            upstream_record.UpstreamRecord(
+                n, n, 1, "zone-a", SERVICE, not u.draining, u.slots
+            )
+            for n, u in self.upstreams.items()
+        )
+        view = fleet_view.FleetView(1, self.cfg, self.zones_out, records)
+        return fleet_changed.FleetChanged(view)
+
+    def tell_all(self):
+        """Bring the news to all nodes."""
+        for name in (*self.agents, *self.entries):
+            self.to_core(name, self.news())
+
+    def after(self, seconds, call):
+        """Call something later."""
+        heapq.heappush(self.queue, (self.now + seconds, next(self.order), call))
+
+    def run(self, until):
+        """Let the time pass."""
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, call = heapq.heappop(self.queue)
+            call(self.now)
+        self.now = until
+
+    def ticks(self, now):
+        """Tick all cores for ever."""
+        for name in (*self.agents, *self.entries):
+            self.to_core(name, tick.Tick())
+        self.after(TICK_SECONDS, self.ticks)
+
+    def beat(self, now, name):
+        """Announce an upstream for ever."""
+        item = self.upstreams[name]
+        if item.is_up:
+            self.to_core(name, upstream_announced.UpstreamAnnounced(item.status()))
+        self.after(BEAT_SECONDS, lambda at: self.beat(at, name))
+
+    def to_core(self, name, event):
+        """Let a node take an event."""
+        core = self.agents.get(name) or self.entries.get(name)
+        if core is None or name in self.down:
+            return
+        for action in core.handle(self.now, event):
+            self.do(name, action)
+
+    def do(self, name, action):
+        """Carry out an action of a node."""
+        match action:
+            case send_node.SendNode():
+                event = node_datagram.NodeDatagram(name, 1, action.data)
+                target = action.address[0]
+                self.after(LINK_SECONDS, lambda at: self.to_core(target, event))
+            case send_caller.SendCaller():
+                data = action.data
+                self.after(CALLER_SECONDS, lambda at: self.to_caller(data))
+            case send_upstream.SendUpstream():
+                data = action.data
+                if CODEC.from_caller(data).is_open:
+                    self.opened.append((self.now, name))
+                self.upstreams[name].take(self.now, data)
+            case note.Note():
+                self.notes.append((self.now, name, action))
+
+    def from_upstream(self, name, data):
+        """Bring a packet of an upstream to its agent."""
+        event = upstream_packet.UpstreamPacket(data)
+        self.after(0.0, lambda at: self.to_core(name, event))
+
+    def from_caller(self, flow, data):
+        """Bring a packet of a caller to the entry that the hash selects."""
+        alive = [n for n in self.entries if n not in self.down]
+        if not alive:
+            return
+        name = max(alive, key=lambda n: xxhash.xxh64_intdigest(n.encode() + flow))
+        event = caller_packet.CallerPacket(data)
+        self.after(CALLER_SECONDS, lambda at: self.to_core(name, event))
+
+    def load(self, per_second, seconds, retries=2):
+        """Let callers send requests at random times."""
+        at = 0.0
+        while at < seconds:
+            at += self.random.expovariate(per_second)
+            item = Request(self.now + at)
+            self.requests.append(item)
+            self.after(at, lambda now, item=item: Caller(self, item, retries).open())
+
+    def to_caller(self, data):
+        """Bring a packet to a caller."""
+        found = CODEC.from_upstream(data)
+        caller = self.callers.get(found.flow)
+        if caller is not None:
+            caller.take(found)
+
+    def in_time(self, since=0.0, until=float("inf"), answer_s=None):
+        """Return the share of requests that were answered in time."""
+        limit = answer_s or self.cfg.routes[0].answer_ms / 1000
+        asked = [r for r in self.requests if since <= r.began_at < until]
+        good = [
+            r
+            for r in asked
+            if r.answered_at is not None and r.answered_at - r.began_at <= limit
+        ]
+        return len(good) / max(1, len(asked))
+
+
+class Caller:
+    """One try of a request; further tries use a new flow."""
+
+    ports = itertools.count(1024)
+
+    def __init__(self, site, item, retries):
+        self.site, self.item, self.retries = site, item, retries
+        number = next(Caller.ports)
+        caller = (
+            f"100.64.{number >> 16 & 255}.{number >> 8 & 255}",
+            number % 60000 + 1,
+        )
+        self.flow = stream_key.pack(*caller) + stream_key.pack(HOST, PORT)
+        self.is_open = False
+        self.is_over = False
+
+    def open(self):
+        """Send the opening packet and its copies."""
+        self.item.tries += 1
+        self.site.callers[self.flow] = self
+        self.site.from_caller(self.flow, make_packet(self.flow, SYN))
+        for i, seconds in enumerate(COPY_SECONDS):
+            copy = make_packet(self.flow, SYN, ack=i + 1)
+            self.site.after(seconds, lambda at, copy=copy: self.repeat(copy))
+        limit = self.site.cfg.routes[0].timeout_ms / 1000
+        left = self.item.began_at + limit - self.site.now
+        self.site.after(min(left, OPEN_SECONDS), self.give_up)
+
+    def repeat(self, packet):
+        """Send a copy while the flow is not open."""
+        if not self.is_open and not self.is_over:
+            self.site.from_caller(self.flow, packet)
+
+    def give_up(self, now):
+        """End the request if it has no answer."""
+        self.is_over = True
+        self.site.callers.pop(self.flow, None)
+
+    def take(self, found):
+        """Take a packet."""
+        if self.is_over:
+            return
+        if found.is_reset:
+            self.item.refused += 1
+            self.end()
+        elif found.is_open_reply and not self.is_open:
+            self.is_open = True
+            ack = (found.sequence + 1) & 0xFFFFFFFF
+            self.site.from_caller(self.flow, make_packet(self.flow, ACK, 1, ack, b"?"))
+        elif found.size and found.data.endswith(b"ok"):
+            self.item.answered_at = self.site.now
+            self.is_over = True
+            self.site.callers.pop(self.flow, None)
+        elif found.size:
+            self.end()
+
+    def end(self):
+        """End this try and begin another one, if there is one left."""
+        self.is_over = True
+        self.site.callers.pop(self.flow, None)
+        limit = self.site.cfg.routes[0].timeout_ms / 1000
+        if self.retries and self.site.now < self.item.began_at + limit:
+            again = Caller(self.site, self.item, self.retries - 1)
+            self.site.after(RETRY_SECONDS, lambda at: again.open())
+
+
+def replace(record, **changes):
+    """Return a changed copy of a record."""
+    return msgspec.structs.replace(record, **changes)
--- /dev/null
+++ b/tests/streams/test_load_patterns.py
@@ -0,0 +1,102 @@
+"""Service under the load patterns that cost callers most, without a network.
+
+Each test names its pattern; the bounds are the targets of the measurements page.
+"""
+
+from __future__ import annotations
+
+from tests import fixtures
+from tests.streams import stream_site
+
+load_tests = fixtures.load_functions(globals())
+
+UNEVEN = (0.030, 0.030, 0.070, 0.030, 0.070)
+"""Mean work in seconds of five upstreams of unequal speed."""
+
+
+def test_uneven_upstreams_answer_in_time_at_half_load():
+    """Guards against a slow upstream that gets as much as a fast one."""
+    site = stream_site.StreamSite(1, UNEVEN)
+    site.run(0.1)
+    site.load(110, 10)
+    site.run(13)
+    assert site.in_time() >= 0.99
+
+
+def test_service_recovers_after_all_agents_restart_under_load():
+    """Guards against queues of flows whose callers have left.
+
+    Pattern: all processes end and return under load, and callers try again. When
+    flows waited for as long as the caller's timeout, the upstreams worked for callers
+    that had gone, and service stayed at 30 % for good.
+    """
+    site = stream_site.StreamSite(
+        2, UNEVEN, configuration=stream_site.make_configuration(1, 143, 800)
+    )
+    site.run(0.1)
+    site.load(130, 14)
+    site.run(4)
+    site.down |= {*site.agents, *site.entries}
+    site.run(5.4)
+    for name in site.agents:
+        site.start_agent(name)
+    for name in list(site.entries):
+        site.start_entry(name)
+    site.down.clear()
+    site.tell_all()
+    site.run(18)
+    assert site.in_time(8, 13) >= 0.95
+
+
+def test_overload_serves_what_the_upstreams_can_bear():
+    """Guards against congestion collapse.
+
+    Pattern: twice the load that the upstreams bear, with retries. At least three
+    quarters of what they can do in the time must come in time.
+    """
+    site = stream_site.StreamSite(3, UNEVEN)
+    site.run(0.1)
+    capacity = sum(2 / work for work in UNEVEN)
+    site.load(2 * capacity, 8)
+    site.run(11)
+    good = site.in_time(1, 8) * 2 * capacity
+    assert good >= 0.75 * capacity
+
+
+def test_request_that_cannot_be_served_is_refused_at_once():
+    """Guards against refusals that are held back until the caller gives up."""
+    site = stream_site.StreamSite(4, UNEVEN)
+    site.run(0.1)
+    for item in site.upstreams.values():
+        item.draining = True
+    site.tell_all()
+    site.load(50, 1, retries=0)
+    site.run(3)
+    held = [n.fields["held_ms"] for _, _, n in site.notes if n.step == "flow.refused"]
+    assert len(held) == len(site.requests)
+    assert max(held) <= 20
+
+
+def test_dead_upstream_delays_few_requests():
+    """Guards against offers to an upstream that has crashed silently.
+
+    Pattern: one of five upstreams dies without a word; its agent lives.
+    """
+    site = stream_site.StreamSite(5, UNEVEN)
+    site.run(0.1)
+    site.load(80, 10)
+    site.run(3)
+    site.upstreams["agent-0"].is_up = False
+    site.run(13)
+    assert site.in_time(3.2, 10) >= 0.97
+
+
+def test_dead_machine_delays_few_requests():
+    """Guards against waits for an agent that is gone with its machine."""
+    site = stream_site.StreamSite(6, UNEVEN)
+    site.run(0.1)
+    site.load(80, 10)
+    site.run(3)
+    site.down.add("agent-1")
+    site.run(13)
+    assert site.in_time(3.2, 10) >= 0.97
