Serve cold upstreams without a rate, and elect and dial quickly after a start

Cause: after a power loss every upstream is cold, and documents give a rate of 0; the agents let one flow a second through to each, and callers were refused for two seconds. Control instances waited 0.3 to 0.6 s for a leader that could not be there, and nodes 0.8 s for machines without power.

Ruled out: slow starts of the processes (10 to 20 ms each); the routers' questions (they send packets also while no entry is ready).

--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -16,7 +16,9 @@
     from limpetreel.cluster import upstream_record
     from limpetreel.telemetry import telemetry
 
-CONNECT_SECONDS = 0.8
+CONNECT_SECONDS = 0.25
+"""Some round trips in a region; a machine without power never answers, and another
+control instance does at once."""
 SILENT_SECONDS = 1.2
 """Three updates; a control instance that is silent for so long is left."""
 UNCONFIRMED_SECONDS = 1.5
@@ -184,7 +186,11 @@
     ) -> None:
         before, after = known.configuration, view.configuration
         if after is not None and after is not before:
-            fields: dict[str, Any] = {"version": after.version}
+            fields: dict[str, Any] = {
+                "version": after.version,
+                "routes": len(after.routes),
+                "cold_per_second": {s.name: s.cold_per_second for s in after.services},
+            }
             self._watch.line("info", "configuration.applied", **fields)
         if known.zones_out != view.zones_out:
             zones = ",".join(sorted(view.zones_out))
--- a/src/limpetreel/consensus/node_state.py
+++ b/src/limpetreel/consensus/node_state.py
@@ -113,6 +113,12 @@
         """Send a message to the sender of another."""
         self.actions.append(send.Send(request.sender, request.address, message))
 
+    def delay_first_election(self, now: float) -> None:
+        """Wait for a leader after a start."""
+        low = timing.FIRST_ELECTION_MIN_SECONDS
+        high = timing.FIRST_ELECTION_MAX_SECONDS
+        self.election_at = now + self._random.uniform(low, high)
+
     def delay_election(self, now: float) -> None:
         """Wait for a leader for another random time."""
         low, high = timing.ELECTION_MIN_SECONDS, timing.ELECTION_MAX_SECONDS
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -147,7 +147,7 @@
         state = self._state
         state.actions = []
         if state.election_at == float("inf"):
-            state.delay_election(now)
+            state.delay_first_election(now)
         self._dispatch(now, event)
         if self._leadership is not None and self._leadership.is_over:
             self._follow(now, "")
--- a/src/limpetreel/consensus/timing.py
+++ b/src/limpetreel/consensus/timing.py
@@ -5,6 +5,10 @@
 HEARTBEAT_SECONDS = 0.1
 ELECTION_MIN_SECONDS = 0.3
 ELECTION_MAX_SECONDS = 0.6
+FIRST_ELECTION_MIN_SECONDS = 0.05
+FIRST_ELECTION_MAX_SECONDS = 0.25
+"""Wait after a start. A leader that is there sends within a heartbeat, and pre-votes
+keep an impatient instance from deposing it."""
 LEASE_SECONDS = 2.0
 JOIN_RETRY_SECONDS = 0.5
 REJOIN_SECONDS = 2.0
--- a/src/limpetreel/streams/start_rate.py
+++ b/src/limpetreel/streams/start_rate.py
@@ -27,9 +27,11 @@
         now : float
             Monotonic time in seconds.
         per_second : float
-            New flows that the upstream bears; one is always allowed, or the
-            upstream would never become warm.
+            New flows that the upstream bears. 0 is no limit: such an upstream is
+            slow while it is cold, and `Capacity` follows its speed.
         """
+        if per_second <= 0:
+            return True
         self._forget(now)
         return len(self._times) < max(1, int(per_second))
 
--- /dev/null
+++ b/tests/cluster/control_group.py
@@ -0,0 +1,248 @@
+"""Control instances on a fake network and fake disks, with an operator."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+
+from limpetreel import exceptions
+from limpetreel.cluster import call_status, cluster_core, cluster_state
+from limpetreel.cluster.actions import answer_call, send_control
+from limpetreel.cluster.commands import set_configuration, set_zone
+from limpetreel.cluster.events import (
+    change_requested,
+    consensus_arrived,
+    read_requested,
+)
+from limpetreel.cluster.messages import cluster_codec
+from limpetreel.consensus import member, open_membership, raft_core, role
+from limpetreel.consensus.actions import persist, save_snapshot
+from limpetreel.node import tick
+from limpetreel.platform import configuration_format
+from limpetreel.storage import log_store
+from tests.storage import fake_disk
+
+STEP = 0.05
+DELAY = (0.0005, 0.004)
+PARSER = configuration_format.ConfigurationFormat()
+_STOPPED = (fake_disk.Crashed, exceptions.StorageError)
+
+
+def make_document(version, port=8080, **changes):
+    """Return a valid document."""
+    document = {
+        "Version": version,
+        "Routes": [
+            {
+                "Name": "r-1",
+                "Host": "198.18.0.1",
+                "PathPrefix": f"/{port}/",
+                "Type": "idempotent",
+                "TimeoutMs": 1200,
+                "AimMs": 200,
+                "Priority": 1,
+                "Backend": "s-1",
+                "MaxAttempts": 2,
+            }
+        ],
+        "Backends": [{"Name": "s-1", "MaxConnections": 2000, "WarmupPerS": 0.0}],
+        "Limits": {"IdleTimeoutMs": 15000},
+    }
+    return json.dumps({**document, **changes}).encode()
+
+
+class Instance:
+    """One machine with a disk."""
+
+    def __init__(self, group, address, founders=()):
+        self.group, self.address, self.founders = group, address, founders
+        self.disk = fake_disk.FakeDisk()
+        self.core = None
+
+    def start(self):
+        """Start on what the disk holds."""
+        try:
+            store = log_store.LogStore(self.disk)
+            durable = store.recover()
+            if durable is None:
+                number = 1 if self.founders else next(self.group.incarnations)
+                store.create(self.address, number, self.founders)
+                durable = store.recover()
+        except _STOPPED:
+            self.disk.crash(self.group.random)
+            return
+        self.founders = ()
+        self.store = store
+        raft = raft_core.RaftCore(
+            durable,
+            random.Random(self.group.random.random()),
+            self.address,
+            self.group.seeds,
+            open_membership.OpenMembership(self.group.voters),
+            4,
+        )
+        self.core = cluster_core.ClusterCore(
+            raft, PARSER, self.address, lambda: self.group.seeds
+        )
+
+    def crash(self):
+        """Lose power; the disk keeps what was synced."""
+        self.core = None
+        self.disk.crash(self.group.random)
+
+    def wipe(self):
+        """Lose power and the disk."""
+        self.core = None
+        self.disk = fake_disk.FakeDisk()
+
+    def handle(self, event):
+        """Let the core take an event."""
+        if self.core is None:
+            return
+        try:
+            for action in self.core.handle(self.group.now, event):
+                self.do(action)
+        except _STOPPED:
+            self.crash()
+
+    def do(self, action):
+        """Carry out an action."""
+        match action:
+            case persist.Persist():
+                self.store.persist(action)
+            case save_snapshot.SaveSnapshot():
+                self.store.save_snapshot(action)
+            case send_control.SendControl():
+                self.group.post(self.address, action)
+            case answer_call.AnswerCall():
+                self.group.answers[action.call_id] = action
+
+
+class ControlGroup:
+    """Control instances, their network and an operator.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all chances.
+    size : int
+        Machines with a disk; the first three are the seeds.
+    voters : int
+        Voters to keep.
+    """
+
+    def __init__(self, seed, size=3, voters=3):
+        self.random = random.Random(seed)
+        self.now, self.queue, self.order = 0.0, [], itertools.count()
+        self.voters = voters
+        self.incarnations = itertools.count(1000)
+        self.calls = itertools.count(1)
+        self.answers = {}
+        self.acked_version = 0
+        self.acked_zones = {}
+        names = [f"10.0.0.{i + 1}:7000" for i in range(size)]
+        self.seeds = names[:3]
+        founders = tuple(member.Member(n, 1, n) for n in self.seeds)
+        self.instances = {
+            n: Instance(self, n, founders if n in self.seeds else ()) for n in names
+        }
+        self.cut = set()
+        for item in self.instances.values():
+            item.start()
+
+    def post(self, source, action):
+        """Carry a message, unless a cut or the end of the target loses it."""
+        if frozenset((source, action.address)) in self.cut:
+            return
+        at = self.now + self.random.uniform(*DELAY)
+        entry = (at, next(self.order), action.address, action.data)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, seconds):
+        """Let the time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += STEP
+            while self.queue and self.queue[0][0] <= self.now:
+                _, _, target, data = heapq.heappop(self.queue)
+                message = cluster_codec.decode(data)
+                if target in self.instances:
+                    event = consensus_arrived.ConsensusArrived(message.envelope)
+                    self.instances[target].handle(event)
+            for item in list(self.instances.values()):
+                item.handle(tick.Tick())
+
+    def leader(self):
+        """Return the leader with the highest term, None if there is none."""
+        leading = [
+            i
+            for i in self.instances.values()
+            if i.core is not None and i.core.raft.role is role.Role.LEADER
+        ]
+        return max(leading, key=lambda i: i.core.raft.term, default=None)
+
+    def ask(self, target, event_type, *args):
+        """Send a call to an instance and return the answer, None for none."""
+        call_id = next(self.calls)
+        self.instances[target].handle(event_type(call_id, *args))
+        for _ in range(30):
+            if call_id in self.answers or self.instances[target].core is None:
+                break
+            self.run(STEP)
+        return self.answers.pop(call_id, None)
+
+    def order_until_acked(self, command, seconds=6.0):
+        """Send an order to all instances in turn until one acknowledges it."""
+        until = self.now + seconds
+        while self.now < until:
+            for name in list(self.instances):
+                answer = self.ask(name, change_requested.ChangeRequested, command)
+                if answer is not None and answer.status is call_status.CallStatus.DONE:
+                    self.note_ack(command)
+                    return True
+            self.run(0.1)
+        return False
+
+    def note_ack(self, command):
+        """Remember what was acknowledged."""
+        if isinstance(command, set_zone.SetZone):
+            self.acked_zones[command.name] = command.is_out
+        else:
+            self.acked_version = max(self.acked_version, command.version)
+
+    def replace(self, version, port=8080):
+        """Return an order that replaces the configuration."""
+        document = cluster_state.compress(make_document(version, port))
+        return set_configuration.SetConfiguration(version, document)
+
+    def read(self, target):
+        """Return the version that an instance reads back, None if it does not."""
+        answer = self.ask(target, read_requested.ReadRequested)
+        if answer is None or answer.status is not call_status.CallStatus.DONE:
+            return None
+        return json.loads(answer.document)["Version"]
+
+    def check_reads(self):
+        """No instance reads an older version than the newest acknowledged one."""
+        for name, item in list(self.instances.items()):
+            if item.core is None:
+                continue
+            acked = self.acked_version
+            found = self.read(name)
+            assert found is None or found >= acked, (name, found, acked)
+
+    def check_end(self):
+        """All that was acknowledged is in force."""
+        for _ in range(100):
+            leader = self.leader()
+            if leader is not None and self.read(leader.address) is not None:
+                break
+            self.run(0.1)
+        assert self.leader() is not None, "no leader at the end"
+        self.check_reads()
+        state = self.leader().core.state
+        assert state.version >= self.acked_version
+        for zone, is_out in self.acked_zones.items():
+            assert (zone in state.zones_out) is is_out, zone
--- /dev/null
+++ b/tests/cluster/test_control_group.py
@@ -0,0 +1,175 @@
+"""Tests of control instances that found, lose and replace each other."""
+
+from __future__ import annotations
+
+import random
+
+from limpetreel.cluster.commands import set_zone
+from tests import fixtures
+from tests.cluster import control_group
+
+load_tests = fixtures.load_functions(globals())
+
+A, B, C, D, E = (f"10.0.0.{i}:7000" for i in range(1, 6))
+
+
+def voters(group):
+    """Return the addresses of the voters as the leader knows them."""
+    members = group.leader().core.raft.members
+    return sorted(m.address for m in members if m.voting)
+
+
+def test_group_founds_itself_and_acknowledges():
+    """Guards against a first start that waits for an operator."""
+    group = control_group.ControlGroup(1)
+    assert group.order_until_acked(group.replace(4))
+    group.check_end()
+
+
+def test_lower_version_is_acknowledged_and_changes_nothing():
+    """Guards against a revert by a change that arrives late."""
+    group = control_group.ControlGroup(2)
+    assert group.order_until_acked(group.replace(7))
+    assert group.order_until_acked(group.replace(5, port=9000))
+    assert group.order_until_acked(group.replace(7, port=9000))
+    assert group.leader().core.state.configuration.routes[0].port == 8080
+    group.check_end()
+
+
+def test_instance_that_is_no_seed_joins_without_a_vote():
+    """Guards against an even number of voters, which bears no more losses."""
+    group = control_group.ControlGroup(3, size=4)
+    group.run(3)
+    assert voters(group) == [A, B, C]
+    assert len(group.leader().core.raft.members) == 4
+
+
+def test_wiped_leader_does_not_lose_what_it_acknowledged():
+    """Guards against an empty disk that votes for an older log."""
+    group = control_group.ControlGroup(4)
+    assert group.order_until_acked(group.replace(4))
+    lost = group.leader()
+    lost.wipe()
+    group.run(0.5)
+    lost.start()
+    group.run(5)
+    assert voters(group) == [A, B, C]
+    group.check_end()
+
+
+def test_machine_of_the_core_is_replaced_at_another_address():
+    """Guards against a group that counts a machine which is gone for good."""
+    group = control_group.ControlGroup(5)
+    assert group.order_until_acked(group.replace(4))
+    del group.instances[A]
+    group.instances[D] = control_group.Instance(group, D)
+    group.instances[D].start()
+    group.run(6)
+    assert voters(group) == [B, C, D]
+    del group.instances[B]
+    group.instances[E] = control_group.Instance(group, E)
+    group.instances[E].start()
+    group.run(6)
+    assert voters(group) == [C, D, E]
+    assert group.order_until_acked(group.replace(9))
+    group.check_end()
+
+
+def test_voter_that_was_replaced_while_cut_off_joins_again():
+    """Guards against an instance that for ever believes that it votes."""
+    group = control_group.ControlGroup(6, size=4)
+    group.run(2)
+    others = [n for n in group.instances if n != A]
+    group.cut = {frozenset((A, n)) for n in others}
+    group.run(6)
+    assert voters(group) == [B, C, D]
+    group.cut = set()
+    group.run(6)
+    assert A in {m.address for m in group.leader().core.raft.members}
+    group.check_end()
+
+
+def test_minority_does_not_read_or_acknowledge():
+    """Guards against an older state that a cut-off leader shows."""
+    group = control_group.ControlGroup(7)
+    assert group.order_until_acked(group.replace(4))
+    cut_off = group.leader().address
+    others = [n for n in group.instances if n != cut_off]
+    group.cut = {frozenset((cut_off, n)) for n in others}
+    assert group.read(cut_off) is None
+    assert group.order_until_acked(group.replace(6))
+    group.check_reads()
+    group.cut = set()
+    group.run(2)
+    group.check_end()
+
+
+def test_all_instances_killed_at_once_keep_everything():
+    """Guards against an acknowledgement before a majority has synced."""
+    for seed in range(10):
+        group = control_group.ControlGroup(100 + seed)
+        assert group.order_until_acked(group.replace(4))
+        assert group.order_until_acked(set_zone.SetZone("zone-a", True))
+        for item in group.instances.values():
+            item.crash()
+        for item in group.instances.values():
+            item.start()
+        group.run(2)
+        group.check_end()
+
+
+def test_random_faults_lose_and_revert_nothing():
+    """Guards against sequences of faults that no other test names."""
+    for seed in range(12):
+        play(seed)
+
+
+def play(seed, steps=14):
+    """Play random faults, each within what is to be borne, and check the oracle."""
+    rng = random.Random(seed)
+    group = control_group.ControlGroup(seed, size=rng.choice((3, 4)))
+    version = 1
+    assert group.order_until_acked(group.replace(version))
+    for _ in range(steps):
+        version += rng.randrange(1, 4)
+        name = rng.choice(sorted(group.instances))
+        item = group.instances[name]
+        match rng.choice(("wipe", "crash", "all", "cut", "new", "order", "zone")):
+            case "wipe":
+                item.wipe()
+                group.run(rng.uniform(0.1, 3.5))
+                item.start()
+                group.run(5)
+            case "crash":
+                item.crash()
+                group.order_until_acked(group.replace(version))
+                item.start()
+                group.run(rng.uniform(0.1, 2))
+            case "all":
+                for other in group.instances.values():
+                    other.crash()
+                for other in group.instances.values():
+                    other.start()
+            case "cut":
+                others = [n for n in group.instances if n != name]
+                group.cut = {frozenset((name, n)) for n in others}
+                group.order_until_acked(group.replace(version))
+                group.check_reads()
+                group.run(rng.uniform(0.1, 5))
+                group.cut = set()
+                group.run(3)
+            case "new":
+                del group.instances[name]
+                fresh = f"10.0.1.{len(group.instances)}{version}:7000"
+                group.instances[fresh] = control_group.Instance(group, fresh)
+                group.seeds = sorted(group.instances)[:3]
+                group.instances[fresh].start()
+                group.run(6)
+            case "order":
+                assert group.order_until_acked(group.replace(version))
+            case "zone":
+                order = set_zone.SetZone("zone-a", rng.random() < 0.5)
+                assert group.order_until_acked(order)
+        group.check_reads()
+    group.run(5)
+    group.check_end()
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,187 @@
+"""Tests of the formats of the users' platform."""
+
+from __future__ import annotations
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limpetreel import exceptions
+from limpetreel.configuration import request_kind
+from limpetreel.core import failure
+from limpetreel.platform import (
+    announcement_format,
+    configuration_format,
+    process_settings,
+    segment_format,
+)
+from limpetreel.streams import segment
+from tests import fixtures
+from tests.cluster import control_group
+
+load_tests = fixtures.load_functions(globals())
+
+SYN = bytes.fromhex("80000000a1b2c3d56440000701bb9c41c612000111223344" + 16 * "0")
+RESET = bytes.fromhex("1000000000000000c61200019c4101bb64400007" + 24 * "0")
+PARSER = configuration_format.ConfigurationFormat()
+CODEC = segment_format.SegmentFormat()
+
+
+def refuses(document):
+    """Return whether a document is refused."""
+    try:
+        PARSER.parse(document)
+    except exceptions.DocumentError:
+        return True
+    return False
+
+
+def changed(route=None, **changes):
+    """Return a document with changes to its first route and to itself."""
+    document = json.loads(control_group.make_document(3))
+    document["Routes"][0].update(route or {})
+    return json.dumps({**document, **changes}).encode()
+
+
+def test_opening_packet_of_the_pages_is_read():
+    """Guards against fields at other offsets than the platform's."""
+    found = CODEC.from_caller(SYN)
+    assert isinstance(found, segment.Segment)
+    assert found.is_open
+    assert found.sequence == 0x11223344
+    assert CODEC.reset(found.flow, 0) == RESET
+
+
+def test_both_directions_of_a_flow_have_one_key():
+    """Guards against answers that are counted as another flow."""
+    forward, back = CODEC.from_caller(SYN), CODEC.from_upstream(RESET)
+    assert isinstance(forward, segment.Segment)
+    assert isinstance(back, segment.Segment)
+    assert forward.flow == back.flow
+
+
+def test_returned_packet_has_the_key_of_its_caller():
+    """Guards against a search for the owner of a flow from the wrong side."""
+    returned = bytes((SYN[0] | 8,)) + SYN[1:]
+    found, sent = CODEC.from_upstream(returned), CODEC.from_caller(SYN)
+    assert isinstance(found, segment.Segment)
+    assert isinstance(sent, segment.Segment)
+    assert found.is_returned
+    assert found.flow == sent.flow
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.binary(max_size=1400))
+def test_any_bytes_are_read_or_refused(data):
+    """Guards against an exception in the packet path."""
+    for found in (CODEC.from_caller(data), CODEC.from_upstream(data)):
+        assert isinstance(found, segment.Segment | failure.Failure)
+
+
+def test_packet_with_a_wrong_length_or_unknown_flag_is_refused():
+    """Guards against forwarding what no end can have written."""
+    for data in (SYN[:31], SYN + b"x", bytes((SYN[0] | 64,)) + SYN[1:]):
+        assert isinstance(CODEC.from_caller(data), failure.Failure)
+
+
+def test_valid_document_is_read():
+    """Guards against fields that are mixed up."""
+    found = PARSER.parse(control_group.make_document(7, 8443))
+    way = found.routes[0]
+    assert (found.version, way.host, way.port) == (7, "198.18.0.1", 8443)
+    assert (way.timeout_ms, way.answer_ms, way.priority) == (1200, 200, 1)
+    assert way.kind is request_kind.RequestKind.IDEMPOTENT
+    assert way.allows("s-1")
+
+
+def test_invalid_documents_are_refused():
+    """Guards against an acknowledgement of what cannot be in force."""
+    whole = control_group.make_document(3)
+    route = json.loads(whole)["Routes"][0]
+    split = [{"Backend": "s-1", "Weight": 0}]
+    bad = [
+        whole[:-9],
+        b"",
+        b"[]",
+        changed({"Backend": "s-2"}),
+        changed({"TimeoutMs": 0}),
+        changed({"Type": "other"}),
+        changed({"PathPrefix": "/x/"}),
+        changed({"Host": "example"}),
+        changed({"Backend": "", "WeightedBackends": split}),
+        changed(Routes=[route, {**route, "Name": "r-2"}]),
+        changed(Version="7"),
+        changed(Version=-1),
+        changed(Backends=None),
+    ]
+    for document in bad:
+        assert refuses(document), document
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+def test_any_document_is_read_or_refused(document):
+    """Guards against an exception that an operator's call can cause."""
+    refuses(document)
+
+
+def test_announcement_with_missing_or_wrong_fields_names_no_upstream():
+    """Guards against flows to what another writer announced."""
+    good = {
+        "Backend": "s-1",
+        "Address": "10.0.0.9:8080",
+        "Zone": "zone-a",
+        "Version": "v1",
+        "MaxConcurrency": 4,
+        "State": "ready",
+        "WarmupLeftMs": 0,
+        "Sequence": 4,
+        "born": 1776722736430,
+    }
+    found = announcement_format.decode("i-1", json.dumps(good).encode())
+    assert not isinstance(found, failure.Failure)
+    assert (found.slots, found.sequence, found.started_ms) == (4, 4, good["born"])
+    wrong = {"MaxConcurrency": 0, "State": "odd", "Sequence": "4", "Backend": None}
+    for name, value in wrong.items():
+        body = json.dumps({**good, name: value}).encode()
+        assert isinstance(announcement_format.decode("i-1", body), failure.Failure)
+        rest = json.dumps({k: v for k, v in good.items() if k != name}).encode()
+        assert isinstance(announcement_format.decode("i-1", rest), failure.Failure)
+    assert isinstance(announcement_format.decode("i-1", b"\xff{"), failure.Failure)
+
+
+SETTINGS = {
+    "NodeName": "edge-1",
+    "Ip": "10.1.0.10",
+    "Zone": "zone-a",
+    "InternalPortRange": [7720, 7735],
+    "SeedNodes": ["10.1.0.10:8166"],
+    "ListenAddrs": {"UdpListen": "10.1.0.10:8172"},
+}
+
+
+def test_settings_are_read_and_unknown_fields_ignored():
+    """Guards against a start that fails because the platform adds a field."""
+    cfg = process_settings.decode({**SETTINGS, "Later": {"a": 1}})
+    assert cfg.packets == ("10.1.0.10", 8172)
+    assert cfg.seeds == ("10.1.0.10",)
+    assert cfg.internal_ports == (7720, 7735)
+
+
+def test_wrong_setting_is_named():
+    """Guards against a process that starts on half of its settings."""
+    wrong = {
+        "NodeName": 3,
+        "InternalPortRange": [1],
+        "SeedNodes": ["x"],
+        "HeartbeatMs": 0,
+        "ListenAddrs": {"UdpListen": "10.1.0.10:0"},
+    }
+    for name, value in wrong.items():
+        try:
+            process_settings.decode({**SETTINGS, name: value})
+        except exceptions.SettingError as exc:
+            assert exc.name in (name, "UdpListen")
+        else:
+            raise AssertionError(name)
--- a/tests/streams/stream_site.py
+++ b/tests/streams/stream_site.py
@@ -198,6 +198,8 @@
         self.queue = []
         self.order = itertools.count()
         self.cfg = configuration or make_configuration()
+        self.timeout_s = self.cfg.routes[0].timeout_ms / 1000
+        self.answer_s = self.cfg.routes[0].answer_ms / 1000
         self.zones_out = frozenset()
         self.names = [f"agent-{i}" for i in range(len(speeds))]
         self.upstreams = {
@@ -328,14 +330,13 @@
         if caller is not None:
             caller.take(found)
 
-    def in_time(self, since=0.0, until=float("inf"), answer_s=None):
+    def in_time(self, since=0.0, until=float("inf")):
         """Return the share of requests that were answered in time."""
-        limit = answer_s or self.cfg.routes[0].answer_ms / 1000
         asked = [r for r in self.requests if since <= r.began_at < until]
         good = [
             r
             for r in asked
-            if r.answered_at is not None and r.answered_at - r.began_at <= limit
+            if r.answered_at is not None and r.answered_at - r.began_at <= self.answer_s
         ]
         return len(good) / max(1, len(asked))
 
@@ -364,8 +365,7 @@
         for i, seconds in enumerate(COPY_SECONDS):
             copy = make_packet(self.flow, SYN, ack=i + 1)
             self.site.after(seconds, lambda at, copy=copy: self.repeat(copy))
-        limit = self.site.cfg.routes[0].timeout_ms / 1000
-        left = self.item.began_at + limit - self.site.now
+        left = self.item.began_at + self.site.timeout_s - self.site.now
         self.site.after(min(left, OPEN_SECONDS), self.give_up)
 
     def repeat(self, packet):
@@ -400,8 +400,8 @@
         """End this try and begin another one, if there is one left."""
         self.is_over = True
         self.site.callers.pop(self.flow, None)
-        limit = self.site.cfg.routes[0].timeout_ms / 1000
-        if self.retries and self.site.now < self.item.began_at + limit:
+        ends_at = self.item.began_at + self.site.timeout_s
+        if self.retries and self.site.now < ends_at:
             again = Caller(self.site, self.item, self.retries - 1)
             self.site.after(RETRY_SECONDS, lambda at: again.open())
 
--- /dev/null
+++ b/tests/streams/test_flow_ownership.py
@@ -0,0 +1,129 @@
+"""Tests that packets of a flow reach its own upstream, whatever changes."""
+
+from __future__ import annotations
+
+from tests import fixtures
+from tests.streams import stream_site
+
+load_tests = fixtures.load_functions(globals())
+
+
+def open_flows(site, count=20):
+    """Open flows that have not sent their request, and return the callers."""
+    callers = []
+    for _ in range(count):
+        item = stream_site.Request(site.now)
+        site.requests.append(item)
+        caller = stream_site.Caller(site, item, 0)
+        callers.append(caller)
+        site.after(0.0, lambda at, caller=caller: caller.open())
+    site.run(site.now + 0.2)
+    assert all(c.is_open for c in callers)
+    return callers
+
+
+def send_again(site, callers):
+    """Send a request on each flow and return how many have been answered."""
+    for caller in callers:
+        caller.item.answered_at = None
+        caller.is_over = False
+        site.callers[caller.flow] = caller
+        packet = stream_site.make_packet(caller.flow, stream_site.ACK, 2, 0, b"??")
+        first = next(
+            u.flows[caller.flow]
+            for u in site.upstreams.values()
+            if caller.flow in u.flows
+        )
+        ack = (first + 3).to_bytes(4, "big")
+        site.from_caller(caller.flow, packet[:24] + ack + packet[28:])
+    site.run(site.now + 1.0)
+    return sum(c.item.answered_at is not None for c in callers)
+
+
+def make_site(seed):
+    """Return a running site of five upstreams."""
+    site = stream_site.StreamSite(seed, [0.005] * 5, slots=8)
+    site.run(0.1)
+    return site
+
+
+def test_flows_survive_the_loss_of_an_entry():
+    """Guards against flows that only the lost entry could forward."""
+    site = make_site(11)
+    callers = open_flows(site)
+    site.down.add("entry-0")
+    assert send_again(site, callers) == len(callers)
+
+
+def test_flows_survive_new_entries_that_know_nothing():
+    """Guards against a restart of all entries within one flow."""
+    site = make_site(12)
+    callers = open_flows(site)
+    for name in list(site.entries):
+        site.start_entry(name)
+    assert send_again(site, callers) == len(callers)
+
+
+def test_flows_survive_the_restart_of_all_agents():
+    """Guards against agents that forget the flows of their living upstream."""
+    site = make_site(13)
+    callers = open_flows(site)
+    for name in site.agents:
+        site.start_agent(name)
+    assert send_again(site, callers) == len(callers)
+
+
+def test_draining_upstream_keeps_its_flows_and_gets_no_new_ones():
+    """Guards against a planned stop that cuts flows, or is offered more."""
+    site = make_site(14)
+    callers = open_flows(site)
+    site.upstreams["agent-0"].draining = True
+    site.beat(site.now, "agent-0")
+    site.tell_all()
+    before = len([1 for _, name in site.opened if name == "agent-0"])
+    assert send_again(site, callers) == len(callers)
+    open_flows(site)
+    assert len([1 for _, name in site.opened if name == "agent-0"]) == before
+
+
+def test_zone_that_is_out_gets_no_new_flow():
+    """Guards against an agent that trusts the entries to leave its zone out."""
+    site = make_site(15)
+    site.zones_out = frozenset(("zone-a",))
+    for name in site.agents:
+        site.to_core(name, site.news())
+    before = len(site.opened)
+    site.load(50, 0.5, retries=0)
+    site.run(2.0)
+    assert len(site.opened) == before
+    assert all(r.refused for r in site.requests)
+
+
+def test_packet_of_an_unknown_flow_is_not_reset():
+    """Guards against a reset for a flow that is open at an upstream out of sight."""
+    site = make_site(16)
+    caller = stream_site.Caller(site, stream_site.Request(0.0), 0)
+    site.callers[caller.flow] = caller
+    packet = stream_site.make_packet(caller.flow, stream_site.ACK, 5, 7, b"?")
+    site.from_caller(caller.flow, packet)
+    site.run(1.0)
+    assert caller.item.refused == 0
+
+
+def test_route_that_was_removed_takes_no_new_flow():
+    """Guards against an agent that goes on by an older configuration."""
+    site = make_site(17)
+    older = site.cfg
+    site.cfg = stream_site.replace(older, version=2, routes=())
+    for name in site.agents:
+        site.to_core(name, site.news())
+    before = len(site.opened)
+    site.load(20, 0.3, retries=0)
+    site.run(1.0)
+    assert len(site.opened) == before
+    site.cfg = older
+    for name in site.agents:
+        site.to_core(name, site.news())
+    site.load(20, 0.3, retries=0)
+    site.run(2.0)
+    assert len(site.opened) == before
--- /dev/null
+++ b/tests/streams/test_upstream_watch.py
@@ -0,0 +1,72 @@
+"""Tests of what an agent believes of its upstream."""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.streams import upstream_status, upstream_watch
+from tests import fixtures
+
+load_tests = fixtures.load_functions(globals())
+
+BEAT = 1.2
+STATUS = upstream_status.UpstreamStatus("i-1", 1000, 1, "bookings", 2, False, 0)
+
+
+def make_status(**changes):
+    """Return an announcement."""
+    return msgspec.structs.replace(STATUS, **changes)
+
+
+def test_late_announcement_does_not_undo_a_drain():
+    """Guards against new flows to a draining upstream after packets overtook."""
+    watch = upstream_watch.UpstreamWatch(BEAT)
+    watch.announce(0.0, make_status(sequence=5, is_draining=True))
+    assert watch.announce(0.1, make_status(sequence=4)) is upstream_watch.Freshness.LATE
+    assert not watch.is_accepting(0.1)
+
+
+def test_announcement_of_an_earlier_start_is_late():
+    """Guards against the state of a crashed start replacing that of the next one."""
+    watch = upstream_watch.UpstreamWatch(BEAT)
+    watch.announce(0.0, make_status(instance_id="i-2", started_ms=2000))
+    late = make_status(instance_id="i-1", started_ms=1000, sequence=99)
+    assert watch.announce(0.1, late) is upstream_watch.Freshness.LATE
+
+
+def test_restart_under_the_same_id_is_a_new_start():
+    """Guards against counts of the earlier start hiding the new one."""
+    watch = upstream_watch.UpstreamWatch(BEAT)
+    watch.announce(0.0, make_status(sequence=40))
+    again = make_status(started_ms=5000, sequence=1)
+    assert watch.announce(1.0, again) is upstream_watch.Freshness.NEW_START
+
+
+def test_silent_upstream_is_not_offered_flows():
+    """Guards against an upstream that crashed without a word."""
+    watch = upstream_watch.UpstreamWatch(BEAT)
+    watch.announce(0.0, STATUS)
+    assert watch.is_accepting(2 * BEAT)
+    assert not watch.is_accepting(3 * BEAT)
+
+
+def test_upstream_of_a_returned_zone_counts_as_cold():
+    """Guards against full load on upstreams that became cold meanwhile."""
+    watch = upstream_watch.UpstreamWatch(BEAT)
+    watch.announce(0.0, STATUS)
+    assert not watch.is_cold(0.1)
+    watch.expect_cold()
+    assert watch.is_cold(0.2)
+    watch.announce(1.2, make_status(sequence=2, cold_ms=500))
+    assert watch.is_cold(1.6)
+    assert not watch.is_cold(1.8)
+
+
+def test_sign_off_of_another_start_is_ignored():
+    """Guards against a late sign-off closing the next start."""
+    watch = upstream_watch.UpstreamWatch(BEAT)
+    watch.announce(0.0, make_status(instance_id="i-2", started_ms=2000))
+    assert not watch.depart("i-1")
+    assert watch.is_accepting(0.1)
+    assert watch.depart("i-2")
+    assert not watch.is_accepting(0.1)
