--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,6 +5,9 @@
     python3 -m pip install -q -U --target target/deps -r deploy/requirements.txt
     touch target/installed
 fi
-rm -rf target/deps/limpetreel
-cp -R src/limpetreel target/deps/limpetreel
+# Files that have not changed stay in place, for processes that start meanwhile.
+cp -R -u src/limpetreel target/deps/
+(cd target/deps && find limpetreel -name '*.py') | while read -r file; do
+    [ -e "src/$file" ] || rm "target/deps/$file"
+done
 python3 -m compileall -q target/deps
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -138,7 +138,9 @@
 
 
 def _telemetry(cfg: Settings) -> telemetry.Telemetry:
-    log = log_writer.LogWriter(cfg.node, cfg.role, "info", sys.stdout.buffer)
+    log = log_writer.LogWriter(
+        cfg.node, cfg.role, "info", sys.stdout.buffer, is_deferred=True
+    )
     return telemetry.Telemetry(cfg.node, cfg.role, log)
 
 
--- a/src/limpetreel/streams/stream_entry_shell.py
+++ b/src/limpetreel/streams/stream_entry_shell.py
@@ -13,9 +13,10 @@
     from limpetreel.streams import ready_api, stream_entry_core
     from limpetreel.telemetry import telemetry
 
-STOP_SECONDS = 2.5
+STOP_SECONDS = 1.5
 """Time for the fabric to notice that the entry is not ready: two questions at two a
-second, and the packets that are then under way."""
+second, and half a second for packets that are then under way. A longer time keeps
+more entries of a data centre out of rotation at once when they stop in turn."""
 
 
 class StreamEntryShell(stream_shell.StreamShell):
--- a/src/limpetreel/telemetry/log_writer.py
+++ b/src/limpetreel/telemetry/log_writer.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+import time
+from typing import TYPE_CHECKING, Any, Protocol
 
-import eliot
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_DEFERRED_LINES = 1000
+"""Lines that wait for the log library; a start writes some ten."""
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 _REMOVED = "(secret)"
 
@@ -36,6 +41,9 @@
         Where the lines go.
     secrets : tuple of str
         Values that are replaced wherever they appear in a line.
+    is_deferred : bool
+        Whether lines wait for `open`. The log library takes a third of the time of a
+        start, and a process that comes back under load shall serve first.
     """
 
     def __init__(
@@ -45,13 +53,33 @@
         level: str,
         stream: Stream,
         secrets: tuple[str, ...] = (),
+        is_deferred: bool = False,
     ) -> None:
         self._node = node
         self._role = role
         self._lowest = LEVELS[level]
         self._stream = stream
         self._secrets = tuple(s for s in secrets if s)
+        self._deferred: list[dict[str, Any]] = []
+        self._left_out = 0
+        self._emit: Callable[..., None] | None = None
+        if not is_deferred:
+            self.open()
+
+    def open(self) -> None:
+        """Load the log library and write the lines that have waited."""
+        if self._emit is not None:
+            return
+        import eliot
+
         eliot.add_destinations(self._write)
+        self._emit = eliot.log_message
+        for fields in self._deferred:
+            eliot.log_message(**fields)
+        self._deferred = []
+        if self._left_out:
+            fields = {"left_out": self._left_out}
+            self.log("warning", "log.deferred", "", fields)
 
     def log(self, level: str, step: str, peer: str, fields: dict[str, Any]) -> None:
         """Write one line, unless its level is too low.
@@ -69,15 +97,21 @@
         """
         if LEVELS[level] < self._lowest:
             return
-        eliot.log_message(
-            message_type=step,
+        line = {
+            "message_type": step,
             **fields,
-            level=level,
-            node=self._node,
-            role=self._role,
-            step=step,
-            peer=peer,
-        )
+            "level": level,
+            "node": self._node,
+            "role": self._role,
+            "step": step,
+            "peer": peer,
+        }
+        if self._emit is not None:
+            self._emit(**line)
+        elif len(self._deferred) < MAX_DEFERRED_LINES:
+            self._deferred.append({**line, "at": time.time()})
+        else:
+            self._left_out += 1
 
     def flush(self) -> None:
         """Hand buffered lines to the operating system."""
@@ -85,6 +119,9 @@
 
     def close(self) -> None:
         """Stop to write."""
+        self.open()
+        import eliot
+
         eliot.remove_destination(self._write)
         self._stream.flush()
 
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -19,6 +19,8 @@
     from limpetreel.telemetry import log_writer, metrics_server, span_recorder
 
 FLUSH_SECONDS = 1.0
+DEFER_SECONDS = 2.0
+"""Time after the start in which lines of a deferred log wait."""
 
 
 class Telemetry:
@@ -61,6 +63,7 @@
         self._decision_limit = rate_limit.RateLimit(rate_limit.DECISIONS_PER_PERIOD)
         self._server: metrics_server.MetricsServer | None = None
         self._flushing: asyncio.Task[None] | None = None
+        self._opening: asyncio.TimerHandle | None = None
         self._drops: dict[str, Callable[[], Mapping[Any, float]]] = {}
         self._reported: dict[tuple[str, str], float] = {}
         self._reported_at = clock()
@@ -82,9 +85,14 @@
             )
             await self._server.start(*self._metrics_address)
         self._flushing = asyncio.create_task(self._flush_regularly())
+        if self._log is not None:
+            loop = asyncio.get_running_loop()
+            self._opening = loop.call_later(DEFER_SECONDS, self._log.open)
 
     async def close(self) -> None:
         """Write what is left and stop."""
+        if self._opening is not None:
+            self._opening.cancel()
         if self._flushing is not None:
             self._flushing.cancel()
             with contextlib.suppress(asyncio.CancelledError):
--- a/tests/console/test_documents.py
+++ b/tests/console/test_documents.py
@@ -19,7 +19,7 @@
 
 def test_every_setting_is_documented():
     """Guards against a setting that operators can only find in the code."""
-    text = (ROOT / "docs" / "operations.md").read_text()
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text()
     for kind in (
         entry_settings.EntrySettings,
         agent_settings.AgentSettings,
