--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from limpetreel.cluster import cluster_shell, control_client
     from limpetreel.consensus import durable_state
-    from limpetreel.storage import log_store
+    from limpetreel.storage import disk, log_store
     from limpetreel.streams import stream_agent_shell, stream_entry_shell, stream_shell
 
     Settings = process_settings.ProcessSettings
@@ -173,9 +173,11 @@
     cfg: Settings, port: int, watch: telemetry.Telemetry
 ) -> tuple[log_store.LogStore, durable_state.DurableState]:
     """Recover the data folder, or put an empty one into use."""
-    from limpetreel.storage import folder_disk, log_store
+    from limpetreel.storage import folder_disk, log_store, memory_disk
 
-    files = folder_disk.FolderDisk(pathlib.Path(cfg.data_folder))
+    files: disk.Disk = memory_disk.MemoryDisk()
+    if cfg.data_folder:
+        files = folder_disk.FolderDisk(pathlib.Path(cfg.data_folder))
     store = log_store.LogStore(files)
     try:
         durable = store.recover()
