--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 PYTHON ?= python3.11
 PY := .venv/bin/python
 SEED ?= 1
+SECONDS ?= 60
 STEPS ?= 50
 
-.PHONY: setup demo test lint format fuzz measure slopes mutants binary clean
+.PHONY: setup demo test lint format fuzz soak measure slopes mutants binary clean
 
 setup: .venv/.installed
 
@@ -38,6 +39,10 @@
 fuzz: setup
 	LIMPETREEL_FUZZ_SEED=$(SEED) LIMPETREEL_FUZZ_STEPS=$(STEPS) $(PY) tools/run_tests.py --fuzz
 
+soak: setup
+	LIMPETREEL_SOAK_SEED=$(SEED) LIMPETREEL_SOAK_SECONDS=$(SECONDS) \
+		$(PY) tools/run_tests.py --pattern tests.soak
+
 binary: setup
 	$(PY) tools/build_binary.py
 	$(PY) tools/check_binary.py
