Stand early for election on the platform only; serve without metrics if the port is taken

The CoAP control gains nothing from the shorter wait. A role ended when the port of its metrics was taken, seen when two soaks ran at once.

Ruled out: a lease that is stretched (the lease oracle of the test held throughout).

Change: the policy of the group decides about the early stand; a taken port is logged.

--- a/src/limpetreel/consensus/membership_policy.py
+++ b/src/limpetreel/consensus/membership_policy.py
@@ -17,9 +17,13 @@
     may_voter_rejoin : bool
         Whether a voter may have been replaced while it was away, so that it has to
         ask.
+    stands_early : bool
+        Whether an instance that has just started stands for election after a short
+        wait. All instances of such a group start again at once after an outage.
     """
 
     may_voter_rejoin = False
+    stands_early = False
 
     @abc.abstractmethod
     def admits(
--- a/src/limpetreel/consensus/open_membership.py
+++ b/src/limpetreel/consensus/open_membership.py
@@ -28,6 +28,7 @@
     """
 
     may_voter_rejoin = True
+    stands_early = True
 
     def __init__(self, voters: int) -> None:
         self._voters = voters
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -147,12 +147,18 @@
         state = self._state
         state.actions = []
         if state.election_at == float("inf"):
-            state.delay_first_election(now)
+            self._delay_first_election(now)
         self._dispatch(now, event)
         if self._leadership is not None and self._leadership.is_over:
             self._follow(now, "")
         return state.actions
 
+    def _delay_first_election(self, now: float) -> None:
+        if self._policy.stands_early:
+            self._state.delay_first_election(now)
+        else:
+            self._state.delay_election(now)
+
     def _dispatch(self, now: float, event: msgspec.Struct) -> None:
         match event:
             case tick.Tick():
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -83,7 +83,12 @@
             self._server = metrics_server.MetricsServer(
                 self.numbers, self._node, self._role, self.refuse
             )
-            await self._server.start(*self._metrics_address)
+            try:
+                await self._server.start(*self._metrics_address)
+            except OSError as exc:
+                # A role serves without its metrics rather than not at all.
+                self._server = None
+                self.line("error", "metrics.listen", detail=str(exc))
         self._flushing = asyncio.create_task(self._flush_regularly())
         if self._log is not None:
             loop = asyncio.get_running_loop()
--- a/tests/telemetry/test_histograms.py
+++ b/tests/telemetry/test_histograms.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from limpetreel.telemetry import metrics, metrics_server
+from limpetreel.telemetry import metrics, metrics_server, telemetry
 from tests import fixtures
 
 load_tests = fixtures.load_functions(globals())
@@ -41,3 +41,18 @@
     assert len(source.take_samples()["placement_seconds"]) == metrics.MAX_SAMPLES
     dropped = [v for name, _, _, v in source.collect() if "dropped" in name]
     assert dropped == [5]
+
+
+def test_role_serves_without_a_free_port_for_metrics():
+    """Guards against a role that ends because another process has its port."""
+
+    async def start_two():
+        taken = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        watch = telemetry.Telemetry(
+            "e1", "entry", metrics_address=taken.sockets[0].getsockname()
+        )
+        await watch.start()
+        await watch.close()
+        taken.close()
+
+    asyncio.run(start_two())
