--- a/src/limpetreel/platform/process_settings.py
+++ b/src/limpetreel/platform/process_settings.py
@@ -16,6 +16,15 @@
 
 Address = tuple[str, int]
 
+_FILE_NAMES = {
+    "packets": "UdpListen",
+    "outbound": "outbound",
+    "upstream": "app",
+    "ready": "Ready",
+    "control": "Control",
+}
+"""Names that the file has for the addresses."""
+
 
 @dataclasses.dataclass(frozen=True)
 class ProcessSettings:
@@ -100,6 +109,27 @@
     return decode(fields)
 
 
+def required(cfg: ProcessSettings, field: str) -> Address:
+    """Return an address that the role cannot do without.
+
+    Parameters
+    ----------
+    cfg : ProcessSettings
+        Settings of the process.
+    field : str
+        Name of the attribute.
+
+    Raises
+    ------
+    SettingError
+        If the file does not give the address.
+    """
+    value: Address | None = getattr(cfg, field)
+    if value is None:
+        raise exceptions.SettingError(_FILE_NAMES[field], "", "host:port")
+    return value
+
+
 def decode(fields: dict[str, Any]) -> ProcessSettings:
     """Return the settings in the fields of a file.
 
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -49,8 +49,8 @@
     from limpetreel.streams import stream_entry_core, stream_entry_shell
 
     cfg = process_settings.read(path)
-    packets = _needed("UdpListen", cfg.packets)
-    ready = _needed("Ready", cfg.ready)
+    packets = process_settings.required(cfg, "packets")
+    ready = process_settings.required(cfg, "ready")
     watch = _telemetry(cfg, "entry")
     core = stream_entry_core.StreamEntryCore(
         segment_format.SegmentFormat(), cfg.data_centre, random.getrandbits(63)
@@ -83,15 +83,15 @@
     watch.watch("offers_total", "offers by outcome", "outcome", lambda: core.outcomes)
     watch.watch_drops("agent.core", lambda: core.dropped)
     api = http_upstream_api.HttpUpstreamApi(
-        _needed("Control", cfg.control), cfg.ready, watch
+        process_settings.required(cfg, "control"), cfg.ready, watch
     )
     shell = stream_agent_shell.StreamAgentShell(
         cfg.node,
         cfg.data_centre,
         cfg.service,
-        _needed("UdpListen", cfg.packets),
-        _needed("outbound", cfg.outbound),
-        _needed("app", cfg.upstream),
+        process_settings.required(cfg, "packets"),
+        process_settings.required(cfg, "outbound"),
+        process_settings.required(cfg, "upstream"),
         cfg.grace_s,
         core,
         api,
@@ -125,20 +125,12 @@
     core = cluster_core.ClusterCore(raft, parser, address, seeds.addresses)
     watch.watch("calls_total", "calls by status", "status", lambda: core.outcomes)
     api = http_operator_api.HttpOperatorApi(
-        _needed("Control", cfg.control), parser, cfg.data_centres, watch
+        process_settings.required(cfg, "control"), parser, cfg.data_centres, watch
     )
     listen = (cfg.host, port)
     return cluster_shell.ClusterShell(listen, cfg.node, core, store, api, watch)
 
 
-def _needed(
-    name: str, value: process_settings.Address | None
-) -> process_settings.Address:
-    if value is None:
-        raise exceptions.SettingError(name, "", "host:port")
-    return value
-
-
 def _telemetry(cfg: Settings, role: str) -> telemetry.Telemetry:
     log = log_writer.LogWriter(
         cfg.node, cfg.role, "info", sys.stdout.buffer, is_deferred=True
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -9,6 +9,7 @@
 from limpetreel.node import tick
 from limpetreel.streams import (
     capacity,
+    flow_admission,
     flow_phase,
     flow_set,
     opening_queue,
@@ -60,12 +61,6 @@
 MAX_OPENING_SECONDS = 0.15
 """Time after which a flow without a request occupies nothing; a caller that is still
 there sends it within a round trip."""
-HANDSHAKE_SECONDS = 0.02
-"""Part of the answer time that the handshake and the way of the answer take."""
-MAX_WAIT_SECONDS = 1.2
-"""Callers give an attempt up after 1.4 s; the rest is for the handshake."""
-LONG_SERVICE_FACTOR = 3
-"""Time of a long request, as a multiple of the mean; few take longer."""
 SEQUENCE_WINDOW = 1 << 24
 """Bytes of an answer that an acknowledgement may lie ahead of the handshake."""
 
@@ -111,6 +106,14 @@
         self._starts = start_rate.StartRate()
         self._number = 0
         self.watch = upstream_watch.UpstreamWatch(beat_seconds)
+        self._admission = flow_admission.FlowAdmission(
+            service,
+            self._flows,
+            self._queue,
+            self._capacity,
+            self._starts,
+            self.watch,
+        )
         self.outcomes: dict[str, int] = {}
         self.dropped: dict[str, int] = {}
 
@@ -202,6 +205,7 @@
         self._view = view
         if view.configuration is not None and view.configuration.version > known:
             self._routes = route_table.RouteTable(view.configuration)
+            self._admission.routes = self._routes
         if was_out and not is_out:
             # Upstreams may have become cold while their zone was out.
             self.watch.expect_cold()
@@ -362,12 +366,14 @@
             return self._repeat(source, message, known)
         if found.flow in self._queue:
             return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
-        refusal = self._refusal(now, found, message)
+        refusal = self._admission.refusal(
+            now, found.flow, message.version, self.is_accepting(now)
+        )
         if refusal is None:
             return self._open(now, source, message.offer_id, found.flow, found.data)
         way = self._routes.find(found.flow) if self._routes is not None else None
         may_wait = message.may_wait and refusal is outcome.Outcome.BUSY
-        if may_wait and way is not None and self._can_wait(way):
+        if may_wait and way is not None and self._admission.can_wait(way):
             self._wait(now, source, message, found.flow, way)
             return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
         return [self._verdict(source, message.offer_id, refusal)]
@@ -383,29 +389,6 @@
             return [accepted]
         return [send_upstream.SendUpstream(message.packet), accepted]
 
-    def _refusal(
-        self, now: float, found: segment.Segment, message: offer.Offer
-    ) -> outcome.Outcome | None:
-        if self._routes is None or self.watch.status is None:
-            return outcome.Outcome.STARTING
-        if not self.is_accepting(now):
-            return outcome.Outcome.CLOSED
-        way = self._routes.find(found.flow)
-        if way is None or not way.allows(self._service):
-            is_behind = self._routes.version < message.version
-            return outcome.Outcome.STALE if is_behind else outcome.Outcome.NO_ROUTE
-        if self.watch.is_blocked(now):
-            return outcome.Outcome.UNRESPONSIVE
-        limits = self._routes.service(self._service)
-        if limits is not None and len(self._flows) >= limits.max_connections:
-            return outcome.Outcome.FULL
-        cold_rate = limits.cold_per_second if limits is not None else 0.0
-        if self.watch.is_cold(now) and not self._starts.has_room(now, cold_rate):
-            return outcome.Outcome.WARMING
-        if self._flows.occupied >= self._capacity.limit() or len(self._queue):
-            return outcome.Outcome.BUSY
-        return None
-
     def _open(
         self, now: float, source: Address, offer_id: int, key: bytes, packet: bytes
     ) -> Actions:
@@ -414,25 +397,6 @@
         self._starts.note(now)
         return [send_upstream.SendUpstream(packet)]
 
-    def _wait_seconds(self, priority: int) -> float:
-        over = self._flows.occupied - self._capacity.limit()
-        ahead = self._queue.count_ahead(priority)
-        return self._capacity.wait_seconds(max(0, over) + ahead)
-
-    def _patience(self, way: route.Route) -> float:
-        """Return for how long a flow may wait and still be answered in time.
-
-        Answers that come later serve few callers, and the slots that they take make
-        those behind them late as well.
-        """
-        service = LONG_SERVICE_FACTOR * self._capacity.service_seconds
-        spare = way.answer_ms / 1000 - service - HANDSHAKE_SECONDS
-        return min(MAX_WAIT_SECONDS, max(0.0, spare))
-
-    def _can_wait(self, way: route.Route) -> bool:
-        wait = self._wait_seconds(way.priority)
-        return wait <= self._patience(way) and not self._queue.is_full
-
     def _wait(
         self,
         now: float,
@@ -442,7 +406,7 @@
         way: route.Route,
     ) -> None:
         self._number += 1
-        limit = self._patience(way)
+        limit = self._admission.patience(way)
         item = waiting_flow.WaitingFlow(
             way.priority,
             self._number,
@@ -456,9 +420,7 @@
 
     def _serve_waiting(self, now: float) -> Actions:
         actions: Actions = []
-        while len(self._queue) and self._flows.occupied < self._capacity.limit():
-            if not self._has_cold_room(now):
-                break
+        while self._admission.may_serve_waiting(now):
             item = self._queue.pop()
             if item is not None:
                 actions += self._open(
@@ -466,12 +428,6 @@
                 )
         return actions
 
-    def _has_cold_room(self, now: float) -> bool:
-        if not self.watch.is_cold(now):
-            return True
-        limits = self._routes.service(self._service) if self._routes else None
-        return self._starts.has_room(now, limits.cold_per_second if limits else 0.0)
-
     def _refuse_waiting(self, why: outcome.Outcome) -> Actions:
         return [self._refuse(item, why) for item in self._queue.take_all()]
 
@@ -491,7 +447,7 @@
         self.outcomes[result.name] = self.outcomes.get(result.name, 0) + 1
         limit = self._capacity.limit()
         occupied = self._flows.occupied + len(self._queue)
-        wait = self._wait_seconds(0) if occupied >= limit else 0.0
+        wait = self._admission.wait_seconds(0) if occupied >= limit else 0.0
         message = verdict.Verdict(
             offer_id,
             result,
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -185,3 +185,15 @@
             assert exc.name in (name, "UdpListen")
         else:
             raise AssertionError(name)
+
+
+def test_missing_address_is_named_as_in_the_file():
+    """Guards against an error that names what the operator cannot find in the file."""
+    cfg = process_settings.decode(SETTINGS)
+    assert process_settings.required(cfg, "packets") == ("10.1.0.10", 8172)
+    try:
+        process_settings.required(cfg, "control")
+    except exceptions.SettingError as exc:
+        assert exc.name == "Control"
+    else:
+        raise AssertionError("a missing address was accepted")
