--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -9,6 +9,8 @@
 
 load_tests = fixtures.load_functions(globals())
 
+END_SECONDS = 0.05
+
 
 async def answer(req):
     """Answer with what was asked."""
@@ -30,6 +32,9 @@
                 break
             found += part
     writer.close()
+    await writer.wait_closed()
+    # The server's task ends by itself once it reads the end of the connection.
+    await asyncio.sleep(END_SECONDS)
     server.close()
     return found, refused
 
