Answer waiting operators' calls before a planned stop

Cause: a control instance that got SIGTERM ended its event loop while handlers of operators' calls waited for an outcome. Idle connections of all HTTP servers ended the same way.

Ruled out: a longer wait before the stop. Calls may wait for a majority that does not come, and the half second for the election stays as it is.

Change: the shell answers waiting calls as unavailable, and the HTTP server closes idle connections, finishes answers within 0.2 s and names the ones that it cuts off.

--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -54,8 +54,8 @@
         """Begin to serve."""
 
     @abc.abstractmethod
-    def close(self) -> None:
-        """Stop to serve."""
+    async def close(self) -> None:
+        """Stop to serve, and finish the calls that are being answered."""
 
 
 class ClusterShell:
@@ -112,7 +112,8 @@
         try:
             await self._run(stopped)
         finally:
-            self._api.close()
+            self._give_up_calls()
+            await self._api.close()
             server.close()
             self._links.close()
             self._store.close()
@@ -140,6 +141,15 @@
         self._calls[self._next_id] = fut
         return self._next_id, fut
 
+    def _give_up_calls(self) -> None:
+        """Answer all waiting calls, so that operators turn to another instance."""
+        status = call_status.CallStatus.UNAVAILABLE
+        for call_id, fut in self._calls.items():
+            if not fut.done():
+                fut.set_result(answer_call.AnswerCall(call_id, status))
+                self._watch.refuse("operator.call", "", "instance stops")
+        self._calls.clear()
+
     async def _run(self, stopped: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
         due = loop.time()
--- a/src/limpetreel/platform/http_operator_api.py
+++ b/src/limpetreel/platform/http_operator_api.py
@@ -61,9 +61,9 @@
         self._shell = shell
         await self._server.start(*self._listen)
 
-    def close(self) -> None:
-        """Stop to serve."""
-        self._server.close()
+    async def close(self) -> None:
+        """Stop to serve, and finish the calls that are being answered."""
+        await self._server.close()
 
     async def _serve(self, req: http_request.HttpRequest) -> http_response.HttpResponse:
         assert self._shell is not None
--- a/src/limpetreel/platform/http_ready_api.py
+++ b/src/limpetreel/platform/http_ready_api.py
@@ -36,9 +36,9 @@
         self._is_ready = is_ready
         await self._server.start(*self._listen)
 
-    def close(self) -> None:
-        """Stop to serve."""
-        self._server.close()
+    async def close(self) -> None:
+        """Stop to serve, and finish the calls that are being answered."""
+        await self._server.close()
 
     async def _serve(self, req: http_request.HttpRequest) -> http_response.HttpResponse:
         if (req.method, req.path) != ("GET", paths.READY):
--- a/src/limpetreel/platform/http_upstream_api.py
+++ b/src/limpetreel/platform/http_upstream_api.py
@@ -49,11 +49,11 @@
         if self._ready_listen is not None:
             await self._ready_server.start(*self._ready_listen)
 
-    def close(self) -> None:
-        """Stop to serve."""
-        self._server.close()
+    async def close(self) -> None:
+        """Stop to serve, and finish the calls that are being answered."""
+        await self._server.close()
         if self._ready_listen is not None:
-            self._ready_server.close()
+            await self._ready_server.close()
 
     async def _serve(self, req: http_request.HttpRequest) -> http_response.HttpResponse:
         assert self._shell is not None
--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -18,6 +18,8 @@
 """Time for a client to send a request; slower ones hold a connection for nothing."""
 IDLE_SECONDS = 30.0
 WRITE_SECONDS = 5.0
+CLOSE_SECONDS = 0.2
+"""Time for answers under way at a planned stop; they are some kilobytes long."""
 
 Handler = Callable[[http_request.HttpRequest], Awaitable[http_response.HttpResponse]]
 Refuse = Callable[[str, object, str], None]
@@ -37,8 +39,10 @@
     def __init__(self, handler: Handler, refuse: Refuse) -> None:
         self._handler = handler
         self._refuse = refuse
-        self._open = 0
         self._server: asyncio.Server | None = None
+        self._connections: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
+        self._idle: set[asyncio.StreamWriter] = set()
+        self._is_closing = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
@@ -52,18 +56,27 @@
         assert self._server is not None
         return self._server.sockets[0].getsockname()
 
-    def close(self) -> None:
-        """Stop to listen."""
+    async def close(self) -> None:
+        """Stop to listen, and finish the requests that are being answered."""
+        self._is_closing = True
         if self._server is not None:
             self._server.close()
+        for writer in self._idle:
+            writer.close()
+        if self._connections:
+            await asyncio.wait(self._connections, timeout=CLOSE_SECONDS)
+        for task in self._connections:
+            task.cancel()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         peer = writer.get_extra_info("peername")
-        self._open += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[task] = writer
         try:
-            if self._open > MAX_CONNECTIONS:
+            if len(self._connections) > MAX_CONNECTIONS:
                 self._refuse("http.accept", peer, "too many connections")
                 return
             await self._serve_requests(reader, writer, peer)
@@ -71,17 +84,21 @@
             self._refuse("http.request", peer, "timeout")
         except OSError:
             self._refuse("http.request", peer, "connection closed")
+        except asyncio.CancelledError:
+            self._refuse("http.request", peer, "not finished at the stop")
+            writer.transport.abort()
         finally:
-            self._open -= 1
             writer.close()
             with contextlib.suppress(OSError):
                 await writer.wait_closed()
+            del self._connections[task]
 
     async def _serve_requests(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: object
     ) -> None:
         conn = h11.Connection(h11.SERVER)
-        while True:
+        while not self._is_closing:
+            self._idle.add(writer)
             try:
                 req = await _read_request(conn, reader)
             except h11.RemoteProtocolError as exc:
@@ -90,6 +107,8 @@
                     res = http_response.HttpResponse(exc.error_status_hint)
                     await _write(conn, writer, res)
                 return
+            finally:
+                self._idle.discard(writer)
             if req is None:
                 return
             await _write(conn, writer, await self._handler(req))
--- a/src/limpetreel/streams/stream_agent_shell.py
+++ b/src/limpetreel/streams/stream_agent_shell.py
@@ -92,7 +92,7 @@
         self._watch.line("info", "agent.leaving")
         await self._wait_for_flows()
         task.cancel()
-        self._api.close()
+        await self._api.close()
         self._nodes.close()
         self._local.close()
         await self._watch.close()
--- a/src/limpetreel/streams/stream_entry_shell.py
+++ b/src/limpetreel/streams/stream_entry_shell.py
@@ -66,7 +66,7 @@
         self._watch.line("info", "entry.leaving", open_flows=self._core.open_flows)
         await asyncio.sleep(STOP_SECONDS)
         task.cancel()
-        self._api.close()
+        await self._api.close()
         self._callers.close()
         self._nodes.close()
         await self._watch.close()
--- a/src/limpetreel/streams/upstream_api.py
+++ b/src/limpetreel/streams/upstream_api.py
@@ -17,5 +17,5 @@
         """Begin to serve."""
 
     @abc.abstractmethod
-    def close(self) -> None:
-        """Stop to serve."""
+    async def close(self) -> None:
+        """Stop to serve, and finish the calls that are being answered."""
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -9,8 +9,6 @@
 
 load_tests = fixtures.load_functions(globals())
 
-END_SECONDS = 0.05
-
 
 async def answer(req):
     """Answer with what was asked."""
@@ -33,9 +31,7 @@
             found += part
     writer.close()
     await writer.wait_closed()
-    # The server's task ends by itself once it reads the end of the connection.
-    await asyncio.sleep(END_SECONDS)
-    server.close()
+    await server.close()
     return found, refused
 
 
@@ -70,3 +66,49 @@
     head = f"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n".encode()
     found, _ = asyncio.run(talk(head + b"x" * size))
     assert found.startswith(b"HTTP/1.1 413")
+
+
+async def _stop_during(answer_seconds):
+    """Stop a server with one idle connection and one that waits for its answer."""
+    problems = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: problems.append(context))
+    is_called = asyncio.Event()
+
+    async def answer_later(req):
+        is_called.set()
+        await asyncio.sleep(answer_seconds)
+        return http_response.HttpResponse(503)
+
+    refused = []
+    server = http_server.HttpServer(answer_later, lambda *words: refused.append(words))
+    await server.start("127.0.0.1", 0)
+    _, idle_writer = await asyncio.open_connection(*server.address)
+    reader, writer = await asyncio.open_connection(*server.address)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    await is_called.wait()
+    began = loop.time()
+    await server.close()
+    seconds = loop.time() - began
+    async with asyncio.timeout(5):
+        found = await reader.read()
+    for item in (writer, idle_writer):
+        item.close()
+    return found, refused, problems, seconds
+
+
+def test_request_under_way_is_answered_before_the_server_closes():
+    """Guards against a stop that leaves a call without its answer."""
+    found, refused, problems, _ = asyncio.run(_stop_during(answer_seconds=0.02))
+    assert found.startswith(b"HTTP/1.1 503")
+    assert not refused
+    assert not problems
+
+
+def test_request_that_takes_too_long_does_not_hold_up_the_stop():
+    """Guards against a stop that waits for a handler without an end."""
+    found, refused, problems, seconds = asyncio.run(_stop_during(answer_seconds=30))
+    assert found == b""
+    assert [words[-1] for words in refused] == ["not finished at the stop"]
+    assert not problems
+    assert seconds < 1.0
