Let a control instance go on after its disk was full

Cause: the log store refuses all work after its first error, and the shell raised that error into the connection that had carried the message. asyncio dropped the connection and the process stayed: connected anew every half second, without a log, without a vote, silent to operators. A disk without space at the start ended the process.

Ruled out: load and the election itself (the candidate was up to date and asked; the other instance dropped the connection at each message). A retry of the write in the same store: after a failed sync it proves nothing, and the cores would have acted on what is not durable.

Change: a write without space is told from other errors. The instance drops all connections, answers operators 503, and reads its files again every 0.5 s until a new segment can be written; a failed segment or temporary file leaves nothing behind. Any other error ends the process.

Without the guard in the shell two of the new tests fail.

--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -109,7 +109,6 @@
         self._calls: list[pending_call.PendingCall] = []
         self._next_number = 0
         self._is_leaving = False
-        self.outcomes: dict[str, int] = {}
 
     @property
     def state(self) -> cluster_state.ClusterState:
@@ -286,7 +285,6 @@
         document: bytes = b"",
         leader: str = "",
     ) -> msgspec.Struct:
-        self.outcomes[status] = self.outcomes.get(status, 0) + 1
         return answer_call.AnswerCall(call_id, status, document, leader)
 
     # Replicated log
--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -6,6 +6,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from limpetreel import exceptions
 from limpetreel.cluster import call_status, control_links
 from limpetreel.cluster.actions import answer_call, send_control, send_session
 from limpetreel.cluster.events import (
@@ -31,10 +32,11 @@
 from limpetreel.streams.actions import note
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import msgspec
 
-    from limpetreel.cluster import cluster_core, cluster_state
-    from limpetreel.storage import log_store
+    from limpetreel.cluster import cluster_state, durable_instance
     from limpetreel.telemetry import telemetry
 
 TICK_SECONDS = 0.05
@@ -44,6 +46,8 @@
 """Silence after which a node's or control instance's connection is dropped."""
 STOP_SECONDS = 0.5
 """Time for the next leader to be elected after a planned stop."""
+REOPEN_SECONDS = 0.5
+"""Time between two attempts to go on after the disk was full; each reads the log."""
 
 
 class OperatorApi(abc.ABC):
@@ -61,16 +65,18 @@
 class ClusterShell:
     """Runs a control instance.
 
+    While its disk is full it serves nobody: it drops all connections, so that the
+    others elect a leader without it, and goes on from its files once a write succeeds.
+    Any other failure of the disk ends it.
+
     Parameters
     ----------
     listen : tuple of (str, int)
         Address for nodes and other control instances.
     name : str
         Name of the node.
-    core : ClusterCore
-        The decisions.
-    store : LogStore
-        Log, snapshot and votes.
+    open_instance : callable
+        Reads the files and returns the `DurableInstance`.
     api : OperatorApi
         Server for operators.
     watch : Telemetry
@@ -81,30 +87,32 @@
         self,
         listen: tuple[str, int],
         name: str,
-        core: cluster_core.ClusterCore,
-        store: log_store.LogStore,
+        open_instance: Callable[[], durable_instance.DurableInstance],
         api: OperatorApi,
         watch: telemetry.Telemetry,
     ) -> None:
         self._listen = listen
-        self._core = core
-        self._store = store
+        self._open_instance = open_instance
+        self._instance: durable_instance.DurableInstance | None = None
+        self._open_at = 0.0
+        self._failure: exceptions.StorageError | None = None
         self._api = api
         self._watch = watch
         address = f"{listen[0]}:{listen[1]}"
-        greeting = cluster_codec.encode(hello.Hello(name, address, False))
-        self._links = control_links.ControlLinks(greeting)
-        self._links.on_change = self._note_link
+        self._greeting = cluster_codec.encode(hello.Hello(name, address, False))
+        self._links = self._new_links()
         self._sessions: dict[int, frame_protocol.FrameProtocol] = {}
         self._peers: dict[frame_protocol.FrameProtocol, str] = {}
         self._connections: set[frame_protocol.FrameProtocol] = set()
         self._next_id = 0
         self._calls: dict[int, asyncio.Future[answer_call.AnswerCall]] = {}
+        self.outcomes: dict[str, int] = {}
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Serve until stopped."""
         await self._watch.start()
         loop = asyncio.get_running_loop()
+        self._open(loop.time())
         server = await loop.create_server(
             self._accept, self._listen[0], self._listen[1], backlog=1024
         )
@@ -112,11 +120,12 @@
         try:
             await self._run(stopped)
         finally:
-            self._give_up_calls()
+            self._give_up_calls("instance stops")
             await self._api.close()
             server.close()
             self._links.close()
-            self._store.close()
+            if self._instance is not None:
+                self._instance.store.close()
             await self._watch.close()
 
     async def change(self, command: cluster_state.Command) -> answer_call.AnswerCall:
@@ -141,14 +150,51 @@
         self._calls[self._next_id] = fut
         return self._next_id, fut
 
-    def _give_up_calls(self) -> None:
+    def _give_up_calls(self, why: str) -> None:
         """Answer all waiting calls, so that operators turn to another instance."""
         status = call_status.CallStatus.UNAVAILABLE
-        for call_id, fut in self._calls.items():
-            if not fut.done():
-                fut.set_result(answer_call.AnswerCall(call_id, status))
-                self._watch.refuse("operator.call", "", "instance stops")
-        self._calls.clear()
+        for call_id in list(self._calls):
+            self._answer(answer_call.AnswerCall(call_id, status), why)
+
+    def _answer(self, answer: answer_call.AnswerCall, why: str) -> None:
+        self.outcomes[answer.status] = self.outcomes.get(answer.status, 0) + 1
+        fut = self._calls.pop(answer.call_id, None)
+        if fut is not None and not fut.done():
+            fut.set_result(answer)
+        if answer.status is call_status.CallStatus.UNAVAILABLE:
+            self._watch.refuse("operator.call", "", why)
+
+    def _new_links(self) -> control_links.ControlLinks:
+        links = control_links.ControlLinks(self._greeting)
+        links.on_change = self._note_link
+        return links
+
+    def _open(self, now: float) -> None:
+        """Go on from the files, unless the disk is still full."""
+        self._open_at = now + REOPEN_SECONDS
+        try:
+            self._instance = self._open_instance()
+        except exceptions.DiskFullError as exc:
+            if self._failure is None:
+                self._watch.line("error", exc.step, detail=exc.detail, path=exc.path)
+            self._failure = exc
+            return
+        if self._failure is not None:
+            self._failure = None
+            self._watch.line("info", "control.disk_usable")
+
+    def _lose_disk(self, exc: exceptions.StorageError) -> None:
+        """Serve nobody; what this instance knows may not be durable."""
+        self._watch.line("error", exc.step, detail=exc.detail, path=exc.path)
+        self._failure = exc
+        if self._instance is not None:
+            self._instance.store.close()
+        self._instance = None
+        self._give_up_calls("disk failed")
+        self._links.close()
+        self._links = self._new_links()
+        for link in list(self._connections):
+            link.abort()
 
     async def _run(self, stopped: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
@@ -157,6 +203,8 @@
             late = loop.time() - due
             if late > LATE_SECONDS:
                 self._watch.line("warning", "control.late", seconds=round(late, 3))
+            if self._instance is None:
+                self._recover(loop.time())
             self._handle(tick.Tick())
             self._drop_silent(loop.time())
             due = loop.time() + TICK_SECONDS
@@ -167,6 +215,14 @@
             self._handle(tick.Tick())
             await asyncio.sleep(TICK_SECONDS)
 
+    def _recover(self, now: float) -> None:
+        if self._failure is not None and not isinstance(
+            self._failure, exceptions.DiskFullError
+        ):
+            raise self._failure
+        if now >= self._open_at:
+            self._open(now)
+
     def _accept(self) -> frame_protocol.FrameProtocol:
         link = frame_protocol.FrameProtocol(self._receive, self._end)
         self._connections.add(link)
@@ -185,6 +241,9 @@
             self._handle(node_disconnected.NodeDisconnected(link.context))
 
     def _receive(self, link: frame_protocol.FrameProtocol, data: bytes) -> None:
+        if self._instance is None:
+            link.abort()
+            return
         message = cluster_codec.decode(data)
         address = self._peers.get(link)
         if address is not None:
@@ -224,10 +283,19 @@
         self._watch.line("info", step, peer=address)
 
     def _handle(self, event: msgspec.Struct) -> None:
-        for action in self._core.handle(steady_clock.now(), event):
-            self._do(action)
+        instance = self._instance
+        if instance is None:
+            self._give_up_calls("disk full")
+            return
+        try:
+            for action in instance.core.handle(steady_clock.now(), event):
+                self._do(instance, action)
+        except exceptions.StorageError as exc:
+            self._lose_disk(exc)
 
-    def _do(self, action: msgspec.Struct) -> None:
+    def _do(
+        self, instance: durable_instance.DurableInstance, action: msgspec.Struct
+    ) -> None:
         match action:
             case send_control.SendControl():
                 self._links.send(action.address, action.data)
@@ -236,14 +304,10 @@
                 if link is not None:
                     link.send(cluster_codec.encode(action.update))
             case persist.Persist():
-                self._store.persist(action)
+                instance.store.persist(action)
             case save_snapshot.SaveSnapshot():
-                self._store.save_snapshot(action)
+                instance.store.save_snapshot(action)
             case answer_call.AnswerCall():
-                fut = self._calls.pop(action.call_id, None)
-                if fut is not None and not fut.done():
-                    fut.set_result(action)
-                if action.status is call_status.CallStatus.UNAVAILABLE:
-                    self._watch.refuse("operator.call", "", "no quorum in time")
+                self._answer(action, "no quorum in time")
             case note.Note():
                 self._watch.decision(action.level, action.step, action.fields)
--- /dev/null
+++ b/src/limpetreel/cluster/durable_instance.py
@@ -0,0 +1,26 @@
+"""Control instance as it was read from its files."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from limpetreel.cluster import cluster_core
+    from limpetreel.storage import log_store
+
+
+@dataclasses.dataclass(frozen=True)
+class DurableInstance:
+    """Decisions of a control instance with the files that they rest on.
+
+    Attributes
+    ----------
+    core : ClusterCore
+        The decisions.
+    store : LogStore
+        Log, snapshot and votes.
+    """
+
+    core: cluster_core.ClusterCore
+    store: log_store.LogStore
--- a/src/limpetreel/exceptions.py
+++ b/src/limpetreel/exceptions.py
@@ -37,6 +37,10 @@
     """A file could not be written or synced; the instance must stop."""
 
 
+class DiskFullError(StorageError):
+    """A write found no space; what was synced before is whole."""
+
+
 class CorruptError(StorageError):
     """Stored data is damaged in a way that a crash cannot explain."""
 
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -103,32 +103,37 @@
 
 def build_control(path: pathlib.Path) -> cluster_shell.ClusterShell:
     """Return a control instance that is ready to serve."""
-    from limpetreel.cluster import cluster_core, cluster_shell
+    from limpetreel.cluster import cluster_core, cluster_shell, durable_instance
     from limpetreel.consensus import open_membership, raft_core
     from limpetreel.platform import http_operator_api
 
     cfg = process_settings.read(path)
     watch = _telemetry(cfg, "control")
     port = cfg.internal_ports[0]
-    store, durable = _open_store(cfg, port, watch)
     address = f"{cfg.host}:{port}"
     seeds = seed_source.SeedSource(path, port, cfg.seeds, watch)
-    raft = raft_core.RaftCore(
-        durable,
-        random.Random(),
-        address,
-        seeds.addresses(),
-        open_membership.OpenMembership(2 * cfg.lost_machines + 1),
-        TRAILING_ENTRIES,
-    )
     parser = configuration_format.ConfigurationFormat()
-    core = cluster_core.ClusterCore(raft, parser, address, seeds.addresses)
-    watch.watch("calls_total", "calls by status", "status", lambda: core.outcomes)
+
+    def open_instance() -> durable_instance.DurableInstance:
+        store, durable = _open_store(cfg, port, watch)
+        raft = raft_core.RaftCore(
+            durable,
+            random.Random(),
+            address,
+            seeds.addresses(),
+            open_membership.OpenMembership(2 * cfg.lost_machines + 1),
+            TRAILING_ENTRIES,
+        )
+        core = cluster_core.ClusterCore(raft, parser, address, seeds.addresses)
+        return durable_instance.DurableInstance(core, store)
+
     api = http_operator_api.HttpOperatorApi(
         process_settings.required(cfg, "control"), parser, cfg.data_centres, watch
     )
     listen = (cfg.host, port)
-    return cluster_shell.ClusterShell(listen, cfg.node, core, store, api, watch)
+    shell = cluster_shell.ClusterShell(listen, cfg.node, open_instance, api, watch)
+    watch.watch("calls_total", "calls by status", "status", lambda: shell.outcomes)
+    return shell
 
 
 def _telemetry(cfg: Settings, role: str) -> telemetry.Telemetry:
@@ -165,11 +170,24 @@
     cfg: Settings, port: int, watch: telemetry.Telemetry
 ) -> tuple[log_store.LogStore, durable_state.DurableState]:
     """Recover the data folder, or put an empty one into use."""
-    from limpetreel.storage import folder_disk, log_store, memory_disk
+    from limpetreel.storage import folder_disk, memory_disk
 
     files: disk.Disk = memory_disk.MemoryDisk()
     if cfg.data_folder:
         files = folder_disk.FolderDisk(pathlib.Path(cfg.data_folder))
+    try:
+        return _recover_store(cfg, port, files, watch)
+    except exceptions.StorageError:
+        # The folder is locked while it is open, and the next attempt opens it again.
+        files.close()
+        raise
+
+
+def _recover_store(
+    cfg: Settings, port: int, files: disk.Disk, watch: telemetry.Telemetry
+) -> tuple[log_store.LogStore, durable_state.DurableState]:
+    from limpetreel.storage import log_store
+
     store = log_store.LogStore(files)
     try:
         durable = store.recover()
--- a/src/limpetreel/storage/disk.py
+++ b/src/limpetreel/storage/disk.py
@@ -4,12 +4,15 @@
 
 import abc
 
+from limpetreel import exceptions
+
 
 class Disk(abc.ABC):
     """The file operations that the log needs.
 
     Content is durable after `sync`, names are durable after `sync_folder`. Each
-    method raises `OSError` if it fails.
+    method raises `OSError` if it fails, and `append` raises `DiskFullError` if the
+    medium has no space for the data.
     """
 
     @abc.abstractmethod
@@ -24,6 +27,15 @@
     def append(self, name: str, data: bytes) -> None:
         """Write at the end of a file, which is created if it does not exist."""
 
+    def append_whole(self, name: str, data: bytes) -> None:
+        """Write a new file; nothing is left of it if there is no space."""
+        try:
+            self.append(name, data)
+        except exceptions.DiskFullError:
+            if name in self.list_files():
+                self.remove(name)
+            raise
+
     @abc.abstractmethod
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size."""
--- a/src/limpetreel/storage/folder_disk.py
+++ b/src/limpetreel/storage/folder_disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 from typing import TYPE_CHECKING
@@ -13,6 +14,9 @@
     import pathlib
 
 
+_NO_SPACE = frozenset((errno.ENOSPC, errno.EDQUOT))
+
+
 class FolderDisk(disk.Disk):
     """Files in a folder that one process holds at a time.
 
@@ -50,10 +54,17 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Write at the end of a file, which is created if it does not exist."""
-        fd = self._open(name)
-        rest = memoryview(data)
-        while rest:
-            rest = rest[os.write(fd, rest) :]
+        try:
+            fd = self._open(name)
+            rest = memoryview(data)
+            while rest:
+                rest = rest[os.write(fd, rest) :]
+        except OSError as exc:
+            if exc.errno in _NO_SPACE:
+                raise exceptions.DiskFullError(
+                    "folder_disk.append", str(exc), path=name
+                ) from exc
+            raise
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size."""
--- a/src/limpetreel/storage/log_store.py
+++ b/src/limpetreel/storage/log_store.py
@@ -33,7 +33,9 @@
 
     Each write is synced before the method returns. The first error is final: the
     kernel may drop unsynced pages after a failed sync, so a second sync that
-    succeeds says nothing, and the store refuses all further work.
+    succeeds says nothing, and the store refuses all further work. A write that finds
+    no space (`DiskFullError`) has not reached a sync; a new store may recover the
+    folder then.
 
     Parameters
     ----------
@@ -212,7 +214,7 @@
         temporary = name + TEMPORARY_SUFFIX
         if temporary in self._disk.list_files():
             self._disk.remove(temporary)
-        self._disk.append(temporary, record_codec.encode(payload, name, 0))
+        self._disk.append_whole(temporary, record_codec.encode(payload, name, 0))
         self._disk.sync(temporary)
         self._disk.rename(temporary, name)
         self._disk.sync_folder()
--- a/src/limpetreel/storage/segments.py
+++ b/src/limpetreel/storage/segments.py
@@ -11,6 +11,8 @@
 from limpetreel.storage import record_codec
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from limpetreel.storage import disk
 
 SEGMENT_BYTES = 4 * 1024 * 1024
@@ -78,15 +80,21 @@
         self._numbers.append(number)
         self._last_entries[number] = 0
         self._size = 0
-        self.append(header)
+        # Each attempt to open the log starts a segment; empty ones would pile up.
+        self._write(header, self._disk.append_whole)
         self._disk.sync_folder()
 
     def append(self, record: persist.Persist) -> None:
         """Write a record and make it durable."""
+        self._write(record, self._disk.append)
+
+    def _write(
+        self, record: persist.Persist, write: Callable[[str, bytes], None]
+    ) -> None:
         number = self._numbers[-1]
         name = _name(number)
         data = record_codec.encode(_ENCODER.encode(record), name, self._size)
-        self._disk.append(name, data)
+        write(name, data)
         self._disk.sync(name)
         self._size += len(data)
         self._last_entries[number] = max(
--- a/tests/cluster/test_cluster_shell.py
+++ b/tests/cluster/test_cluster_shell.py
@@ -6,7 +6,13 @@
 import random
 import socket
 
-from limpetreel.cluster import call_status, cluster_core, cluster_shell
+from limpetreel import exceptions
+from limpetreel.cluster import (
+    call_status,
+    cluster_core,
+    cluster_shell,
+    durable_instance,
+)
 from limpetreel.consensus import member, open_membership, raft_core
 from limpetreel.platform import configuration_format
 from limpetreel.storage import log_store
@@ -20,6 +26,9 @@
 HOST = "127.0.0.1"
 PARSER = configuration_format.ConfigurationFormat()
 COMMAND = control_group.ControlGroup(1).replace(4)
+LATER = control_group.ControlGroup(1).replace(5)
+DONE = call_status.CallStatus.DONE
+UNAVAILABLE = call_status.CallStatus.UNAVAILABLE
 
 
 class NoApi(cluster_shell.OperatorApi):
@@ -45,19 +54,24 @@
     address = f"{listen[0]}:{listen[1]}"
     names = (address, *others)
     founders = tuple(member.Member(n, 1, n) for n in names)
-    store = log_store.LogStore(files)
-    store.create(address, 1, founders)
-    raft = raft_core.RaftCore(
-        store.recover(),
-        random.Random(1),
-        address,
-        names,
-        open_membership.OpenMembership(len(names)),
-        4,
-    )
-    core = cluster_core.ClusterCore(raft, PARSER, address)
+
+    def open_instance():
+        store = log_store.LogStore(files)
+        if store.recover() is None:
+            store.create(address, 1, founders)
+        raft = raft_core.RaftCore(
+            store.recover(),
+            random.Random(1),
+            address,
+            names,
+            open_membership.OpenMembership(len(names)),
+            4,
+        )
+        core = cluster_core.ClusterCore(raft, PARSER, address)
+        return durable_instance.DurableInstance(core, store)
+
     return cluster_shell.ClusterShell(
-        listen, "n-1", core, store, NoApi(), telemetry.disabled()
+        listen, "n-1", open_instance, NoApi(), telemetry.disabled()
     )
 
 
@@ -77,4 +91,71 @@
 def test_waiting_call_is_answered_before_a_planned_stop():
     """Guards against operators that wait for an instance which is gone."""
     answer = asyncio.run(_stop_during_call())
-    assert answer.status is call_status.CallStatus.UNAVAILABLE
+    assert answer.status is UNAVAILABLE
+
+
+async def _change_until_done(shell, command):
+    """Repeat a change for five seconds until it is acknowledged."""
+    async with asyncio.timeout(5):
+        while True:
+            answer = await shell.change(command)
+            if answer.status is DONE:
+                return
+            await asyncio.sleep(0.1)
+
+
+async def _fill_disk(is_full_at_start):
+    """Return what became of a change and a read while the disk was full."""
+    files = fake_disk.FakeDisk()
+    files.is_full = is_full_at_start
+    shell = build(files)
+    stopped = asyncio.Event()
+    serving = asyncio.create_task(shell.serve(stopped))
+    if is_full_at_start:
+        await asyncio.sleep(0.1)
+    else:
+        await _change_until_done(shell, COMMAND)
+    files.is_full = True
+    answers = [await shell.change(LATER), await shell.read()]
+    # Longer than two attempts to go on.
+    await asyncio.sleep(2.2 * cluster_shell.REOPEN_SECONDS)
+    assert not serving.done()
+    logs = [name for name in files.list_files() if name.startswith("log-")]
+    files.is_full = False
+    await _change_until_done(shell, LATER)
+    stopped.set()
+    await serving
+    return [answer.status for answer in answers], logs
+
+
+def test_instance_goes_on_once_the_disk_has_space_again():
+    """Guards against an instance that never takes part again after a full disk."""
+    statuses, logs = asyncio.run(_fill_disk(is_full_at_start=False))
+    assert statuses == [UNAVAILABLE, UNAVAILABLE]
+    assert len(logs) <= 2
+
+
+def test_instance_starts_once_the_disk_has_space():
+    """Guards against a process that ends again and again while the disk is full."""
+    statuses, logs = asyncio.run(_fill_disk(is_full_at_start=True))
+    assert statuses == [UNAVAILABLE, UNAVAILABLE]
+    assert not logs
+
+
+async def _fail_sync():
+    files = fake_disk.FakeDisk()
+    shell = build(files)
+    serving = asyncio.create_task(shell.serve(asyncio.Event()))
+    await _change_until_done(shell, COMMAND)
+    files.fail_sync_in = 0
+    answer = await shell.change(LATER)
+    async with asyncio.timeout(2):
+        await asyncio.wait([serving])
+    return answer.status, serving.exception()
+
+
+def test_failed_sync_ends_the_instance():
+    """Guards against an instance that goes on without a log, and votes for nobody."""
+    status, exc = asyncio.run(_fail_sync())
+    assert status is UNAVAILABLE
+    assert isinstance(exc, exceptions.StorageError)
--- a/tests/cluster/test_control_group.py
+++ b/tests/cluster/test_control_group.py
@@ -10,6 +10,7 @@
 
 load_tests = fixtures.load_functions(globals())
 
+FAULTS = ("wipe", "crash", "full", "all", "cut", "new", "order", "zone")
 A, B, C, D, E = (f"10.0.0.{i}:7000" for i in range(1, 6))
 
 
@@ -134,7 +135,7 @@
         version += rng.randrange(1, 4)
         name = rng.choice(sorted(group.instances))
         item = group.instances[name]
-        match rng.choice(("wipe", "crash", "all", "cut", "new", "order", "zone")):
+        match rng.choice(FAULTS):
             case "wipe":
                 item.wipe()
                 group.run(rng.uniform(0.1, 3.5))
@@ -145,6 +146,13 @@
                 group.order_until_acked(group.replace(version))
                 item.start()
                 group.run(rng.uniform(0.1, 2))
+            case "full":
+                item.disk.is_full = True
+                group.order_until_acked(group.replace(version))
+                group.run(rng.uniform(0.1, 2))
+                item.disk.is_full = False
+                if item.core is None:
+                    item.start()
             case "all":
                 for other in group.instances.values():
                     other.crash()
--- a/tests/storage/fake_disk.py
+++ b/tests/storage/fake_disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from limpetreel import exceptions
 from limpetreel.storage import disk
 
 
@@ -22,7 +23,9 @@
     """Files that tear, vanish and fail as set by the test.
 
     `crash_in` counts down operations until `Crashed` is raised; `fail_sync_in`
-    counts down syncs until one fails and its data never reaches the medium.
+    counts down syncs until one fails and its data never reaches the medium. While
+    `is_full` is set, a write stores half of its data and fails; `creates_when_full`
+    tells whether it creates its file before.
     """
 
     def __init__(self):
@@ -31,6 +34,8 @@
         self._name_changes = []
         self.crash_in = None
         self.fail_sync_in = None
+        self.is_full = False
+        self.creates_when_full = False
 
     def list_files(self):
         return sorted(self._names)
@@ -40,9 +45,14 @@
 
     def append(self, name, data):
         self._count()
+        if self.is_full and name not in self._names and not self.creates_when_full:
+            raise exceptions.DiskFullError("fake_disk.append", "no space", path=name)
         if name not in self._names:
             item = _File()
             self._change_name(lambda names: names.update({name: item}))
+        if self.is_full:
+            self._names[name].data += data[: len(data) // 2]
+            raise exceptions.DiskFullError("fake_disk.append", "no space", path=name)
         self._names[name].data += data
 
     def truncate(self, name, size):
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import pathlib
 import random
+import tempfile
 import unittest
+from unittest import mock
 
 from limpetreel import exceptions
 from limpetreel.consensus import entry, entry_kind, member, snapshot
 from limpetreel.consensus.actions import persist, save_snapshot
-from limpetreel.storage import log_store, segments
+from limpetreel.storage import folder_disk, log_store, segments
 from tests import fixtures
 from tests.storage import fake_disk
 
@@ -212,4 +216,43 @@
     assert _crashed(disk)[1].entries == ()
 
 
+def test_log_is_whole_after_the_disk_was_full():
+    """Guards against a lost entry, and against files that pile up meanwhile."""
+    for creates in (False, True):
+        _fill(creates)
+
+
+def _fill(creates):
+    disk = _created()
+    disk.creates_when_full = creates
+    store, _ = _opened(disk)
+    store.persist(persist.Persist(1, "", 0, _entries(1, 3)))
+    disk.is_full = True
+    with unittest.TestCase().assertRaises(exceptions.DiskFullError):
+        store.persist(persist.Persist(1, "", 0, _entries(4, 4)))
+    for _ in range(5):
+        with unittest.TestCase().assertRaises(exceptions.DiskFullError):
+            _opened(disk)
+    assert len([n for n in disk.list_files() if n.startswith("log-")]) <= 2
+    disk.is_full = False
+    store, state = _opened(disk)
+    assert state.entries == _entries(1, 3)
+    store.persist(persist.Persist(1, "", 0, _entries(4, 4)))
+    assert _crashed(disk)[1].entries == _entries(1, 4)
+
+
+def test_write_without_space_is_told_from_other_failures():
+    """Guards against a process that ends although space may come back."""
+    with tempfile.TemporaryDirectory() as folder:
+        files = folder_disk.FolderDisk(pathlib.Path(folder))
+        for number, kind in (
+            (errno.ENOSPC, exceptions.DiskFullError),
+            (errno.EIO, OSError),
+        ):
+            failing = mock.patch("os.write", side_effect=OSError(number, "no"))
+            with failing, unittest.TestCase().assertRaises(kind):
+                files.append("log-1", b"x")
+        files.close()
+
+
 load_tests = fixtures.load_functions(globals())
