Free the place of a flow without a request after 0.15 s

Cause: an agent counts a flow whose caller has sent no request as idle after 0.15 s, but looked for such flows once a second only. After an outage many callers give up between the opening and the request. In the model of the cores one of four upstreams then idled for 1.4 s behind nine such flows while callers were refused.

Ruled out: a wrong estimate of the service time (28 ms shown, 27 set) and the upstream's own queue (empty).

Change: the flows that occupy the upstream are kept in a set, which each tick looks through; it holds about as many as there are slots. The packet that OwnedFlow stored and nobody read goes.

The new test fails before and passes after.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -27,13 +27,18 @@
     def __init__(self) -> None:
         self._flows: dict[bytes, owned_flow.OwnedFlow] = {}
         self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
+        self._occupying: set[owned_flow.OwnedFlow] = set()
         self._swept_at = 0.0
-        self.occupied = 0
 
     def __len__(self) -> int:
         """Return the number of flows."""
         return len(self._flows)
 
+    @property
+    def occupied(self) -> int:
+        """Return the number of flows that occupy the upstream."""
+        return len(self._occupying)
+
     @property
     def offered(self) -> int:
         """Return the flows whose opening packet is not answered."""
@@ -49,7 +54,8 @@
         """Add a flow."""
         flow = owned_flow.OwnedFlow(now, phase)
         self._flows[key] = flow
-        self.occupied += phase in _OCCUPYING
+        if phase in _OCCUPYING:
+            self._occupying.add(flow)
         if phase is flow_phase.FlowPhase.OFFERED:
             self._offered[key] = flow
         return flow
@@ -58,7 +64,10 @@
         self, flow: owned_flow.OwnedFlow, phase: flow_phase.FlowPhase, now: float
     ) -> None:
         """Change the phase of a flow."""
-        self.occupied += (phase in _OCCUPYING) - (flow.phase in _OCCUPYING)
+        if phase in _OCCUPYING:
+            self._occupying.add(flow)
+        else:
+            self._occupying.discard(flow)
         flow.phase = phase
         flow.phase_at = now
 
@@ -66,7 +75,7 @@
         """Forget a flow."""
         flow = self._flows.pop(key, None)
         if flow is not None:
-            self.occupied -= flow.phase in _OCCUPYING
+            self._occupying.discard(flow)
         self._offered.pop(key, None)
 
     def clear(self) -> list[bytes]:
@@ -74,7 +83,7 @@
         lost = [key for key, flow in self._flows.items() if not flow.is_closed]
         self._flows.clear()
         self._offered.clear()
-        self.occupied = 0
+        self._occupying.clear()
         return lost
 
     def take_unanswered(
@@ -93,18 +102,30 @@
             self.remove(key)
         return late
 
-    def sweep(self, now: float, idle_seconds: float, opening_seconds: float) -> None:
-        """Forget flows that have ended, and count those without a request as idle.
+    def free_stuck(self, now: float, opening_seconds: float) -> None:
+        """Count flows as idle whose callers seem to have gone.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        idle_seconds : float
-            Time without packets after which a flow is forgotten; 0 for never.
         opening_seconds : float
             Time after which a flow without a request occupies nothing.
         """
+        for flow in list(self._occupying):
+            if _is_stuck(flow, now, opening_seconds):
+                self.move(flow, flow_phase.FlowPhase.IDLE, now)
+
+    def sweep(self, now: float, idle_seconds: float) -> None:
+        """Forget flows that have ended.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        idle_seconds : float
+            Time without packets after which a flow is forgotten; 0 for never.
+        """
         if now - self._swept_at < SWEEP_SECONDS:
             return
         self._swept_at = now
@@ -114,8 +135,6 @@
             is_over = flow.is_closed and silent > CLOSED_SECONDS
             if is_over or (idle_seconds and silent > idle_seconds):
                 gone.append(key)
-            elif _is_stuck(flow, now, opening_seconds):
-                self.move(flow, flow_phase.FlowPhase.IDLE, now)
         for key in gone:
             self.remove(key)
 
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -28,7 +28,6 @@
         "is_confirmed",
         "last_at",
         "offer_id",
-        "opening",
         "phase",
         "phase_at",
     )
@@ -37,7 +36,6 @@
         self.phase = phase
         self.phase_at = now
         self.last_at = now
-        self.opening = b""
         self.offer_id = 0
         self.entry = ("", 0)
         self.first_sequence: int | None = None
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -223,7 +223,8 @@
         for item in self._queue.take_expired(now):
             actions.append(self._refuse(item, outcome.Outcome.BUSY))
         idle = self._routes.idle_seconds if self._routes is not None else 0.0
-        self._flows.sweep(now, idle, MAX_OPENING_SECONDS)
+        self._flows.sweep(now, idle)
+        self._flows.free_stuck(now, MAX_OPENING_SECONDS)
         return actions + self._serve_waiting(now)
 
     def _from_node(self, now: float, event: node_datagram.NodeDatagram) -> Actions:
@@ -393,7 +394,7 @@
         self, now: float, source: Address, offer_id: int, key: bytes, packet: bytes
     ) -> Actions:
         flow = self._flows.add(key, now, flow_phase.FlowPhase.OFFERED)
-        flow.entry, flow.offer_id, flow.opening = source, offer_id, packet
+        flow.entry, flow.offer_id = source, offer_id
         self._starts.note(now)
         return [send_upstream.SendUpstream(packet)]
 
--- a/tests/streams/test_load_patterns.py
+++ b/tests/streams/test_load_patterns.py
@@ -138,3 +138,21 @@
     asked = [r for r in site.requests if 3.0 <= r.began_at < 4.5]
     served = [r for r in asked if r.answered_at is not None]
     assert len(served) >= 0.95 * len(asked)
+
+
+def test_opened_flows_without_a_caller_free_their_places_soon():
+    """Guards against an upstream that idles behind flows whose callers have gone.
+
+    Pattern: twenty flows open and no request follows; the places were held for a
+    second.
+    """
+    site = stream_site.StreamSite(9, (0.030,), slots=2)
+    site.run(0.1)
+    for _ in range(20):
+        caller = stream_site.Caller(site, stream_site.Request(site.now), 0)
+        caller.open()
+        caller.give_up(site.now)
+    site.run(0.5)
+    site.load(20, 2)
+    site.run(4)
+    assert site.in_time() >= 0.99
