Leave no task behind when an HTTP server closes

Cause: the first whole run of the tests on this work failed in two places. The soak found a traceback at a stop of an agent: `close` cancelled requests that did not end in time but did not wait for them, and the end of the process cancelled them once more while they closed their connections.

Ruled out: load as the cause.

Before: the new test fails, and so do the two of the whole run. After: the three pass, and the deliberate fault is found.

--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -63,10 +63,13 @@
             self._server.close()
         for writer in self._idle:
             writer.close()
-        if self._connections:
-            await asyncio.wait(self._connections, timeout=CLOSE_SECONDS)
-        for task in self._connections:
+        if not self._connections:
+            return
+        _, unfinished = await asyncio.wait(self._connections, timeout=CLOSE_SECONDS)
+        for task in unfinished:
             task.cancel()
+        if unfinished:
+            await asyncio.wait(unfinished, timeout=CLOSE_SECONDS)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -89,7 +92,8 @@
             writer.transport.abort()
         finally:
             writer.close()
-            with contextlib.suppress(OSError):
+            # The end of the process may cancel a connection that is closing already.
+            with contextlib.suppress(OSError, asyncio.CancelledError):
                 await writer.wait_closed()
             del self._connections[task]
 
--- a/tests/consensus/mutants.py
+++ b/tests/consensus/mutants.py
@@ -16,8 +16,8 @@
     (
         "acknowledge before sync",
         f"{STORAGE}/segments.py",
-        "        self._disk.append(name, data)\n        self._disk.sync(name)\n",
-        "        self._disk.append(name, data)\n",
+        "        write(name, data)\n        self._disk.sync(name)\n",
+        "        write(name, data)\n",
         f"{STORE_TESTS}.test_persisted_state_survives_a_crash",
     ),
     (
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -112,3 +112,29 @@
     assert [words[-1] for words in refused] == ["not finished at the stop"]
     assert not problems
     assert seconds < 1.0
+
+
+async def _end_after_close(problems):
+    """Close a server with a request that does not end, and end the event loop."""
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: problems.append(context))
+    is_called = asyncio.Event()
+
+    async def answer_never(req):
+        is_called.set()
+        await asyncio.sleep(30)
+        return http_response.HttpResponse(200)
+
+    server = http_server.HttpServer(answer_never, lambda *words: None)
+    await server.start("127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(*server.address)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    await is_called.wait()
+    await server.close()
+
+
+def test_no_task_is_left_when_the_server_has_closed():
+    """Guards against a traceback of a task that the end of the process cancels."""
+    problems = []
+    asyncio.run(_end_after_close(problems))
+    assert not problems
