Reset flows whose upstream has ended, and search for owners in batches

Cause: after a loss of power callers kept using flows that no upstream held any more.

An agent resets the flows of its upstream when a new start announces itself, when the process of an overdue upstream refuses a connection, when the upstream returns a packet of an established flow, and at its own stop after a sign-off. An entry asks all agents of the service about flows it does not know, many in one message, and resets a flow that all of them deny while its list of agents is known to be complete. A silent agent, or one that has started after its upstream and has not asked it, leaves the flow alone.

Ruled out: two rounds of questions for each flow and a batch of 10 ms.

Tests: tests/streams/test_ended_flows.py.

--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from limpetreel.cluster import fleet_view
 from limpetreel.cluster.messages import alive, cluster_codec, hello, report, update
 from limpetreel.runtime import frame_protocol
@@ -19,6 +21,9 @@
 CONNECT_SECONDS = 0.25
 """Some round trips in a region; a machine without power never answers, while another
 control instance does immediately."""
+STAGGER_SECONDS = 0.05
+"""Time after which the next control instance is dialled while earlier dials are
+pending; the first that accepts is used."""
 RECEIVE_TIMEOUT_SECONDS = 1.2
 """Three update intervals without data, after which the client changes to another
 control instance."""
@@ -29,6 +34,9 @@
 UNLISTED_SECONDS = 5.0
 """Time to keep upstreams that a newly connected control instance does not list; one
 that has just started receives reports of all upstreams within a second."""
+SETTLED_SECONDS = 2.0
+"""Time after which a control instance with a lease has heard of all upstreams, even if
+it has just started: agents leave one without a lease within `UNCONFIRMED_SECONDS`."""
 REPORT_SECONDS = 0.4
 """Interval between reports; control drops a connection after about three are
 missing."""
@@ -70,10 +78,12 @@
         self._telemetry = telemetry
         self._random = random
         self._known_controls: tuple[str, ...] = ()
+        self._left = ""
         self._link: frame_protocol.FrameProtocol | None = None
         self._records: dict[str, upstream_record.UpstreamRecord] = {}
         self._unlisted_until: dict[str, float] = {}
         self._confirmed_at = 0.0
+        self._listed_at = float("inf")
         self._start = random.getrandbits(52)
         self._sequence = 0
         self._record: upstream_record.UpstreamRecord | None = None
@@ -88,27 +98,73 @@
     async def run(self) -> None:
         """Stay connected until cancelled."""
         while True:
-            for address in self._addresses():
-                await self._follow(address)
-                await asyncio.sleep(RETRY_SECONDS)
+            link = await self._connect()
+            if link is not None:
+                await self._follow(link)
+            await asyncio.sleep(RETRY_SECONDS)
 
     def _addresses(self) -> list[str]:
+        """Return the control instances, shuffled, with the one left last at the end."""
         addresses = sorted({*self._known_controls, *self._seeds()})
         self._random.shuffle(addresses)
+        addresses.sort(key=lambda address: address == self._left)
         return addresses
 
-    async def _follow(self, address: str) -> None:
-        """Use one control instance until it stops responding or loses its quorum."""
+    async def _connect(self) -> frame_protocol.FrameProtocol | None:
+        """Dial control instances in turn and return the first that accepts."""
+        dials: set[asyncio.Task[frame_protocol.FrameProtocol | None]] = set()
+        accepted = None
+        try:
+            for address in self._addresses():
+                dials.add(asyncio.create_task(self._dial(address)))
+                accepted = await self._first_accepted(dials, STAGGER_SECONDS)
+                if accepted is not None:
+                    return accepted
+            return await self._first_accepted(dials, CONNECT_SECONDS)
+        finally:
+            for task in dials:
+                task.cancel()
+
+    async def _first_accepted(
+        self,
+        dials: set[asyncio.Task[frame_protocol.FrameProtocol | None]],
+        limit: float,
+    ) -> frame_protocol.FrameProtocol | None:
+        """Return the first connection that opens in time; remove dials in vain."""
+        until = asyncio.get_running_loop().time() + limit
+        while dials and (left := until - asyncio.get_running_loop().time()) > 0:
+            done, _ = await asyncio.wait(
+                dials, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            dials -= done
+            links = [link for task in done if (link := task.result()) is not None]
+            for link in links[1:]:
+                link.abort()
+            if links:
+                return links[0]
+        return None
+
+    async def _dial(self, address: str) -> frame_protocol.FrameProtocol | None:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         link = frame_protocol.FrameProtocol(self._receive, lambda link: None)
+        link.remote = address
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 await loop.create_connection(lambda: link, host, int(port))
         except (OSError, TimeoutError) as exc:
             link.abort()
             self._telemetry.refuse("control.connect", address, type(exc).__name__)
-            return
+            return None
+        except asyncio.CancelledError:
+            link.abort()
+            raise
+        return link
+
+    async def _follow(self, link: frame_protocol.FrameProtocol) -> None:
+        """Use one control instance until it stops responding or loses its quorum."""
+        loop = asyncio.get_running_loop()
+        address = link.remote
         self._link = link
         self._confirmed_at = loop.time()
         link.send(self._hello)
@@ -119,6 +175,9 @@
             await asyncio.sleep(REPORT_SECONDS)
             reason = self._disconnect_reason(link, loop.time())
         self._link = None
+        self._left = address
+        self._listed_at = float("inf")
+        self._apply(msgspec.structs.replace(self.view, is_list_current=False))
         link.abort()
         self._telemetry.log("warning", "control.lost", peer=address, reason=reason)
 
@@ -147,14 +206,19 @@
         if not isinstance(message, update.Update):
             self._telemetry.refuse("control.update", link.peer, "malformed")
             return
+        now = asyncio.get_running_loop().time()
         if message.lease_ms > 0:
-            self._confirmed_at = asyncio.get_running_loop().time()
+            self._confirmed_at = now
+            self._listed_at = min(self._listed_at, now)
+        else:
+            self._listed_at = float("inf")
         if message.controls:
             self._known_controls = message.controls
         self._merge(message)
 
     def _merge(self, message: update.Update) -> None:
-        self._merge_upstreams(message, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._merge_upstreams(message, now)
         previous = self.view
         configuration, zones_out = previous.configuration, previous.zones_out
         if message.revision >= previous.revision:
@@ -166,7 +230,12 @@
             configuration,
             zones_out,
             tuple(self._records.values()),
+            now - self._listed_at >= SETTLED_SECONDS,
         )
+        self._apply(view)
+
+    def _apply(self, view: fleet_view.FleetView) -> None:
+        previous = self.view
         if view != previous:
             self.view = view
             self._log_change(previous, view)
--- a/src/limpetreel/cluster/fleet_view.py
+++ b/src/limpetreel/cluster/fleet_view.py
@@ -21,9 +21,13 @@
         Data centres that take no new flows.
     upstreams : tuple of UpstreamRecord
         Known upstreams.
+    is_list_current : bool
+        Whether a control instance with a lease has sent the list for long enough that
+        it names every upstream that has flows.
     """
 
     revision: int = 0
     configuration: configurations.Configuration | None = None
     zones_out: frozenset[str] = frozenset()
     upstreams: tuple[upstream_record.UpstreamRecord, ...] = ()
+    is_list_current: bool = False
--- a/src/limpetreel/cluster/upstream_record.py
+++ b/src/limpetreel/cluster/upstream_record.py
@@ -26,6 +26,9 @@
         Whether control has received recent reports of the agent. Control instances
         that are partitioned from each other receive reports of their own agents
         only, so this does not show whether the upstream itself works.
+    has_ended : bool
+        Whether the upstream has signed off and its agent has stopped, so that no flow
+        is left there.
     """
 
     name: str
@@ -36,3 +39,4 @@
     is_accepting: bool
     slots: int
     is_reported: bool = True
+    has_ended: bool = False
--- a/src/limpetreel/runtime/frame_protocol.py
+++ b/src/limpetreel/runtime/frame_protocol.py
@@ -36,6 +36,9 @@
         Time of the event loop at which data was last received.
     session_id : int
         Id that the user of the connection sets; 0 if none is set.
+    remote : str
+        Address that the user of the connection sets, at which the process at the other
+        end accepts connections; empty if it is not known.
     """
 
     def __init__(self, on_frame: OnFrame, on_end: OnEnd) -> None:
@@ -46,6 +49,7 @@
         self.is_open = False
         self.received_at = 0.0
         self.session_id = 0
+        self.remote = ""
 
     @property
     def peer(self) -> str:
--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -78,9 +78,9 @@
             self._occupying.discard(flow)
         self._offered.pop(key, None)
 
-    def clear(self) -> list[bytes]:
-        """Remove all flows and return the keys of those that were open."""
-        lost = [key for key, flow in self._flows.items() if not flow.is_closed]
+    def clear(self) -> list[tuple[bytes, owned_flow.OwnedFlow]]:
+        """Remove all flows and return those that were open."""
+        lost = [(key, flow) for key, flow in self._flows.items() if not flow.is_closed]
         self._flows.clear()
         self._offered.clear()
         self._occupying.clear()
--- a/src/limpetreel/streams/messages/stream_codec.py
+++ b/src/limpetreel/streams/messages/stream_codec.py
@@ -7,10 +7,13 @@
 from limpetreel.core import failure, reason
 from limpetreel.streams.messages import (
     carry,
+    holdings,
     locate,
     not_owned,
     offer,
     owned,
+    probe,
+    search,
     verdict,
 )
 
@@ -21,6 +24,9 @@
     | locate.Locate
     | owned.Owned
     | not_owned.NotOwned
+    | search.Search
+    | holdings.Holdings
+    | probe.Probe
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -8,9 +8,15 @@
     from limpetreel.streams import flow_phase
 
 
+_SEQUENCE_MASK = 0xFFFFFFFF
+
+
 class OwnedFlow:
     """State of one flow.
 
+    Its attribute `is_established` tells whether the upstream has sent a packet after
+    the handshake, which shows that it took the caller's last packet of it.
+
     Parameters
     ----------
     now : float
@@ -20,16 +26,19 @@
     """
 
     __slots__ = (
+        "caller_ack",
         "caller_end",
         "entry",
         "first_sequence",
         "has_caller_fin",
         "has_upstream_fin",
         "is_confirmed",
+        "is_established",
         "last_at",
         "offer_id",
         "phase",
         "phase_at",
+        "upstream_end",
     )
 
     def __init__(self, now: float, phase: flow_phase.FlowPhase) -> None:
@@ -39,11 +48,35 @@
         self.offer_id = 0
         self.entry = ("", 0)
         self.first_sequence: int | None = None
+        self.upstream_end = 0
         self.caller_end: int | None = None
+        self.caller_ack = 0
         self.is_confirmed = False
+        self.is_established = False
         self.has_caller_fin = False
         self.has_upstream_fin = False
 
+    def record_sent(self, sequence: int, size: int) -> None:
+        """Record data that the upstream has sent."""
+        end = (sequence + size) & _SEQUENCE_MASK
+        if self.first_sequence is not None and self._offset(end) > self._offset(
+            self.upstream_end
+        ):
+            self.upstream_end = end
+
+    def has_sent(self, ack: int) -> bool:
+        """Return whether the upstream has sent what the caller acknowledges.
+
+        The handshake and the end of the flow each take one number without data.
+        """
+        if self.first_sequence is None:
+            return True
+        return self._offset(ack) <= self._offset(self.upstream_end) + 2
+
+    def _offset(self, number: int) -> int:
+        assert self.first_sequence is not None
+        return (number - self.first_sequence) & _SEQUENCE_MASK
+
     @property
     def is_closed(self) -> bool:
         """Return whether both ends have closed the flow."""
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -12,6 +12,7 @@
     flow_admission,
     flow_phase,
     flow_set,
+    held_flows,
     opening_queue,
     owned_flow,
     route_table,
@@ -28,19 +29,25 @@
     send_upstream,
 )
 from limpetreel.streams.events import (
+    agent_leaving,
     fleet_changed,
     node_datagram,
     upstream_announced,
     upstream_departed,
+    upstream_ended,
     upstream_packet,
 )
 from limpetreel.streams.messages import (
     carry,
+    holdings,
     locate,
     not_owned,
     offer,
     outcome,
     owned,
+    probe,
+    search,
+    sought,
     stream_codec,
     verdict,
 )
@@ -62,8 +69,7 @@
 """Time after which an open flow without a request no longer occupies a slot. A live
 caller sends its request within one round trip."""
 SEQUENCE_WINDOW = 1 << 24
-"""Bytes by which an acknowledgement may be ahead of the sequence number of the
-handshake, or new data ahead of the last data of the caller."""
+"""Bytes by which new data may be ahead of the last data of the caller."""
 
 
 class StreamAgentCore(core.Core):
@@ -97,11 +103,11 @@
         self._codec = codec
         self._service = service
         self._data_centre = data_centre
-        # The upstream may hold flows that were opened before this process restarted.
-        self._unknown_flows_until = now + max_flow_seconds
         self._view = fleet_view.FleetView()
         self._routes: route_table.RouteTable | None = None
         self._flows = flow_set.FlowSet()
+        # The upstream may hold flows that were opened before this process restarted.
+        self._held = held_flows.HeldFlows(self._flows, now + max_flow_seconds)
         self._queue = opening_queue.OpeningQueue()
         self._capacity = capacity.Capacity()
         self._starts = start_rate.StartRate()
@@ -153,6 +159,10 @@
             return self._announce(now, event)
         if isinstance(event, upstream_departed.UpstreamDeparted):
             return self._depart(event)
+        if isinstance(event, upstream_ended.UpstreamEnded):
+            return self._end_upstream(now, event)
+        if isinstance(event, agent_leaving.AgentLeaving):
+            return self._reset_flows() if self.upstream.has_departed else []
         raise TypeError(type(event))
 
     def _announce(
@@ -176,9 +186,9 @@
             actions.append(log_line.LogLine("info", "upstream.started", fields))
             if is_first and status.sequence <= 1:
                 # The upstream has just started and holds no earlier flows.
-                self._unknown_flows_until = now
+                self._held.mark_all_known()
             elif not is_first:
-                actions += self._clear_flows()
+                actions += self._reset_flows()
         if status.is_draining and not was_draining:
             actions.append(log_line.LogLine("info", "upstream.draining", fields))
         if not self.is_accepting(now):
@@ -192,12 +202,32 @@
         actions: Actions = [log_line.LogLine("info", "upstream.departed", fields)]
         return actions + self._refuse_waiting(outcome.Outcome.CLOSED)
 
-    def _clear_flows(self) -> Actions:
-        self._unknown_flows_until = float("-inf")
-        return [
-            log_line.LogLine("warning", "flow.lost", {"flow": stream_key.text(key)})
-            for key in self._flows.clear()
-        ]
+    def _end_upstream(self, now: float, event: upstream_ended.UpstreamEnded) -> Actions:
+        is_overdue = self.upstream.is_overdue(now)
+        if not is_overdue or not self.upstream.record_end(event.instance_id):
+            return []
+        fields: Fields = {"instance": event.instance_id}
+        actions: Actions = [log_line.LogLine("warning", "upstream.ended", fields)]
+        actions += self._refuse_waiting(outcome.Outcome.CLOSED)
+        return actions + self._reset_flows()
+
+    def _reset_flows(self) -> Actions:
+        """Forget all flows, since the start of the upstream that held them has ended.
+
+        Their callers would wait for an answer until their time limit.
+        """
+        self._held.mark_all_known()
+        actions: Actions = []
+        for key, flow in self._flows.clear():
+            fields: Fields = {"flow": stream_key.text(key)}
+            actions.append(log_line.LogLine("warning", "flow.lost", fields))
+            if flow.is_confirmed:
+                actions.append(self._reset(key, flow.caller_ack))
+        return actions
+
+    def _reset(self, key: bytes, ack: int) -> msgspec.Struct:
+        host = stream_key.caller(key)[0]
+        return send_caller.SendCaller(host, self._codec.reset(key, ack))
 
     def _change_view(self, now: float, view: fleet_view.FleetView) -> Actions:
         was_out = self._data_centre in self._view.zones_out
@@ -226,6 +256,7 @@
         idle = self._routes.idle_seconds if self._routes is not None else 0.0
         self._flows.sweep(now, idle)
         self._flows.release_stalled(now, MAX_OPENING_SECONDS)
+        self._held.sweep(now)
         return actions + self._serve_waiting(now)
 
     def _from_node(self, now: float, event: node_datagram.NodeDatagram) -> Actions:
@@ -235,6 +266,10 @@
             return self._carry(now, source, message.packet)
         if isinstance(message, offer.Offer):
             return self._offer(now, source, message)
+        if isinstance(message, search.Search):
+            return [_node(source, self._held.answer(now, message))]
+        if isinstance(message, probe.Probe):
+            return self._probe(now, source, message.packet)
         if isinstance(message, locate.Locate):
             return self._locate(now, source, message.packet)
         if isinstance(message, failure.Failure):
@@ -253,30 +288,37 @@
             return self._drop(str(segment.reason))
         if self._owns(segment):
             return self._forward(now, segment)
-        message = not_owned.NotOwned(packet)
-        return [send_node.SendNode(source, stream_codec.encode(message))]
+        return [_node(source, not_owned.NotOwned(packet))]
+
+    def _probe(self, now: float, source: Address, packet: bytes) -> Actions:
+        """Let the upstream show whether it holds a flow that the agent does not know.
+
+        The upstream returns the packet if it does not.
+        """
+        segment = self._codec.from_caller(packet)
+        if isinstance(segment, failure.Failure):
+            return self._drop(str(segment.reason))
+        if not self._held.may_hold(now) or self._flows.get(segment.flow) is not None:
+            question = search.Search((sought.Sought(segment.flow, segment.ack),))
+            return [_node(source, self._held.answer(now, question))]
+        self._held.record_probe(now, source, segment.flow)
+        return [send_upstream.SendUpstream(packet)]
 
     def _locate(self, now: float, source: Address, packet: bytes) -> Actions:
         segment = self._codec.from_caller(packet)
         if isinstance(segment, failure.Failure):
             return self._drop(str(segment.reason))
         if self._owns(segment):
-            reply = stream_codec.encode(owned.Owned(segment.flow))
-            return [*self._forward(now, segment), send_node.SendNode(source, reply)]
-        if now < self._unknown_flows_until:
+            reply = _node(source, owned.Owned(segment.flow))
+            return [*self._forward(now, segment), reply]
+        if self._held.may_hold(now):
             # The upstream returns the packet if it does not hold the flow.
             return [send_upstream.SendUpstream(packet)]
         return []
 
     def _owns(self, segment: segment.Segment) -> bool:
-        flow = self._flows.get(segment.flow)
-        if flow is None or segment.is_open:
-            return flow is not None
-        if flow.is_confirmed or flow.first_sequence is None or not segment.is_ack:
-            return True
-        # Another upstream may have answered a copy of the opening packet.
-        ahead = (segment.ack - flow.first_sequence) & 0xFFFFFFFF
-        return ahead <= SEQUENCE_WINDOW
+        has_ack = segment.is_ack and not segment.is_open
+        return self._held.owns(segment.flow, segment.ack if has_ack else None)
 
     def _forward(self, now: float, segment: segment.Segment) -> Actions:
         flow = self._flows.get(segment.flow)
@@ -288,7 +330,9 @@
         self, now: float, flow: owned_flow.OwnedFlow, segment: segment.Segment
     ) -> None:
         flow.last_at = now
-        flow.is_confirmed = flow.is_confirmed or segment.is_ack
+        if segment.is_ack:
+            flow.is_confirmed = True
+            flow.caller_ack = segment.ack
         flow.has_caller_fin = flow.has_caller_fin or segment.is_fin or segment.is_reset
         if segment.is_reset:
             flow.has_upstream_fin = True
@@ -322,6 +366,9 @@
             flow.is_confirmed = not segment.is_open_reply
         host = stream_key.caller(segment.flow)[0]
         actions: Actions = [send_caller.SendCaller(host, data)]
+        prober = self._held.take_probe(segment.flow)
+        if prober is not None:
+            actions.append(_node(prober, holdings.Holdings(owned=(segment.flow,))))
         return actions + self._record_upstream_packet(now, flow, segment)
 
     def _record_upstream_packet(
@@ -331,10 +378,13 @@
         self.upstream.record_answer()
         actions: Actions = []
         if segment.is_open_reply:
-            flow.first_sequence = segment.sequence
+            flow.first_sequence = flow.upstream_end = segment.sequence
             if flow.phase is flow_phase.FlowPhase.OFFERED:
                 self._flows.move(flow, flow_phase.FlowPhase.OPENING, now)
                 actions.append(self._answer(flow, outcome.Outcome.ACCEPTED))
+        else:
+            flow.is_established = True
+            flow.record_sent(segment.sequence, segment.size)
         if segment.is_fin or segment.is_reset:
             flow.has_upstream_fin = True
             flow.has_caller_fin = flow.has_caller_fin or segment.is_reset
@@ -350,15 +400,31 @@
     def _handle_returned(self, now: float, segment: segment.Segment) -> Actions:
         flow = self._flows.get(segment.flow)
         if flow is None:
-            return []
+            prober = self._held.take_probe(segment.flow)
+            if prober is None:
+                return []
+            return [_node(prober, holdings.Holdings(missing=(segment.flow,)))]
         if not segment.is_open:
-            self._flows.remove(segment.flow)
-            return []
+            return self._handle_lost(segment, flow)
         if flow.phase is not flow_phase.FlowPhase.OFFERED:
             return []
         self._flows.remove(segment.flow)
         return [self._answer(flow, outcome.Outcome.FULL)]
 
+    def _handle_lost(
+        self, segment: segment.Segment, flow: owned_flow.OwnedFlow
+    ) -> Actions:
+        """Forget a flow that the upstream does not hold any more.
+
+        A flow that is not established may be held by another upstream.
+        """
+        self._flows.remove(segment.flow)
+        if not flow.is_established or flow.is_closed:
+            return []
+        fields: Fields = {"flow": stream_key.text(segment.flow)}
+        lost = log_line.LogLine("warning", "flow.lost", fields)
+        return [lost, self._reset(segment.flow, segment.ack)]
+
     # Admission of new flows
 
     def _offer(self, now: float, source: Address, message: offer.Offer) -> Actions:
@@ -465,4 +531,8 @@
             int(self._capacity.service_seconds * 1000),
             100 * occupied // limit,
         )
-        return send_node.SendNode(target, stream_codec.encode(message))
+        return _node(target, message)
+
+
+def _node(target: Address, message: stream_codec.Message) -> msgspec.Struct:
+    return send_node.SendNode(target, stream_codec.encode(message))
--- a/src/limpetreel/streams/stream_agent_shell.py
+++ b/src/limpetreel/streams/stream_agent_shell.py
@@ -10,9 +10,11 @@
 from limpetreel.runtime import udp_socket
 from limpetreel.streams import stream_shell
 from limpetreel.streams.events import (
+    agent_leaving,
     node_datagram,
     upstream_announced,
     upstream_departed,
+    upstream_ended,
     upstream_packet,
 )
 
@@ -20,6 +22,10 @@
     from limpetreel.streams import stream_agent_core, upstream_api, upstream_status
     from limpetreel.telemetry import telemetry
 
+CONNECT_SECONDS = 0.3
+"""Time limit for a connection to the upstream on the same machine."""
+CHECK_SECONDS = 0.5
+"""Interval of connections to an upstream that does not announce itself."""
 STOP_RESERVE_SECONDS = 1.0
 """Part of the grace time that is reserved for closing the process."""
 
@@ -71,6 +77,8 @@
         self._core = core
         self._api = api
         self._is_leaving = False
+        self._check: asyncio.Task[None] | None = None
+        self._checked_at = float("-inf")
 
     @property
     def is_ready(self) -> bool:
@@ -88,10 +96,13 @@
         task = asyncio.create_task(self._control.run())
         await stopped.wait()
         self._is_leaving = True
+        self._handle(agent_leaving.AgentLeaving())
         self._report()
         self._telemetry.log("info", "agent.leaving")
         await self._wait_for_flows()
         task.cancel()
+        if self._check is not None:
+            self._check.cancel()
         await self._api.close()
         self._nodes.close()
         self._local.close()
@@ -117,6 +128,28 @@
 
     def _after_tick(self) -> None:
         self._report()
+        now = time.monotonic()
+        if not self._core.upstream.is_overdue(now):
+            return
+        if now - self._checked_at >= CHECK_SECONDS:
+            self._checked_at = now
+            self._check = asyncio.create_task(self._check_upstream())
+
+    async def _check_upstream(self) -> None:
+        """Connect to a silent upstream; a refusal shows that its process has ended."""
+        status = self._core.upstream.status
+        assert status is not None
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, writer = await asyncio.open_connection(*self._upstream)
+        except ConnectionRefusedError:
+            self._handle(upstream_ended.UpstreamEnded(status.instance_id))
+            self._report()
+        except (OSError, TimeoutError) as exc:
+            detail = type(exc).__name__
+            self._telemetry.refuse("upstream.check", status.instance_id, detail)
+        else:
+            writer.close()
 
     def _report(self) -> None:
         if self._control is None or self._core.upstream.status is None:
@@ -128,6 +161,7 @@
             self._service,
             not self._is_leaving and self._core.upstream.is_accepting(time.monotonic()),
             self._core.slots,
+            has_ended=self._is_leaving and self._core.upstream.has_departed,
         )
         self._control.report(record)
 
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -11,6 +11,7 @@
 from limpetreel.streams import (
     candidates,
     known_owner,
+    owner_search,
     pending_offer,
     route_table,
     stream_key,
@@ -24,11 +25,10 @@
 from limpetreel.streams.events import caller_packet, fleet_changed, node_datagram
 from limpetreel.streams.messages import (
     carry,
-    locate,
+    holdings,
     not_owned,
     offer,
     outcome,
-    owned,
     stream_codec,
     verdict,
 )
@@ -55,11 +55,9 @@
 """Time for which a flow is held while upstreams may become known. A refused caller
 retries at once, and would use up its retries before an outage ends."""
 HOLD_STEP_SECONDS = 0.05
-LOCATE_SECONDS = 0.15
-"""Minimum interval between two searches for the owner of a flow; packets are
-retransmitted after 200 ms at the earliest."""
 SWEEP_SECONDS = 1.0
 DEFAULT_IDLE_SECONDS = 15.0
+MAX_NAMES_LOGGED = 5
 MAX_FLOWS = 200_000
 """Bounds the memory for flow owners."""
 
@@ -89,7 +87,7 @@
         self._owners: dict[bytes, known_owner.KnownOwner] = {}
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
-        self._located_at: dict[bytes, float] = {}
+        self._search = owner_search.OwnerSearch(self._candidates)
         self._next_id = source.getrandbits(31)
         self._swept_at = 0.0
         self._started_at: float | None = None
@@ -103,8 +101,8 @@
 
     @property
     def needs_tick_soon(self) -> bool:
-        """Return whether an offer is pending."""
-        return bool(self._pending)
+        """Return whether an offer or a search is pending."""
+        return bool(self._pending or len(self._search))
 
     @property
     def open_flows(self) -> int:
@@ -143,7 +141,7 @@
             return self._drop("forged handshake")
         owner = self._owners.get(segment.flow)
         if owner is None:
-            return self._locate(now, segment)
+            return self._find_owner(now, segment)
         owner.last_at = now
         message = stream_codec.encode(carry.Carry(data))
         return [send_node.SendNode(owner.address, message)]
@@ -154,42 +152,61 @@
 
     # Owners of open flows
 
-    def _locate(self, now: float, segment: segment.Segment) -> Actions:
+    def _find_owner(self, now: float, segment: segment.Segment) -> Actions:
         """Ask all upstreams that the route allows for the owner of a flow."""
         matched_route = (
             self._routes.find(segment.flow) if self._routes is not None else None
         )
         if matched_route is None:
             return self._drop("no route")
-        if now - self._located_at.get(segment.flow, float("-inf")) < LOCATE_SECONDS:
-            return self._drop("search under way")
-        self._located_at[segment.flow] = now
-        message = stream_codec.encode(locate.Locate(segment.data))
-        targets = self._candidates.addresses([s.name for s in matched_route.services])
-        return [send_node.SendNode(address, message) for address in targets]
+        services = tuple(s.name for s in matched_route.services)
+        return self._search.add(now, segment, services)
 
     def _record_owner(self, now: float, flow: bytes, address: Address) -> None:
         if len(self._owners) >= MAX_FLOWS:
             self._owners.pop(next(iter(self._owners)))
         self._owners[flow] = known_owner.KnownOwner(address, now)
-        self._located_at.pop(flow, None)
 
     def _from_node(self, now: float, event: node_datagram.NodeDatagram) -> Actions:
         message = stream_codec.decode(event.data)
         source = (event.host, event.port)
         if isinstance(message, verdict.Verdict):
             return self._handle_verdict(now, source, message)
-        if isinstance(message, owned.Owned):
-            self._record_owner(now, message.flow, source)
-            name = self._candidates.name_at(source)
-            located: Fields = {"flow": stream_key.text(message.flow), "agent": name}
-            return [log_line.LogLine("info", "flow.located", located)]
+        if isinstance(message, holdings.Holdings):
+            return self._record_holdings(now, source, message)
         if isinstance(message, not_owned.NotOwned):
             return self._handle_not_owned(now, source, message.packet)
         if isinstance(message, failure.Failure):
             return self._drop(str(message.reason))
         return self._drop("message for an agent")
 
+    def _record_holdings(
+        self, now: float, source: Address, message: holdings.Holdings
+    ) -> Actions:
+        actions: Actions = []
+        for flow in message.owned:
+            self._record_owner(now, flow, source)
+            name = self._candidates.name_at(source)
+            fields: Fields = {"flow": stream_key.text(flow), "agent": name}
+            actions.append(log_line.LogLine("info", "flow.located", fields))
+        return actions + self._search.record_holdings(now, source, message)
+
+    def _reset_ended(self, now: float) -> Actions:
+        """Reset flows that no upstream holds, so that their callers open new ones."""
+        actions: Actions = []
+        for latest in self._search.take_ended(now, self._view.is_list_current):
+            self._count("ENDED")
+            host = stream_key.caller(latest.flow)[0]
+            fields: Fields = {
+                "flow": stream_key.text(latest.flow),
+                "upstreams": len(self._view.upstreams),
+                "revision": self._view.revision,
+            }
+            packet = self._codec.reset(latest.flow, latest.ack)
+            actions.append(send_caller.SendCaller(host, packet))
+            actions.append(log_line.LogLine("info", "flow.ended", fields))
+        return actions
+
     def _handle_not_owned(self, now: float, source: Address, packet: bytes) -> Actions:
         segment = self._codec.from_caller(packet)
         if isinstance(segment, failure.Failure):
@@ -197,7 +214,7 @@
         owner = self._owners.get(segment.flow)
         if owner is not None and owner.address == source:
             del self._owners[segment.flow]
-        return self._locate(now, segment)
+        return self._find_owner(now, segment)
 
     # Placement of new flows
 
@@ -362,6 +379,18 @@
                 actions += self._offer_next(now, pending)
         if now - self._swept_at >= SWEEP_SECONDS:
             self._sweep(now)
+        return actions + self._reset_ended(now) + self._continue_searches(now)
+
+    def _continue_searches(self, now: float) -> Actions:
+        expired, actions = self._search.tick(now)
+        for flow in expired:
+            silent = [self._candidates.name_at(a) for a in sorted(flow.remaining)]
+            fields: Fields = {
+                "flow": stream_key.text(flow.flow),
+                "silent": ",".join(silent[:MAX_NAMES_LOGGED]),
+                "unanswered": len(silent),
+            }
+            actions.append(log_line.LogLine("warning", "flow.not_located", fields))
         return actions
 
     def _sweep(self, now: float) -> None:
@@ -372,8 +401,3 @@
         idle_flows = [k for k, o in self._owners.items() if now - o.last_at > idle]
         for key in idle_flows:
             del self._owners[key]
-        expired_searches = [
-            k for k, at in self._located_at.items() if now - at > SWEEP_SECONDS
-        ]
-        for key in expired_searches:
-            del self._located_at[key]
--- a/src/limpetreel/streams/upstream_state.py
+++ b/src/limpetreel/streams/upstream_state.py
@@ -10,6 +10,9 @@
 
 MAX_MISSED_INTERVALS = 2.6
 """Announcement intervals without an announcement before the upstream counts as down."""
+OVERDUE_INTERVALS = 1.4
+"""Announcement intervals without an announcement before the agent asks the machine
+whether the process of the upstream still listens."""
 RETRY_SECONDS = 0.5
 """Time after an unanswered opening packet during which no other one is sent."""
 
@@ -33,6 +36,7 @@
 
     def __init__(self, interval_seconds: float) -> None:
         self._timeout_seconds = interval_seconds * MAX_MISSED_INTERVALS
+        self._overdue_seconds = interval_seconds * OVERDUE_INTERVALS
         self._announced_at = float("-inf")
         self._cold_until = float("-inf")
         self._is_cold_time_known = False
@@ -66,6 +70,19 @@
         self._has_departed = True
         return True
 
+    @property
+    def has_departed(self) -> bool:
+        """Return whether the current start of the upstream has signed off or ended."""
+        return self._has_departed
+
+    def record_end(self, instance_id: str) -> bool:
+        """Record the end of a start; return whether it is the current one."""
+        if self.status is None or self.status.instance_id != instance_id:
+            return False
+        self._has_departed = True
+        self._departed_ids.add(instance_id)
+        return True
+
     def expect_cold(self) -> None:
         """Treat the upstream as cold until its next announcement."""
         self._is_cold_time_known = False
@@ -86,6 +103,12 @@
         """Return whether the upstream recently left an opening packet unanswered."""
         return now < self._blocked_until
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the upstream should have announced itself by now."""
+        if self.status is None or self._has_departed:
+            return False
+        return now - self._announced_at > self._overdue_seconds
+
     def is_accepting(self, now: float) -> bool:
         """Return whether the upstream is up and accepts new flows."""
         status = self.status
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -9,6 +9,7 @@
 _SOURCE = "src/limpetreel/streams/"
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
+_ENDED = "tests.streams.test_ended_flows."
 _UPSTREAM = "tests.streams.test_upstream_state."
 
 MUTANTS = [
@@ -58,15 +59,15 @@
     (
         "packets of unknown flows are dropped",
         _SOURCE + "stream_entry_core.py",
-        "            return self._locate(now, segment)\n        owner.last_at",
+        "            return self._find_owner(now, segment)\n        owner.last_at",
         '            return self._drop("unknown flow")\n        owner.last_at',
         _OWNERSHIP + "test_flows_survive_the_restart_of_all_entries",
     ),
     (
         "restarted agent does not forward packets of unknown flows",
         _SOURCE + "stream_agent_core.py",
-        "        self._unknown_flows_until = now + max_flow_seconds\n",
-        "        self._unknown_flows_until = now\n",
+        "held_flows.HeldFlows(self._flows, now + max_flow_seconds)",
+        "held_flows.HeldFlows(self._flows, now)",
         _OWNERSHIP + "test_flows_survive_the_restart_of_all_agents",
     ),
     (
@@ -114,4 +115,40 @@
         "",
         "tests.streams.test_start_rate.test_no_sliding_second_exceeds_the_rate",
     ),
+    (
+        "entry resets flows without a complete list of agents",
+        _SOURCE + "owner_search.py",
+        "            if is_list_current:\n",
+        "            if True:\n",
+        _ENDED + "test_flow_is_not_reset_while_the_list_of_agents_may_be_incomplete",
+    ),
+    (
+        "agent that does not know its upstream's flows denies them",
+        _SOURCE + "held_flows.py",
+        "        if self.may_hold(now):\n",
+        "        if False:\n",
+        _ENDED + "test_restarted_agents_do_not_deny_flows_that_their_upstreams_hold",
+    ),
+    (
+        "entry asks for each flow on its own",
+        _SOURCE + "owner_search.py",
+        "now < self._next_batch_at:",
+        "False:",
+        _ENDED + "test_search_takes_few_messages_when_many_callers_move",
+    ),
+    (
+        "flows of an ended upstream are forgotten in silence",
+        _SOURCE + "stream_agent_core.py",
+        "            if flow.is_confirmed:\n",
+        "            if False:\n",
+        _ENDED + "test_restart_of_an_upstream_resets_its_flows_and_no_others",
+    ),
+    (
+        "flows of a running upstream are reset when its agent stops",
+        _SOURCE + "stream_agent_core.py",
+        "self._reset_flows() if self.upstream.has_departed else []\n",
+        "self._reset_flows()\n",
+        _ENDED
+        + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
+    ),
 ]
--- a/tests/streams/stream_site.py
+++ b/tests/streams/stream_site.py
@@ -212,6 +212,9 @@
         self.entries = {}
         self.down = set()
         self.unreported = set()
+        self.is_list_current = False
+        self.messages = 0
+        self.on_action = lambda node, action: None
         self.log_lines = []
         self.requests = []
         self.callers = {}
@@ -253,7 +256,9 @@
             )
             for n, u in self.upstreams.items()
         )
-        view = fleet_view.FleetView(1, self.cfg, self.zones_out, records)
+        view = fleet_view.FleetView(
+            1, self.cfg, self.zones_out, records, self.is_list_current
+        )
         return fleet_changed.FleetChanged(view)
 
     def update_all(self):
@@ -299,8 +304,10 @@
 
     def execute(self, name, action):
         """Carry out an action of a node."""
+        self.on_action(name, action)
         match action:
             case send_node.SendNode():
+                self.messages += 1
                 event = node_datagram.NodeDatagram(name, 1, action.data)
                 target = action.address[0]
                 self.after(LINK_SECONDS, lambda at: self.to_core(target, event))
