--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -102,7 +102,6 @@
         self._hello = cluster_codec.encode(hello.Hello(name, address, False))
         self._links = self._new_links()
         self._sessions: dict[int, frame_protocol.FrameProtocol] = {}
-        self._peers: dict[frame_protocol.FrameProtocol, str] = {}
         self._connections: set[frame_protocol.FrameProtocol] = set()
         self._next_id = 0
         self._calls: dict[int, asyncio.Future[answer_call.AnswerCall]] = {}
@@ -165,7 +164,8 @@
             self._telemetry.refuse("operator.call", "", reason)
 
     def _new_links(self) -> control_links.ControlLinks:
-        links = control_links.ControlLinks(self._hello)
+        keep_alive = cluster_codec.encode(alive.Alive(0))
+        links = control_links.ControlLinks(self._hello, keep_alive, self._receive)
         links.on_change = self._log_link_change
         return links
 
@@ -236,7 +236,6 @@
 
     def _remove_connection(self, link: frame_protocol.FrameProtocol) -> None:
         self._connections.discard(link)
-        self._peers.pop(link, None)
         if self._sessions.pop(link.session_id, None) is not None:
             self._handle(node_disconnected.NodeDisconnected(link.session_id))
 
@@ -245,14 +244,13 @@
             link.abort()
             return
         message = cluster_codec.decode(data)
-        address = self._peers.get(link)
-        if address is not None:
-            self._links.record_receipt(address)
+        if link.remote:
+            self._links.record_receipt(link.remote)
         match message:
             case consensus_message.ConsensusMessage():
                 self._handle(consensus_arrived.ConsensusArrived(message.envelope))
             case report.Report():
-                is_direct = address is None
+                is_direct = not link.remote
                 self._handle(report_arrived.ReportArrived(message, is_direct))
             case hello.Hello():
                 self._accept_hello(link, message)
@@ -270,7 +268,8 @@
         self, link: frame_protocol.FrameProtocol, message: hello.Hello
     ) -> None:
         if message.address:
-            self._peers[link] = message.address
+            link.remote = message.address
+            self._links.accept(link)
             self._links.record_receipt(message.address)
             return
         self._next_id += 1
--- a/src/limpetreel/cluster/control_links.py
+++ b/src/limpetreel/cluster/control_links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from limpetreel.runtime import frame_protocol
@@ -12,85 +11,118 @@
     from collections.abc import Callable
 
 RECEIVE_TIMEOUT_SECONDS = 1.0
-"""Ten heartbeats without data, after which a new connection is opened."""
-CONNECT_SECONDS = 0.8
+"""Time without data from an instance after which a new connection is opened."""
+KEEP_ALIVE_SECONDS = 0.4
+"""Time without data for an instance after which it is answered, so that neither end
+takes the other one for lost."""
+MIN_CONNECT_SECONDS = 0.1
+MAX_CONNECT_SECONDS = 0.8
+"""Bounds of the time limit of a dial, which doubles with each one in vain. A machine
+without power never answers, and the next dial should follow soon after its return."""
 RETRY_SECONDS = 0.1
 
 
 class ControlLinks:
-    """Sends to other control instances; each replies on its own connection.
+    """Sends to other control instances.
+
+    Each instance dials the others. Until its own dial has succeeded it answers on the
+    connection that the other one has opened.
 
     Parameters
     ----------
     hello : bytes
         First message on each connection.
+    alive : bytes
+        Message to an instance that has sent data and has not been sent any.
+    on_frame : callable
+        Called with the connection and each message that arrives on a dialled one.
     """
 
-    def __init__(self, hello: bytes) -> None:
+    def __init__(
+        self, hello: bytes, alive: bytes, on_frame: frame_protocol.OnFrame
+    ) -> None:
         self._hello = hello
-        self._links: dict[str, frame_protocol.FrameProtocol] = {}
-        self._connecting: dict[str, asyncio.Task[None]] = {}
+        self._alive = alive
+        self._on_frame = on_frame
+        self._dialled: dict[str, frame_protocol.FrameProtocol] = {}
+        self._accepted: dict[str, frame_protocol.FrameProtocol] = {}
+        self._dials: dict[str, asyncio.Task[None]] = {}
+        self._connect_seconds: dict[str, float] = {}
         self._attempted_at: dict[str, float] = {}
         self._received_at: dict[str, float] = {}
+        self._sent_at: dict[str, float] = {}
         self.on_change: Callable[[str, bool], None] = lambda address, is_up: None
         self.lost = 0
 
+    def accept(self, link: frame_protocol.FrameProtocol) -> None:
+        """Use a connection that another instance has opened."""
+        self._accepted[link.remote] = link
+
     def record_receipt(self, address: str) -> None:
-        """Record that an instance has sent data on its own connection."""
-        self._received_at[address] = asyncio.get_running_loop().time()
+        """Record that an instance has sent data, and answer it if nothing else does."""
+        now = asyncio.get_running_loop().time()
+        self._received_at[address] = now
+        if now - self._sent_at.get(address, float("-inf")) >= KEEP_ALIVE_SECONDS:
+            self.send(address, self._alive)
 
     def send(self, address: str, data: bytes) -> None:
         """Send a message; it is dropped without a connection, as the core retries."""
         now = asyncio.get_running_loop().time()
-        link = self._links.get(address)
+        self._sent_at[address] = now
+        link = self._dialled.get(address)
         if link is not None and link.is_open:
-            received_at = self._received_at.get(address, 0.0)
-            if (
-                now - max(received_at, self._attempted_at[address])
-                < RECEIVE_TIMEOUT_SECONDS
-            ):
+            heard_at = self._received_at.get(address, 0.0)
+            age = now - max(heard_at, self._attempted_at[address])
+            if age < RECEIVE_TIMEOUT_SECONDS:
                 link.send(data)
                 return
             # A middlebox may have dropped its state of the connection.
             link.abort()
+        self._dial(now, address)
+        accepted = self._accepted.get(address)
+        if accepted is not None and accepted.is_open:
+            accepted.send(data)
+            return
         self.lost += 1
-        is_due = now - self._attempted_at.get(address, 0.0) >= RETRY_SECONDS
-        if address not in self._connecting and is_due:
-            self._attempted_at[address] = now
-            task = asyncio.create_task(self._connect(address, data))
-            self._connecting[address] = task
 
     def close(self) -> None:
         """Close all connections."""
-        for task in self._connecting.values():
+        for task in self._dials.values():
             task.cancel()
-        for link in self._links.values():
+        for link in self._dialled.values():
             link.close()
 
-    async def _connect(self, address: str, first: bytes) -> None:
+    def _dial(self, now: float, address: str) -> None:
+        is_due = now - self._attempted_at.get(address, 0.0) >= RETRY_SECONDS
+        if address not in self._dials and is_due:
+            self._attempted_at[address] = now
+            self._dials[address] = asyncio.create_task(self._connect(address))
+
+    async def _connect(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        link = frame_protocol.FrameProtocol(lambda link, data: None, self._remove_link)
+        link = frame_protocol.FrameProtocol(self._on_frame, self._remove_link)
+        link.remote = address
+        limit = self._connect_seconds.get(address, MIN_CONNECT_SECONDS)
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(limit):
                 await loop.create_connection(lambda: link, host, int(port))
         except (OSError, TimeoutError):
             link.abort()
+            self._connect_seconds[address] = min(MAX_CONNECT_SECONDS, 2 * limit)
             return
         finally:
-            self._connecting.pop(address, None)
+            self._dials.pop(address, None)
+        self._connect_seconds.pop(address, None)
         self._attempted_at[address] = loop.time()
-        old = self._links.get(address)
+        old = self._dialled.get(address)
         if old is not None:
             old.abort()
-        self._links[address] = link
+        self._dialled[address] = link
         link.send(self._hello)
-        link.send(first)
         self.on_change(address, True)
 
     def _remove_link(self, link: frame_protocol.FrameProtocol) -> None:
-        for address, current in list(self._links.items()):
-            if current is link:
-                with contextlib.suppress(KeyError):
-                    del self._links[address]
-                self.on_change(address, False)
+        if self._dialled.get(link.remote) is link:
+            del self._dialled[link.remote]
+            self.on_change(link.remote, False)
--- a/src/limpetreel/consensus/election.py
+++ b/src/limpetreel/consensus/election.py
@@ -29,6 +29,7 @@
     def __init__(self, state: node_state.NodeState) -> None:
         self._state = state
         self._votes: set[str] = set()
+        self._asked_at = float("-inf")
 
     def start_pre_vote(self, now: float) -> bool:
         """Ask for pre-votes; return True if already elected.
@@ -37,7 +38,8 @@
         partition cannot depose a leader that is still in contact with a quorum.
         """
         state = self._state
-        state.reset_election_timer(now)
+        state.reset_pre_vote_timer(now)
+        self._asked_at = now
         if not state.is_voter():
             return False
         state.change_role(role.Role.PRE_CANDIDATE, "")
@@ -56,8 +58,11 @@
         now: float,
         request: envelope.Envelope,
         message: pre_vote_request.PreVoteRequest,
-    ) -> None:
-        """Answer a pre-vote request; reject it while there is a leader."""
+    ) -> bool:
+        """Answer a pre-vote request; reject it while there is a leader.
+
+        Returns True if this instance has won an election that the request prompted.
+        """
         state = self._state
         seconds_since_contact = now - state.last_leader_contact
         has_leader = (
@@ -68,9 +73,21 @@
             message.term > state.term
             and not has_leader
             and self._is_up_to_date(message.last_index, message.last_term)
+            and not self._precedes(request, message)
         )
         answer = pre_vote_reply.PreVoteReply(state.term, message.term, granted)
         state.reply(request, answer)
+        if has_leader or not state.has_short_timeouts:
+            return False
+        if granted:
+            # The sender asks for votes next; a second candidate would split them.
+            state.election_deadline = max(
+                state.election_deadline, now + timing.RETRY_ELECTION_MIN_SECONDS
+            )
+            return False
+        # The sender cannot win, and its message shows that it would vote.
+        is_due = now - self._asked_at >= timing.MIN_PRE_VOTE_SECONDS
+        return is_due and self.start_pre_vote(now)
 
     def on_pre_vote_reply(
         self,
@@ -129,6 +146,22 @@
                 state.send(peer, message)
         return state.has_quorum(self._votes)
 
+    def _precedes(
+        self,
+        request: envelope.Envelope,
+        message: pre_vote_request.PreVoteRequest,
+    ) -> bool:
+        """Return whether this instance asks for pre-votes too and goes first.
+
+        Instances that return together would split the votes otherwise.
+        """
+        state = self._state
+        if state.role is not role.Role.PRE_CANDIDATE or not state.has_short_timeouts:
+            return False
+        log = state.log
+        own = (log.last_term, log.last_index, state.identity)
+        return own > (message.last_term, message.last_index, request.sender)
+
     def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
         log = self._state.log
         return (last_term, last_index) >= (log.last_term, log.last_index)
--- a/src/limpetreel/consensus/node_state.py
+++ b/src/limpetreel/consensus/node_state.py
@@ -67,6 +67,7 @@
         self.role = role.Role.FOLLOWER
         self.leader = ""
         self.last_leader_contact = float("-inf")
+        self.has_short_timeouts = False
         self.election_deadline = float("inf")
         self.actions: list[msgspec.Struct] = []
         self._random = random
@@ -113,10 +114,14 @@
         """Send a message to the sender of `request`."""
         self.actions.append(send.Send(request.sender, request.address, message))
 
-    def start_first_election_timer(self, now: float) -> None:
-        """Start the shorter timer that applies after a start."""
-        low = timing.FIRST_ELECTION_MIN_SECONDS
-        high = timing.FIRST_ELECTION_MAX_SECONDS
+    def reset_pre_vote_timer(self, now: float) -> None:
+        """Restart the timer of pre-votes, which is shorter before the first leader."""
+        has_had_leader = self.last_leader_contact != float("-inf")
+        if has_had_leader or not self.has_short_timeouts:
+            self.reset_election_timer(now)
+            return
+        low = timing.RETRY_ELECTION_MIN_SECONDS
+        high = timing.RETRY_ELECTION_MAX_SECONDS
         self.election_deadline = now + self._random.uniform(low, high)
 
     def reset_election_timer(self, now: float) -> None:
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -88,6 +88,7 @@
         self._address = address
         self._seeds = tuple(seeds)
         self._policy = policy or operator_managed_membership.OperatorManagedMembership()
+        self._state.has_short_timeouts = self._policy.has_short_first_timeout
         self._election = election.Election(self._state)
         self._follower = follower.Follower(self._state)
         self._leadership: leadership.Leadership | None = None
@@ -158,7 +159,8 @@
 
     def _start_first_election_timer(self, now: float) -> None:
         if self._policy.has_short_first_timeout:
-            self._state.start_first_election_timer(now)
+            # Pre-votes prevent an early election from deposing a leader.
+            self._state.election_deadline = now
         else:
             self._state.reset_election_timer(now)
 
@@ -286,7 +288,8 @@
         if isinstance(message, pre_vote_request.PreVoteRequest):
             # A pre-vote carries a term that has not started, so it must not raise
             # the current term.
-            self._election.on_pre_vote_request(now, received, message)
+            if self._election.on_pre_vote_request(now, received, message):
+                self._become_leader(now)
             return
         if message.term > self._state.term:
             self._state.enter_term(message.term)
--- a/src/limpetreel/consensus/timing.py
+++ b/src/limpetreel/consensus/timing.py
@@ -5,10 +5,12 @@
 HEARTBEAT_SECONDS = 0.1
 ELECTION_MIN_SECONDS = 0.3
 ELECTION_MAX_SECONDS = 0.6
-FIRST_ELECTION_MIN_SECONDS = 0.05
-FIRST_ELECTION_MAX_SECONDS = 0.25
-"""First election timeout after a start. An existing leader sends a message within one
-heartbeat interval, and pre-votes prevent an early election from deposing it."""
+MIN_PRE_VOTE_SECONDS = 0.02
+"""Minimum interval between pre-votes that another instance's pre-vote prompts."""
+RETRY_ELECTION_MIN_SECONDS = 0.1
+RETRY_ELECTION_MAX_SECONDS = 0.2
+"""Interval between pre-votes of an instance that has not heard a leader since its
+start; the others may return a little later."""
 LEASE_SECONDS = 2.0
 JOIN_RETRY_SECONDS = 0.5
 REJOIN_SECONDS = 2.0
--- a/tests/cluster/control_group.py
+++ b/tests/cluster/control_group.py
@@ -136,6 +136,7 @@
     def __init__(self, seed, size=3, voters=3):
         self.random = random.Random(seed)
         self.now, self.queue, self.order = 0.0, [], itertools.count()
+        self.tick_at = STEP
         self.voters = voters
         self.incarnations = itertools.count(1000)
         self.calls = itertools.count(1)
@@ -164,15 +165,18 @@
         """Advance the simulated time."""
         until = self.now + seconds
         while self.now < until:
-            self.now += STEP
-            while self.queue and self.queue[0][0] <= self.now:
-                _, _, target, data = heapq.heappop(self.queue)
+            step_ends_at = min(until, self.tick_at)
+            while self.queue and self.queue[0][0] <= step_ends_at:
+                self.now, _, target, data = heapq.heappop(self.queue)
                 message = cluster_codec.decode(data)
                 if target in self.instances:
                     event = consensus_arrived.ConsensusArrived(message.envelope)
                     self.instances[target].handle(event)
-            for instance in list(self.instances.values()):
-                instance.handle(tick.Tick())
+            self.now = step_ends_at
+            if self.now >= self.tick_at:
+                self.tick_at = self.now + STEP
+                for instance in list(self.instances.values()):
+                    instance.handle(tick.Tick())
 
     def leader(self):
         """Return the leader with the highest term, None if there is none."""
