Accept the next start of an upstream after its clock was set back

Cause: starts of an upstream are ordered by their time of day. After the clock of its machine had been set back, the next start counted as a late announcement of an older one for as long as the clock was behind, and its upstream got no flow.

Such a start is accepted once the one before has been silent for as long as a crash takes to be noticed. A start that another one has followed stays late, so a delayed announcement does not bring back one that has left.

--- a/src/limpetreel/streams/upstream_state.py
+++ b/src/limpetreel/streams/upstream_state.py
@@ -49,7 +49,7 @@
         self, now: float, status: upstream_status.UpstreamStatus
     ) -> Freshness:
         """Apply an announcement and return how it relates to the previous ones."""
-        freshness = self._compare(status)
+        freshness = self._compare(now, status)
         if freshness is Freshness.LATE:
             return freshness
         if freshness is Freshness.NEW_START:
@@ -116,14 +116,21 @@
             return False
         return now - self._announced_at < self._timeout_seconds
 
-    def _compare(self, status: upstream_status.UpstreamStatus) -> Freshness:
+    def _compare(self, now: float, status: upstream_status.UpstreamStatus) -> Freshness:
         current = self.status
         if current is None:
             return Freshness.NEW_START
         both_timed = status.started_ms is not None and current.started_ms is not None
         if both_timed and status.started_ms != current.started_ms:
             is_newer = (status.started_ms or 0) > (current.started_ms or 0)
-            return Freshness.NEW_START if is_newer else Freshness.LATE
+            # The time of day may have been set back between two starts.
+            is_silent = now - self._announced_at >= self._timeout_seconds
+            was_replaced = (
+                status.instance_id in self._departed_ids
+                and status.instance_id != current.instance_id
+            )
+            may_follow = is_silent and not was_replaced
+            return Freshness.NEW_START if is_newer or may_follow else Freshness.LATE
         if status.instance_id != current.instance_id:
             if status.instance_id in self._departed_ids:
                 return Freshness.LATE
--- a/tests/streams/test_upstream_state.py
+++ b/tests/streams/test_upstream_state.py
@@ -87,3 +87,33 @@
     upstream.record_timeout(2.0)
     upstream.record_answer()
     assert not upstream.is_blocked(2.0)
+
+
+def test_start_after_the_time_of_day_was_set_back_is_accepted():
+    """Guards against an upstream that is ignored until its clock has caught up.
+
+    While the earlier start still announces itself, an older one is late.
+    """
+    upstream = upstream_state.UpstreamState(INTERVAL)
+    upstream.record_announcement(0.0, make_status(instance_id="i-1", started_ms=9000))
+    later = make_status(instance_id="i-2", started_ms=4000)
+    assert (
+        upstream.record_announcement(INTERVAL, later) is upstream_state.Freshness.LATE
+    )
+    assert (
+        upstream.record_announcement(3 * INTERVAL, later)
+        is upstream_state.Freshness.NEW_START
+    )
+    assert upstream.is_accepting(3 * INTERVAL)
+
+
+def test_delayed_announcement_of_a_replaced_start_stays_late():
+    """Guards against a crashed start that returns once its successor is silent."""
+    upstream = upstream_state.UpstreamState(INTERVAL)
+    upstream.record_announcement(0.0, make_status(instance_id="i-1", started_ms=1000))
+    upstream.record_announcement(1.0, make_status(instance_id="i-2", started_ms=2000))
+    late = make_status(instance_id="i-1", started_ms=1000, sequence=99)
+    assert (
+        upstream.record_announcement(9 * INTERVAL, late)
+        is upstream_state.Freshness.LATE
+    )
