--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -177,6 +177,7 @@
         self.base_port = _find_base_port()
         self.processes = {}
         self.started_at = {}
+        self.paused_seconds = {}
         self.version = 0
         self.acknowledged = []
         self.zone_outages = []
@@ -229,6 +230,7 @@
                 stderr=log,
             )
         self.started_at[name] = self.now()
+        self.paused_seconds[name] = 0.0
 
     def _write_settings(self, role, host, zone):
         base = self.base_port
@@ -308,9 +310,11 @@
         kind = self.random.choice(("kill", "stop", "pause", "pause", "restart"))
         if kind == "pause":
             proc.send_signal(signal.SIGSTOP)
+            paused_at = self.now()
             await asyncio.sleep(self.random.uniform(0.2, 3.0))
             with contextlib.suppress(ProcessLookupError):
                 proc.send_signal(signal.SIGCONT)
+            self.paused_seconds[name] += self.now() - paused_at
             return
         proc.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
         code = await proc.wait()
@@ -323,9 +327,10 @@
         """Record an exit that was not graceful, with the age of the process.
 
         SIGTERM that arrives while the interpreter still loads the program ends it at
-        once, before it serves anything (seed 2); such an exit is allowed.
+        once, before it serves anything (seed 2); such an exit is allowed. A program
+        that is paused at its start does not load meanwhile (seed 1).
         """
-        age = self.now() - self.started_at[name]
+        age = self.now() - self.started_at[name] - self.paused_seconds[name]
         if code != -signal.SIGTERM or age > STARTUP_SECONDS:
             self.unexpected_exits.append((name, code, round(age, 3)))
 
