--- a/src/limpetreel/streams/owner_search.py
+++ b/src/limpetreel/streams/owner_search.py
@@ -9,6 +9,8 @@
 from limpetreel.streams.messages import carry, probe, search, sought, stream_codec
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     import msgspec
 
     from limpetreel.streams import candidates, segment
@@ -146,12 +148,17 @@
         pause = max(BATCH_SECONDS, BATCH_SECONDS_PER_AGENT * len(by_agent))
         self._next_batch_at = now + pause
         return [
-            _send(address, search.Search(tuple(questions[i : i + step])))
-            for step in (MAX_FLOWS_PER_MESSAGE,)
+            _send(address, search.Search(chunk))
             for address, questions in by_agent.items()
-            for i in range(0, len(questions), step)
+            for chunk in _chunks(questions)
         ]
 
 
+def _chunks(questions: list[sought.Sought]) -> Iterator[tuple[sought.Sought, ...]]:
+    """Yield parts that fit into one message each."""
+    for first in range(0, len(questions), MAX_FLOWS_PER_MESSAGE):
+        yield tuple(questions[first : first + MAX_FLOWS_PER_MESSAGE])
+
+
 def _send(address: Address, message: stream_codec.Message) -> msgspec.Struct:
     return send_node.SendNode(address, stream_codec.encode(message))
