Accept uploads and unknown kinds of routes

A document with a kind other than the three known ones was refused in full, so a site whose routes carry uploads was not served at all.

Any other word is taken as `non_idempotent`, which forbids most, and each control instance logs `configuration.unknown_kind` once per version, with route, word and meaning. `RequestKind.is_repeatable` tells whether a request may run more than once. No code on the platform asked for that until now: a flow is opened once and its packets are not repeated by the system. A node also reads an update with a kind that a later release has added.

A kind that is no string, and all else that is invalid, stays refused.

--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -114,6 +114,7 @@
         self._calls: list[pending_call.PendingCall] = []
         self._next_number = 0
         self._is_leaving = False
+        self._checked_version = 0
 
     @property
     def state(self) -> cluster_state.ClusterState:
@@ -166,6 +167,7 @@
             self._relay_at = now + RELAY_SECONDS
             actions += self._relay(self._direct_reports.values())
         actions += self._snapshot(now)
+        actions += self._unknown_kinds()
         return actions + self._update_nodes(now)
 
     # Nodes
@@ -363,6 +365,27 @@
         }
         return [log_line.LogLine("info", "state.applied", fields)]
 
+    def _unknown_kinds(self) -> Actions:
+        """Return log lines for kinds that are not known, once per version."""
+        config = self._state.configuration
+        if config is None or config.version == self._checked_version:
+            return []
+        self._checked_version = config.version
+        return [
+            log_line.LogLine(
+                "warning",
+                "configuration.unknown_kind",
+                {
+                    "version": config.version,
+                    "route": route.name,
+                    "kind": route.unknown_kind,
+                    "treated_as": str(route.kind),
+                },
+            )
+            for route in config.routes
+            if route.unknown_kind is not None
+        ]
+
     def _snapshot(self, now: float) -> Actions:
         applied = self._state.applied
         if applied - self._snapshot_at < SNAPSHOT_ENTRIES:
--- a/src/limpetreel/configuration/route.py
+++ b/src/limpetreel/configuration/route.py
@@ -7,7 +7,7 @@
 from limpetreel.configuration import request_kind, weighted_service
 
 
-class Route(msgspec.Struct, frozen=True):
+class Route(msgspec.Struct, frozen=True, omit_defaults=True):
     """Services for the flows to one address and port.
 
     Attributes
@@ -28,6 +28,9 @@
         Rank among queued flows; 0 is served first.
     services : tuple of WeightedService
         Services among which new flows are distributed.
+    unknown_kind : str or None
+        Kind as the operator wrote it, if it is not known; `kind` is then the one that
+        forbids most.
     """
 
     name: str
@@ -38,6 +41,7 @@
     answer_ms: int
     priority: int
     services: tuple[weighted_service.WeightedService, ...]
+    unknown_kind: str | None = None
 
     def allows(self, service: str) -> bool:
         """Return whether new flows may go to a service."""
--- a/src/limpetreel/platform/configuration_format.py
+++ b/src/limpetreel/platform/configuration_format.py
@@ -38,7 +38,7 @@
     name: str
     host: str
     path_prefix: str
-    type: request_kind.RequestKind
+    type: str
     timeout_ms: _Positive
     aim_ms: _NotNegative = 0
     priority: int = DEFAULT_PRIORITY
@@ -122,15 +122,17 @@
             raise _invalid(
                 f"route {document_route.name!r} refers to unknown service {part.name!r}"
             )
+    kind = request_kind.RequestKind(document_route.type)
     return route.Route(
         document_route.name,
         _host(document_route),
         _port(document_route),
-        document_route.type,
+        kind,
         document_route.timeout_ms,
         document_route.aim_ms or document_route.timeout_ms,
         document_route.priority,
         split,
+        None if kind == document_route.type else document_route.type,
     )
 
 
--- a/tests/cluster/test_control_group.py
+++ b/tests/cluster/test_control_group.py
@@ -37,6 +37,18 @@
     group.check_final_state()
 
 
+def test_unknown_kinds_are_logged_once_per_version():
+    """Guards against a route with the careful meaning that no operator notices."""
+    group = control_group.ControlGroup(21)
+    for version, kind in ((4, "lookup_2"), (5, "idempotent"), (6, "lookup_3")):
+        assert group.change_until_acked(group.replace(version, kind=kind))
+        group.run(1)
+    for instance in group.instances.values():
+        lines = [ln for ln in instance.lines if ln.step == "configuration.unknown_kind"]
+        assert [ln.fields["kind"] for ln in lines] == ["lookup_2", "lookup_3"]
+        assert lines[0].fields["route"] == "r-1"
+
+
 def test_instance_that_is_no_seed_joins_without_a_vote():
     """Guards against an even number of voters, which tolerates no more failures."""
     group = control_group.ControlGroup(3, size=4)
--- a/tests/cluster/test_node_session.py
+++ b/tests/cluster/test_node_session.py
@@ -10,7 +10,7 @@
     upstream_directory,
     upstream_record,
 )
-from limpetreel.cluster.messages import report
+from limpetreel.cluster.messages import cluster_codec, report, update
 from limpetreel.platform import configuration_format
 from tests import fixtures
 from tests.cluster import control_group
@@ -70,3 +70,13 @@
     change = control_group.ControlGroup(1).replace(4)
     feed.state.apply(1, cluster_state.encode(change))
     assert feed.next_update(0.001).configuration.version == 4
+
+
+def test_kind_of_a_later_release_does_not_make_an_update_unreadable():
+    """Guards against nodes that lose control during a rolling upgrade."""
+    feed = Feed()
+    feed.state.apply(1, cluster_state.encode(control_group.ControlGroup(1).replace(4)))
+    data = cluster_codec.encode(feed.next_update(0.0))
+    message = cluster_codec.decode(data.replace(b"\xaaidempotent", b"\xaasubscribed"))
+    assert isinstance(message, update.Update)
+    assert not message.configuration.routes[0].kind.is_repeatable
