Measure placements of new flows, and what their log lines cost

The slope of entry.stream_placement placed the same flows in each repetition, and an opening packet of a known flow goes to its owner without a choice among upstreams.

--- a/src/limpetreel/slopes/stream_slopes.py
+++ b/src/limpetreel/slopes/stream_slopes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import functools
+import io
+import itertools
 from typing import TYPE_CHECKING
 
 from limpetreel.cluster import fleet_view, upstream_directory, upstream_record
@@ -17,12 +19,15 @@
 from limpetreel.platform import segment_format
 from limpetreel.slopes import resource_usage, slope
 from limpetreel.streams import stream_entry_core, stream_key
-from limpetreel.streams.actions import send_node
+from limpetreel.streams.actions import log_line, send_node
 from limpetreel.streams.events import caller_packet, fleet_changed, node_datagram
 from limpetreel.streams.messages import offer, outcome, stream_codec, verdict
+from limpetreel.telemetry import log_writer, telemetry
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
+
+    import msgspec
 
 DESIGN_FLOWS = 8_442
 """Open flows of an entry at the expected size."""
@@ -75,6 +80,13 @@
             {n: _placement_us(n, repeats) for n in services},
             DESIGN_SERVICE_UPSTREAMS,
         ),
+        slope.fit(
+            "entry.stream_placement_logged",
+            "upstreams of the service",
+            "us",
+            {n: _logged_placement_us(n, repeats) for n in services},
+            DESIGN_SERVICE_UPSTREAMS,
+        ),
         slope.fit(
             "control.stream_full_update",
             "upstreams",
@@ -125,9 +137,12 @@
     return bytes(data)
 
 
-def _place(core: stream_entry_core.StreamEntryCore, number: int) -> None:
+def _place(
+    core: stream_entry_core.StreamEntryCore, number: int
+) -> list[msgspec.Struct]:
     """Open a flow at the first agent that it is offered to."""
     event = caller_packet.CallerPacket(_packet(number, SYN_FLAGS))
+    actions: list[msgspec.Struct] = []
     for action in core.handle(0.0, event):
         if not isinstance(action, send_node.SendNode):
             continue
@@ -136,7 +151,9 @@
             accepted = outcome.Outcome.ACCEPTED
             answer = verdict.Verdict(message.offer_id, accepted, 0, 40, 50)
             data = stream_codec.encode(answer)
-            core.handle(0.001, node_datagram.NodeDatagram(*action.address, data))
+            reply = node_datagram.NodeDatagram(*action.address, data)
+            actions += core.handle(0.001, reply)
+    return actions
 
 
 def _entry_with(flows: int) -> stream_entry_core.StreamEntryCore:
@@ -160,16 +177,43 @@
     return resource_usage.min_cpu_us(carry, repeats) / PACKETS_PER_CALL
 
 
+def _new_flows() -> Iterator[int]:
+    """Return numbers of flows that the entry has not seen.
+
+    An opening packet of a known flow goes to the flow's owner without a choice.
+    """
+    return itertools.count()
+
+
 def _placement_us(upstreams: int, repeats: int) -> float:
     core = _entry(upstreams)
+    numbers = _new_flows()
 
     def place() -> None:
-        for number in range(PACKETS_PER_CALL):
+        for number in itertools.islice(numbers, PACKETS_PER_CALL):
             _place(core, number)
 
     return resource_usage.min_cpu_us(place, repeats) / PACKETS_PER_CALL
 
 
+def _logged_placement_us(upstreams: int, repeats: int) -> float:
+    """Return the time of one of a thousand openings that arrive within a second."""
+    core = _entry(upstreams)
+    numbers = _new_flows()
+    log = log_writer.LogWriter("entry-1", "entry", "info", io.BytesIO())
+
+    def place() -> None:
+        outputs = telemetry.Telemetry("entry-1", "entry", log)
+        for number in itertools.islice(numbers, PACKETS_PER_CALL):
+            for action in _place(core, number):
+                if isinstance(action, log_line.LogLine):
+                    outputs.log_decision(action.level, action.step, action.fields)
+
+    shortest = resource_usage.min_cpu_us(place, repeats) / PACKETS_PER_CALL
+    log.close()
+    return shortest
+
+
 def _full_update(upstreams: int) -> update.Update:
     controls = tuple(f"10.0.0.{i}:7000" for i in range(9))
     return update.Update(1, 2000, None, (), True, _records(upstreams), (), controls)
