--- a/src/limpetreel/streams/owner_search.py
+++ b/src/limpetreel/streams/owner_search.py
@@ -13,8 +13,9 @@
 
     import msgspec
 
-    from limpetreel.streams import candidates, segment
+    from limpetreel.streams import segment
     from limpetreel.streams.messages import holdings
+    from limpetreel.streams.placement import candidates
 
     Actions = list[msgspec.Struct]
     Address = tuple[str, int]
--- a/src/limpetreel/streams/candidates.py
+++ b/src/limpetreel/streams/placement/candidates.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from limpetreel.streams import agent_hint
 from limpetreel.streams.messages import outcome
+from limpetreel.streams.placement import agent_hint
 
 if TYPE_CHECKING:
     import random
--- /dev/null
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -0,0 +1,255 @@
+"""Placement of new flows at an entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.streams import route_table, stream_key
+from limpetreel.streams.actions import (
+    histogram_sample,
+    log_line,
+    send_caller,
+    send_node,
+)
+from limpetreel.streams.messages import offer, outcome, stream_codec
+from limpetreel.streams.placement import pending_offer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import msgspec
+
+    from limpetreel.streams import segment, segment_codec
+    from limpetreel.streams.messages import verdict
+    from limpetreel.streams.placement import candidates
+
+    Actions = list[msgspec.Struct]
+    Address = tuple[str, int]
+    Fields = dict[str, str | int | float]
+
+OFFER_SECONDS = 0.08
+"""Time limit for the answer to an offer: a round trip between data centres, the
+wait for the upstream's handshake, and a pause of a busy machine."""
+QUEUED_SECONDS = 1.25
+"""Time after which a queued flow is refused even if the agent has not answered; the
+caller times out 1.4 s after its first packet."""
+START_SECONDS = 2.0
+"""Time after a start in which an entry may not know all upstreams. Control sends the
+list within 1 s, and upstreams announce themselves within one announcement interval."""
+HOLD_SECONDS = 0.4
+"""Time for which a flow is held while upstreams may become known. A refused caller
+retries at once, and would use up its retries before an outage ends."""
+HOLD_STEP_SECONDS = 0.05
+
+
+class FlowPlacement:
+    """Offers new flows to agents until one accepts, or refuses them.
+
+    Parameters
+    ----------
+    codec : SegmentCodec
+        Packet format.
+    candidates : Candidates
+        Known upstreams.
+    first_id : int
+        Number before the identifier of the first offer. Answers to offers of an
+        earlier process must not match, so it is random.
+    record_owner : callable
+        Called with the time, the flow and the agent's address when a flow is placed.
+    """
+
+    def __init__(
+        self,
+        codec: segment_codec.SegmentCodec,
+        candidates: candidates.Candidates,
+        first_id: int,
+        record_owner: Callable[[float, bytes, Address], None],
+    ) -> None:
+        self._codec = codec
+        self._candidates = candidates
+        self._next_id = first_id
+        self._record_owner = record_owner
+        self._pending: dict[int, pending_offer.PendingOffer] = {}
+        self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
+        self._started_at: float | None = None
+        self.routes: route_table.RouteTable | None = None
+        self.outcomes: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of flows that are being placed."""
+        return len(self._pending)
+
+    def record_start(self, now: float) -> None:
+        """Record the time of the first event of the process."""
+        if self._started_at is None:
+            self._started_at = now
+
+    def open(self, now: float, segment: segment.Segment, owner: str) -> Actions:
+        """Find an upstream for the flow of an opening packet.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        segment : Segment
+            The opening packet.
+        owner : str
+            Agent that accepted an earlier copy of the packet, empty if none did.
+        """
+        matched_route = self.routes.find(segment.flow) if self.routes else None
+        if matched_route is None:
+            return self._reject(segment.flow, {"reason": "no route"})
+        if segment.flow in self._by_flow:
+            return []
+        service = route_table.choose_service(matched_route, segment.flow)
+        pending = pending_offer.PendingOffer(
+            now, segment.flow, segment.data, service, matched_route.timeout_ms / 1000
+        )
+        self._next_id += 1
+        pending.offer_id = self._next_id
+        self._by_flow[segment.flow] = pending
+        if owner:
+            return self._offer(now, pending, owner)
+        return self._offer_next(now, pending)
+
+    def _offer_next(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        name = self._candidates.best(now, pending.service, pending.tried)
+        if name:
+            return self._offer(now, pending, name)
+        if not pending.may_wait and self._candidates.knows(pending.best):
+            pending.may_wait = True
+            return self._offer(now, pending, pending.best)
+        if self._may_hold(now, pending):
+            self._pending[pending.offer_id] = pending
+            pending.retry_at = now + HOLD_STEP_SECONDS
+            return []
+        return self._refuse(now, pending)
+
+    def _may_hold(self, now: float, pending: pending_offer.PendingOffer) -> bool:
+        """Return whether an upstream may become known in time."""
+        has_just_started = now - (self._started_at or now) < START_SECONDS
+        is_unknown = not self._candidates.knows_service(pending.service)
+        is_incomplete = has_just_started and is_unknown
+        is_starting = self._candidates.has_starting(now, pending.service)
+        is_in_time = now - pending.started_at < HOLD_SECONDS
+        return is_in_time and (is_starting or is_incomplete)
+
+    def _retry(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        pending.retry_at = 0.0
+        pending.tried.clear()
+        pending.best = ""
+        pending.may_wait = False
+        return self._offer_next(now, pending)
+
+    def _offer(
+        self, now: float, pending: pending_offer.PendingOffer, name: str
+    ) -> Actions:
+        self._pending.pop(pending.offer_id, None)
+        self._next_id += 1
+        pending.offer_id = self._next_id
+        pending.asked_at = now
+        pending.target = name
+        pending.is_queued = False
+        pending.tried.add(name)
+        self._pending[pending.offer_id] = pending
+        version = self.routes.version if self.routes is not None else 0
+        message = offer.Offer(
+            pending.offer_id, version, pending.may_wait, pending.packet
+        )
+        address = self._candidates.address(name)
+        return [send_node.SendNode(address, stream_codec.encode(message))]
+
+    def handle_verdict(
+        self, now: float, source: Address, message: verdict.Verdict
+    ) -> Actions:
+        """Apply the answer to an offer."""
+        name = self._candidates.name_at(source)
+        if name:
+            self._candidates.record_verdict(now, name, message)
+        pending = self._pending.get(message.offer_id)
+        if pending is None:
+            return []
+        result = outcome.Outcome(message.outcome)
+        self._count(result.name)
+        if result is outcome.Outcome.QUEUED:
+            pending.is_queued = True
+            return []
+        if result is outcome.Outcome.ACCEPTED:
+            return self._place(now, pending, source)
+        pending.reasons[result.name] = pending.reasons.get(result.name, 0) + 1
+        wait = (message.wait_ms + message.service_ms) / 1000
+        if result is outcome.Outcome.BUSY and wait < pending.best_wait:
+            pending.best, pending.best_wait = name, wait
+        return self._offer_next(now, pending)
+
+    def _place(
+        self, now: float, pending: pending_offer.PendingOffer, source: Address
+    ) -> Actions:
+        self._remove_pending(pending)
+        self._record_owner(now, pending.flow, source)
+        held = now - pending.started_at
+        fields: Fields = {
+            **self._placement_fields(now, pending),
+            "flow": stream_key.text(pending.flow),
+            "agent": pending.target,
+        }
+        return [
+            histogram_sample.HistogramSample("placement_seconds", held),
+            log_line.LogLine("info", "flow.placed", fields),
+        ]
+
+    def _placement_fields(
+        self, now: float, pending: pending_offer.PendingOffer
+    ) -> Fields:
+        """Return the log fields common to placed and refused flows."""
+        return {
+            "service": pending.service,
+            "tried": len(pending.tried),
+            "held_ms": int((now - pending.started_at) * 1000),
+            "version": self.routes.version if self.routes is not None else 0,
+            **{f"said_{k.lower()}": v for k, v in pending.reasons.items()},
+        }
+
+    def _refuse(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        self._remove_pending(pending)
+        fields: Fields = {
+            "reason": "no upstream takes it",
+            **self._placement_fields(now, pending),
+        }
+        return self._reject(pending.flow, fields)
+
+    def _reject(self, flow: bytes, fields: Fields) -> Actions:
+        """Reset a flow that has not opened, so no request of it has run."""
+        self._count("REFUSED")
+        host = stream_key.caller(flow)[0]
+        fields = {"flow": stream_key.text(flow), **fields}
+        return [
+            send_caller.SendCaller(host, self._codec.reset(flow, 0)),
+            log_line.LogLine("info", "flow.refused", fields),
+        ]
+
+    def _remove_pending(self, pending: pending_offer.PendingOffer) -> None:
+        self._pending.pop(pending.offer_id, None)
+        self._by_flow.pop(pending.flow, None)
+
+    def _count(self, name: str) -> None:
+        self.outcomes[name] = self.outcomes.get(name, 0) + 1
+
+    def tick(self, now: float) -> Actions:
+        """Offer flows elsewhere whose offers are unanswered."""
+        actions: Actions = []
+        for pending in list(self._pending.values()):
+            if pending.retry_at:
+                if now >= pending.retry_at:
+                    actions += self._retry(now, pending)
+                continue
+            unanswered = now - pending.asked_at
+            if unanswered < (QUEUED_SECONDS if pending.is_queued else OFFER_SECONDS):
+                continue
+            self._candidates.record_timeout(now, pending.target)
+            pending.reasons["SILENT"] = pending.reasons.get("SILENT", 0) + 1
+            if now - pending.started_at > QUEUED_SECONDS:
+                actions += self._refuse(now, pending)
+            else:
+                actions += self._offer_next(now, pending)
+        return actions
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 _SOURCE = "src/limpetreel/streams/"
+_PLACEMENT = _SOURCE + "placement/"
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
 _ENDED = "tests.streams.test_ended_flows."
@@ -29,21 +30,21 @@
     ),
     (
         "unresponsive agent is not avoided",
-        _SOURCE + "candidates.py",
+        _PLACEMENT + "candidates.py",
         "            self._hints[name].record_timeout(now)\n",
         "            pass\n",
         _LOAD + "test_dead_machine_delays_few_requests",
     ),
     (
         "agents not reported to control are excluded",
-        _SOURCE + "candidates.py",
+        _PLACEMENT + "candidates.py",
         "                cost += UNREPORTED_SECONDS\n",
         "                continue\n",
         _LOAD + "test_upstreams_not_reported_to_control_are_still_used",
     ),
     (
         "flows are not held while agents start",
-        _SOURCE + "stream_entry_core.py",
+        _PLACEMENT + "flow_placement.py",
         "        return is_in_time and (is_starting or is_incomplete)\n",
         "        return False\n",
         _LOAD + "test_callers_are_served_once_upstreams_are_known_after_a_restart",
