Bound the log lines of ordinary placements

Log lines of a burst took a third of the processor time of an opening, and the time of a sampled-out line was spent on its fields before the limit of the log dropped it. Above 32 placements a second an entry now logs one in 2, 4, 8, ... by the hash of the flow, with the ratio in the line (one_in). Refusals, and placements that took 50 ms or longer, are always logged.

--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -12,7 +12,7 @@
     send_node,
 )
 from limpetreel.streams.messages import offer, outcome, stream_codec
-from limpetreel.streams.placement import pending_offer
+from limpetreel.streams.placement import line_sample, pending_offer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +40,9 @@
 """Time for which a flow is held while upstreams may become known. A refused caller
 retries at once, and would use up its retries before an outage ends."""
 HOLD_STEP_SECONDS = 0.05
+SLOW_SECONDS = 0.05
+"""Duration of a placement from which it is always logged. An offer is answered within
+some milliseconds, so the flow waited for a slot or an agent did not answer."""
 
 
 class FlowPlacement:
@@ -71,6 +74,7 @@
         self._record_owner = record_owner
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
+        self._sample = line_sample.LineSample()
         self._started_at: float | None = None
         self.routes: route_table.RouteTable | None = None
         self.outcomes: dict[str, int] = {}
@@ -188,15 +192,19 @@
         self._remove_pending(pending)
         self._record_owner(now, pending.flow, source)
         held = now - pending.started_at
+        sample = histogram_sample.HistogramSample("placement_seconds", held)
+        ratio = self._sample.ratio(now)
+        if held >= SLOW_SECONDS:
+            ratio = 1
+        if not line_sample.is_chosen(pending.flow, ratio):
+            return [sample]
         fields: Fields = {
             **self._placement_fields(now, pending),
             "flow": stream_key.text(pending.flow),
             "agent": pending.target,
+            "one_in": ratio,
         }
-        return [
-            histogram_sample.HistogramSample("placement_seconds", held),
-            log_line.LogLine("info", "flow.placed", fields),
-        ]
+        return [sample, log_line.LogLine("info", "flow.placed", fields)]
 
     def _placement_fields(
         self, now: float, pending: pending_offer.PendingOffer
