Let uploads wait while the link of an entry carries others

Cause: three uploads at a time on a link of 2.2 Mbit/s make packets wait longer than the 0.2 s after which callers retransmit, and the copies fill the link. Verdicts and short requests wait in the same queue; flows were offered to up to 20 agents.

Change: an entry places the flow of an upload once its link has room for another window; others wait as long as they can be in time, and the rest are refused at once.

--- a/src/limpetreel/platform/process_settings.py
+++ b/src/limpetreel/platform/process_settings.py
@@ -71,6 +71,8 @@
         Age up to which a flow must be kept.
     grace_s : float
         Time from SIGTERM to SIGKILL.
+    link_mbps : float
+        Bandwidth of the machine's link, in Mbit/s.
     """
 
     node: str
@@ -92,6 +94,7 @@
     lost_machines: int
     max_flow_s: float
     grace_s: float
+    link_mbps: float
 
 
 def read(path: pathlib.Path) -> ProcessSettings:
@@ -142,6 +145,7 @@
     bounds = _read_field(fields, "Bounds", dict, {})
     tolerance = _read_field(fields, "FaultTolerance", dict, {})
     zones = _read_field(fields, "Zones", dict, {})
+    limits = _read_field(fields, "Limits", dict, {})
     zone = _read_field(fields, "Zone", str)
     return ProcessSettings(
         node=_read_field(fields, "NodeName", str),
@@ -163,6 +167,7 @@
         lost_machines=_read_field(tolerance, "Machines", int, 1),
         max_flow_s=float(_positive(bounds, "MaxFlowS", 60)),
         grace_s=float(_positive(bounds, "GraceS", 6)),
+        link_mbps=float(_positive(limits, "LinkMbps", 1000)),
     )
 
 
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -35,6 +35,7 @@
 TRAILING_ENTRIES = 32
 """Log entries kept before a snapshot; documents take some kilobytes each."""
 _MS_PER_SECOND = 1000
+_BYTES_PER_MBIT = 125_000
 
 
 def settings_path() -> pathlib.Path:
@@ -53,7 +54,10 @@
     ready = process_settings.required(cfg, "ready")
     telemetry = _build_telemetry(cfg, "entry")
     core = stream_entry_core.StreamEntryCore(
-        segment_format.SegmentFormat(), cfg.data_centre, random.getrandbits(63)
+        segment_format.SegmentFormat(),
+        cfg.data_centre,
+        random.getrandbits(63),
+        cfg.link_mbps * _BYTES_PER_MBIT,
     )
     telemetry.add_metric(
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -83,6 +83,10 @@
         """Return the number of flows that are being placed."""
         return len(self._pending)
 
+    def __contains__(self, flow: bytes) -> bool:
+        """Return whether a flow is being placed."""
+        return flow in self._by_flow
+
     def record_start(self, now: float) -> None:
         """Record the time of the first event of the process."""
         if self._started_at is None:
@@ -102,7 +106,7 @@
         """
         matched_route = self.routes.find(segment.flow) if self.routes else None
         if matched_route is None:
-            return self._reject(segment.flow, {"reason": "no route"})
+            return self.reject(segment.flow, {"reason": "no route"})
         if segment.flow in self._by_flow:
             return []
         service = route_table.choose_service(matched_route, segment.flow)
@@ -224,9 +228,9 @@
             "reason": "no upstream takes it",
             **self._placement_fields(now, pending),
         }
-        return self._reject(pending.flow, fields)
+        return self.reject(pending.flow, fields)
 
-    def _reject(self, flow: bytes, fields: Fields) -> Actions:
+    def reject(self, flow: bytes, fields: Fields) -> Actions:
         """Reset a flow that has not opened, so no request of it has run."""
         self._count("REFUSED")
         host = stream_key.caller(flow)[0]
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -28,6 +28,7 @@
     verdict,
 )
 from limpetreel.streams.placement import candidates, flow_placement
+from limpetreel.streams.transfers import transfer_admission, transfer_limit
 
 if TYPE_CHECKING:
     import msgspec
@@ -39,6 +40,7 @@
     Fields = dict[str, str | int | float]
 
 SWEEP_SECONDS = 1.0
+DEFAULT_BYTES_PER_SECOND = 125_000_000.0
 DEFAULT_IDLE_SECONDS = 15.0
 MAX_NAMES_LOGGED = 5
 MAX_FLOWS = 200_000
@@ -56,10 +58,16 @@
         Data centre of the entry.
     seed : int
         Seed of the choice among equal upstreams.
+    bytes_per_second : float
+        Bandwidth of the machine's link; infinite if it never binds.
     """
 
     def __init__(
-        self, codec: segment_codec.SegmentCodec, data_centre: str, seed: int
+        self,
+        codec: segment_codec.SegmentCodec,
+        data_centre: str,
+        seed: int,
+        bytes_per_second: float = DEFAULT_BYTES_PER_SECOND,
     ) -> None:
         self._codec = codec
         source = random.Random(seed)
@@ -70,6 +78,9 @@
         self._placement = flow_placement.FlowPlacement(
             codec, self._candidates, source.getrandbits(31), self._record_owner
         )
+        self._transfers = transfer_admission.TransferAdmission(
+            self._placement, transfer_limit.TransferLimit(bytes_per_second)
+        )
         self._search = owner_search.OwnerSearch(self._candidates)
         self._swept_at = 0.0
         self.outcomes = self._placement.outcomes
@@ -82,8 +93,9 @@
 
     @property
     def needs_tick_soon(self) -> bool:
-        """Return whether an offer or a search is pending."""
-        return bool(len(self._placement) or len(self._search))
+        """Return whether an offer, a search or an opening is pending."""
+        pending = len(self._placement) or len(self._search) or len(self._transfers)
+        return bool(pending)
 
     @property
     def open_flows(self) -> int:
@@ -120,6 +132,8 @@
             return self._open(now, segment)
         if segment.is_open_reply:
             return self._drop("forged handshake")
+        if segment.size:
+            self._transfers.record_data(now, segment.flow, segment.size)
         owner = self._owners.get(segment.flow)
         if owner is None:
             return self._find_owner(now, segment)
@@ -206,10 +220,10 @@
             return self._drop("no configuration")
         owner = self._owners.get(segment.flow)
         name = self._candidates.name_at(owner.address) if owner is not None else ""
-        return self._placement.open(now, segment, name)
+        return self._transfers.open(now, segment, name)
 
     def _tick(self, now: float) -> Actions:
-        actions = self._placement.tick(now)
+        actions = self._transfers.tick(now) + self._placement.tick(now)
         if now - self._swept_at >= SWEEP_SECONDS:
             self._sweep(now)
         return actions + self._reset_ended(now) + self._continue_searches(now)
--- /dev/null
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -0,0 +1,102 @@
+"""Admission of large requests to the link of an entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.configuration import request_kind
+from limpetreel.streams.actions import histogram_sample
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.configuration import route
+    from limpetreel.streams import segment
+    from limpetreel.streams.placement import flow_placement
+    from limpetreel.streams.transfers import transfer_limit
+
+    Actions = list[msgspec.Struct]
+
+
+class TransferAdmission:
+    """Places flows for large requests once the link of the entry has room for them.
+
+    Parameters
+    ----------
+    placement : FlowPlacement
+        Finds an upstream for a flow.
+    limit : TransferLimit
+        Transfers on the link.
+    """
+
+    def __init__(
+        self,
+        placement: flow_placement.FlowPlacement,
+        limit: transfer_limit.TransferLimit,
+    ) -> None:
+        self._placement = placement
+        self._limit = limit
+
+    def __len__(self) -> int:
+        """Return the number of openings that wait for room."""
+        return len(self._limit)
+
+    def open(self, now: float, segment: segment.Segment, owner: str) -> Actions:
+        """Place the flow of an opening packet, or let it wait for room on the link.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        segment : Segment
+            The opening packet.
+        owner : str
+            Agent that accepted an earlier copy of the packet, empty if none did.
+        """
+        upload = self._new_upload(segment.flow, owner)
+        if upload is None or self._limit.try_start(now, segment.flow):
+            return self._placement.open(now, segment, owner)
+        if segment.flow in self._limit:
+            return []
+        answer_seconds = upload.answer_ms / 1000
+        if not self._limit.can_wait(answer_seconds):
+            return self._refuse(now, segment, now)
+        self._limit.wait(now, segment, answer_seconds)
+        return []
+
+    def record_data(self, now: float, flow: bytes, size: int) -> None:
+        """Record a packet with data of a caller."""
+        self._limit.record_data(now, flow, size)
+
+    def tick(self, now: float) -> Actions:
+        """Place the flows for which there is room, and refuse those that came late."""
+        actions: Actions = []
+        for waiting in self._limit.take_expired(now):
+            actions += self._refuse(now, waiting.segment, waiting.arrived_at)
+        for waiting in self._limit.take_startable(now):
+            seconds = now - waiting.arrived_at
+            actions.append(
+                histogram_sample.HistogramSample("transfer_wait_seconds", seconds)
+            )
+            actions += self._placement.open(now, waiting.segment, "")
+        return actions
+
+    def _new_upload(self, flow: bytes, owner: str) -> route.Route | None:
+        """Return the route of a flow that will carry a large request, else None."""
+        routes = self._placement.routes
+        matched_route = routes.find(flow) if routes is not None else None
+        if matched_route is None or owner or flow in self._placement:
+            return None
+        is_upload = matched_route.kind is request_kind.RequestKind.UPLOAD
+        return matched_route if is_upload else None
+
+    def _refuse(
+        self, now: float, segment: segment.Segment, arrived_at: float
+    ) -> Actions:
+        fields: dict[str, str | int | float] = {
+            "reason": "link is busy",
+            "held_ms": int((now - arrived_at) * 1000),
+            "active": self._limit.active,
+            "waiting": len(self._limit),
+        }
+        return self._placement.reject(segment.flow, fields)
