Move the agent's admission classes into a package of their own

Cause: the requests on open flows get admission control too, and its classes would share a folder with those of entries.

--- a/src/limpetreel/streams/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -8,14 +8,8 @@
 
 if TYPE_CHECKING:
     from limpetreel.configuration import route
-    from limpetreel.streams import (
-        capacity,
-        flow_set,
-        opening_queue,
-        route_table,
-        start_rate,
-        upstream_state,
-    )
+    from limpetreel.streams import flow_set, route_table, upstream_state
+    from limpetreel.streams.serving import capacity, opening_queue, start_rate
 
 HANDSHAKE_SECONDS = 0.02
 """Part of the answer time that the handshake and the transfer of the answer take."""
--- a/src/limpetreel/streams/opening_queue.py
+++ b/src/limpetreel/streams/serving/opening_queue.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from limpetreel.streams import waiting_flow
+    from limpetreel.streams.serving import waiting_flow
 
 MAX_WAITING = 512
 """Bounds the memory. Callers would time out before a longer queue is served."""
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -8,18 +8,13 @@
 from limpetreel.core import core, failure
 from limpetreel.node import tick
 from limpetreel.streams import (
-    capacity,
-    flow_admission,
     flow_phase,
     flow_set,
     held_flows,
-    opening_queue,
     owned_flow,
     route_table,
-    start_rate,
     stream_key,
     upstream_state,
-    waiting_flow,
 )
 from limpetreel.streams.actions import (
     histogram_sample,
@@ -51,6 +46,13 @@
     stream_codec,
     verdict,
 )
+from limpetreel.streams.serving import (
+    capacity,
+    flow_admission,
+    opening_queue,
+    start_rate,
+    waiting_flow,
+)
 
 if TYPE_CHECKING:
     import msgspec
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -15,7 +15,7 @@
 MUTANTS = [
     (
         "flows wait for as long as the caller",
-        _SOURCE + "flow_admission.py",
+        _SOURCE + "serving/flow_admission.py",
         "matched_route.answer_ms / 1000 - service - HANDSHAKE_SECONDS\n",
         "matched_route.timeout_ms / 1000\n",
         _LOAD + "test_overload_is_served_up_to_capacity",
@@ -109,10 +109,10 @@
     ),
     (
         "start rate records no flow",
-        _SOURCE + "start_rate.py",
+        _SOURCE + "serving/start_rate.py",
         "        self._times.append(now)\n",
         "",
-        "tests.streams.test_start_rate.test_no_sliding_second_exceeds_the_rate",
+        "tests.streams.serving.test_start_rate.test_no_sliding_second_exceeds_the_rate",
     ),
     (
         "entry resets flows without a complete list of agents",
--- a/tests/streams/test_start_rate.py
+++ b/tests/streams/serving/test_start_rate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limpetreel.streams import start_rate
+from limpetreel.streams.serving import start_rate
 from tests import fixtures
 
 load_tests = fixtures.load_functions(globals())
