Report open flows, utilisation and length of flows in verdicts

Cause: entries place a flow by the expected wait of the moment, so an upstream gets as many long flows in a quiet moment as a short flow would justify. Change: Verdict gains flows, utilisation and is_long at its end, with defaults. SlotOccupancy follows which requests are in service (first in, first out beyond the slots), Utilisation averages their share of slot time with a time constant of 2 s, FlowLengths learns by route whether flows carry several requests. The mutant of the longest wait names the changed line. tests.streams and tests.platform pass.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from limpetreel.streams import flow_phase, owned_flow
 
+if TYPE_CHECKING:
+    from limpetreel.streams.serving import slot_occupancy
+
 CLOSED_SECONDS = 3.0
 """Time for which the last packets of a closed flow are still forwarded; the interval
 of retransmission grows up to 1.6 s."""
@@ -19,9 +24,16 @@
 
 
 class FlowSet:
-    """Flows by key, and the number of them that occupy a slot of the upstream."""
+    """Flows by key, and the number of them that occupy a slot of the upstream.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    slots : SlotOccupancy
+        Follows the requests at the upstream.
+    """
+
+    def __init__(self, slots: slot_occupancy.SlotOccupancy) -> None:
+        self._slots = slots
         self._flows: dict[bytes, owned_flow.OwnedFlow] = {}
         self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
         self._occupying: set[owned_flow.OwnedFlow] = set()
@@ -49,7 +61,7 @@
         self, key: bytes, now: float, phase: flow_phase.FlowPhase
     ) -> owned_flow.OwnedFlow:
         """Add a flow."""
-        flow = owned_flow.OwnedFlow(now, phase)
+        flow = owned_flow.OwnedFlow(key, now, phase)
         self._flows[key] = flow
         if phase in _OCCUPYING:
             self._occupying.add(flow)
@@ -61,6 +73,11 @@
         self, flow: owned_flow.OwnedFlow, phase: flow_phase.FlowPhase, now: float
     ) -> None:
         """Change the phase of a flow."""
+        working = flow_phase.FlowPhase.WORKING
+        if phase is working and flow.phase is not working:
+            self._slots.begin(now, flow, now)
+        elif flow.phase is working and phase is not working:
+            self._slots.end(now, flow)
         if phase in _OCCUPYING:
             self._occupying.add(flow)
         else:
@@ -73,6 +90,7 @@
         flow = self._flows.pop(key, None)
         if flow is not None:
             self._occupying.discard(flow)
+            self._slots.forget(flow)
         self._offered.pop(key, None)
 
     def clear(self) -> list[tuple[bytes, owned_flow.OwnedFlow]]:
@@ -81,6 +99,7 @@
         self._flows.clear()
         self._offered.clear()
         self._occupying.clear()
+        self._slots.clear()
         return lost
 
     def take_unanswered(
@@ -117,8 +136,8 @@
             if _is_stalled(flow, now, opening_seconds, working_seconds):
                 self.move(flow, flow_phase.FlowPhase.IDLE, now)
 
-    def sweep(self, now: float, idle_seconds: float) -> None:
-        """Remove flows that have ended.
+    def sweep(self, now: float, idle_seconds: float) -> list[owned_flow.OwnedFlow]:
+        """Remove and return flows that have ended.
 
         Parameters
         ----------
@@ -128,16 +147,17 @@
             Time without packets after which a flow is removed; 0 for never.
         """
         if now - self._swept_at < SWEEP_SECONDS:
-            return
+            return []
         self._swept_at = now
         expired = []
-        for key, flow in self._flows.items():
+        for flow in self._flows.values():
             idle = now - flow.last_at
             is_over = flow.is_closed and idle > CLOSED_SECONDS
             if is_over or (idle_seconds and idle > idle_seconds):
-                expired.append(key)
-        for key in expired:
-            self.remove(key)
+                expired.append(flow)
+        for flow in expired:
+            self.remove(flow.key)
+        return expired
 
 
 def _is_stalled(
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -8,6 +8,8 @@
     from limpetreel.streams import flow_phase
 
 
+ROUTE_BYTES = slice(6, 12)
+"""Part of a key that names the service address; see `stream_key`."""
 _SEQUENCE_MASK = 0xFFFFFFFF
 
 
@@ -19,6 +21,8 @@
 
     Parameters
     ----------
+    key : bytes
+        Identifies the flow, see `stream_key`.
     now : float
         Time of the opening packet.
     phase : FlowPhase
@@ -34,14 +38,17 @@
         "has_upstream_fin",
         "is_confirmed",
         "is_established",
+        "key",
         "last_at",
         "offer_id",
         "phase",
         "phase_at",
+        "requests",
         "upstream_end",
     )
 
-    def __init__(self, now: float, phase: flow_phase.FlowPhase) -> None:
+    def __init__(self, key: bytes, now: float, phase: flow_phase.FlowPhase) -> None:
+        self.key = key
         self.phase = phase
         self.phase_at = now
         self.last_at = now
@@ -51,6 +58,7 @@
         self.upstream_end = 0
         self.caller_end: int | None = None
         self.caller_ack = 0
+        self.requests = 0
         self.is_confirmed = False
         self.is_established = False
         self.has_caller_fin = False
@@ -77,6 +85,11 @@
         assert self.first_sequence is not None
         return (number - self.first_sequence) & _SEQUENCE_MASK
 
+    @property
+    def route_address(self) -> bytes:
+        """Return the address that the flow was opened to."""
+        return self.key[ROUTE_BYTES]
+
     @property
     def is_closed(self) -> bool:
         """Return whether both ends have closed the flow."""
--- a/src/limpetreel/streams/serving/capacity.py
+++ b/src/limpetreel/streams/serving/capacity.py
@@ -37,6 +37,14 @@
         share = self._opening_seconds / max(self.service_seconds, 0.001)
         return self.slots + min(self.slots, max(1, math.ceil(self.slots * share)))
 
+    def response_seconds(self) -> float:
+        """Return the expected time from a request to its answer at the limit.
+
+        It contains the wait in the upstream's own queue behind the flows that exceed
+        the slots.
+        """
+        return self.service_seconds * self.limit() / max(1, self.slots)
+
     def wait_seconds(self, ahead: int) -> float:
         """Return the expected wait behind a number of flows over the limit."""
         return (ahead + 1) * self.service_seconds / max(1, self.slots)
--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -14,7 +14,7 @@
 HANDSHAKE_SECONDS = 0.02
 """Part of the answer time that the handshake and the transfer of the answer take."""
 LONG_SERVICE_FACTOR = 3
-"""Service time of a long request as a multiple of the mean; few take longer."""
+"""Time of a long request at the upstream as a multiple of the mean; few take longer."""
 MAX_WAIT_SECONDS = 1.2
 """Callers time out an attempt after 1.4 s; the difference is for the handshake."""
 
@@ -101,8 +101,8 @@
         Few callers still wait for a later answer, and the slot that it occupies delays
         the flows behind it as well.
         """
-        service = LONG_SERVICE_FACTOR * self._capacity.service_seconds
-        spare = matched_route.answer_ms / 1000 - service - HANDSHAKE_SECONDS
+        response = LONG_SERVICE_FACTOR * self._capacity.response_seconds()
+        spare = matched_route.answer_ms / 1000 - response - HANDSHAKE_SECONDS
         return min(MAX_WAIT_SECONDS, max(0.0, spare))
 
     def wait_seconds(self, priority: int) -> float:
--- /dev/null
+++ b/src/limpetreel/streams/serving/slot_occupancy.py
@@ -0,0 +1,89 @@
+"""Requests that occupy the upstream's slots, and those in its own queue."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.streams.serving import utilisation
+
+if TYPE_CHECKING:
+    from limpetreel.streams import owned_flow
+    from limpetreel.streams.serving import capacity
+
+
+class SlotOccupancy:
+    """Follows which requests the upstream processes.
+
+    An upstream with free slots starts a request when it ends; otherwise the request
+    waits in the upstream's queue, first in, first out. The time in that queue is no
+    service time.
+
+    Parameters
+    ----------
+    capacity : Capacity
+        Tells the number of slots.
+    """
+
+    def __init__(self, capacity: capacity.Capacity) -> None:
+        self._capacity = capacity
+        self._serving: dict[owned_flow.OwnedFlow, float] = {}
+        self._queued: dict[owned_flow.OwnedFlow, None] = {}
+        self._utilisation = utilisation.Utilisation()
+        self._changed_at = 0.0
+
+    def begin(self, now: float, flow: owned_flow.OwnedFlow, ended_at: float) -> None:
+        """Record that a request is complete at the upstream.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        flow : OwnedFlow
+            Flow of the request.
+        ended_at : float
+            Time of its last data, which may be known later than it was.
+        """
+        if len(self._serving) < self._capacity.slots:
+            self._serving[flow] = ended_at
+            self._record(now)
+        else:
+            self._queued[flow] = None
+
+    def end(self, now: float, flow: owned_flow.OwnedFlow) -> float | None:
+        """Record the start of a response, or that a request is abandoned.
+
+        Returns
+        -------
+        float or None
+            Service time in seconds; None if the request was not in service, as when
+            the upstream sheds it.
+        """
+        started_at = self._serving.pop(flow, None)
+        if started_at is None:
+            self._queued.pop(flow, None)
+            return None
+        while self._queued and len(self._serving) < self._capacity.slots:
+            following = next(iter(self._queued))
+            del self._queued[following]
+            self._serving[following] = now
+        self._record(now)
+        return now - started_at
+
+    def forget(self, flow: owned_flow.OwnedFlow) -> None:
+        """Remove a flow that the upstream does not hold any more."""
+        self.end(max(self._changed_at, flow.last_at), flow)
+
+    def clear(self) -> None:
+        """Remove all flows."""
+        self._serving.clear()
+        self._queued.clear()
+        self._record(self._changed_at)
+
+    def utilisation(self, now: float) -> int:
+        """Return the share of slot time of the last seconds in service, in percent."""
+        return self._utilisation.percent(now)
+
+    def _record(self, now: float) -> None:
+        self._changed_at = now
+        share = len(self._serving) / max(1, self._capacity.slots)
+        self._utilisation.record(now, min(1.0, share))
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -44,13 +44,16 @@
     search,
     sought,
     stream_codec,
-    verdict,
 )
 from limpetreel.streams.serving import (
     capacity,
     flow_admission,
+    flow_lengths,
     opening_queue,
+    request_tracker,
+    slot_occupancy,
     start_rate,
+    verdict_writer,
     waiting_flow,
 )
 
@@ -70,8 +73,6 @@
 MAX_OPENING_SECONDS = 0.15
 """Time after which an open flow without a request no longer occupies a slot. A live
 caller sends its request within one round trip."""
-SEQUENCE_WINDOW = 1 << 24
-"""Bytes by which new data may be ahead of the last data of the caller."""
 
 
 class StreamAgentCore(core.Core):
@@ -107,11 +108,13 @@
         self._data_centre = data_centre
         self._view = fleet_view.FleetView()
         self._routes: route_table.RouteTable | None = None
-        self._flows = flow_set.FlowSet()
+        self._now = now
+        self._capacity = capacity.Capacity()
+        self._slots = slot_occupancy.SlotOccupancy(self._capacity)
+        self._flows = flow_set.FlowSet(self._slots)
         # The upstream may hold flows that were opened before this process restarted.
         self._held = held_flows.HeldFlows(self._flows, now + max_flow_seconds)
         self._queue = opening_queue.OpeningQueue()
-        self._capacity = capacity.Capacity()
         self._starts = start_rate.StartRate()
         self._queue_number = 0
         self.upstream = upstream_state.UpstreamState(announcement_seconds)
@@ -123,9 +126,25 @@
             self._starts,
             self.upstream,
         )
-        self.outcomes: dict[str, int] = {}
+        lengths = flow_lengths.FlowLengths()
+        self._requests = request_tracker.RequestTracker(
+            self._flows, self._slots, self._capacity, lengths
+        )
+        self._verdicts = verdict_writer.VerdictWriter(
+            self._flows,
+            self._queue,
+            self._capacity,
+            self._admission,
+            self._slots,
+            lengths,
+        )
         self.dropped: dict[str, int] = {}
 
+    @property
+    def outcomes(self) -> dict[str, int]:
+        """Return the number of answers to offers by outcome."""
+        return self._verdicts.outcomes
+
     @property
     def slots(self) -> int:
         """Return the number of requests that the upstream processes concurrently."""
@@ -149,6 +168,7 @@
 
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Handle one event; see `core.Core.handle`."""
+        self._now = now
         if isinstance(event, node_datagram.NodeDatagram):
             return self._from_node(now, event)
         if isinstance(event, upstream_packet.UpstreamPacket):
@@ -256,7 +276,7 @@
         for waiting in self._queue.take_expired(now):
             actions.append(self._refuse(waiting, outcome.Outcome.BUSY))
         idle = self._routes.idle_seconds if self._routes is not None else 0.0
-        self._flows.sweep(now, idle)
+        self._requests.record_removed(self._flows.sweep(now, idle))
         # All callers of a request have timed out after the longest time limit.
         working = self._routes.longest_timeout_seconds if self._routes else 0.0
         self._flows.release_stalled(now, MAX_OPENING_SECONDS, working)
@@ -327,36 +347,9 @@
     def _forward(self, now: float, segment: segment.Segment) -> Actions:
         flow = self._flows.get(segment.flow)
         if flow is not None:
-            self._record_caller_packet(now, flow, segment)
+            self._requests.record_caller_packet(now, flow, segment)
         return [send_upstream.SendUpstream(segment.data)]
 
-    def _record_caller_packet(
-        self, now: float, flow: owned_flow.OwnedFlow, segment: segment.Segment
-    ) -> None:
-        flow.last_at = now
-        if segment.is_ack:
-            flow.is_confirmed = True
-            flow.caller_ack = segment.ack
-        flow.has_caller_fin = flow.has_caller_fin or segment.is_fin or segment.is_reset
-        if segment.is_reset:
-            flow.has_upstream_fin = True
-        if segment.size and self._is_new_data(flow, segment):
-            flow.caller_end = (segment.sequence + segment.size) & 0xFFFFFFFF
-            if flow.phase is flow_phase.FlowPhase.OPENING:
-                self._capacity.record_opening_time(now - flow.phase_at)
-            if flow.phase is not flow_phase.FlowPhase.WORKING:
-                self._flows.move(flow, flow_phase.FlowPhase.WORKING, now)
-        if flow.is_closed:
-            self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
-
-    def _is_new_data(
-        self, flow: owned_flow.OwnedFlow, segment: segment.Segment
-    ) -> bool:
-        if flow.caller_end is None:
-            return True
-        ahead = (segment.sequence + segment.size - flow.caller_end) & 0xFFFFFFFF
-        return 0 < ahead < SEQUENCE_WINDOW
-
     def _from_upstream(self, now: float, data: bytes) -> Actions:
         segment = self._codec.from_upstream(data)
         if isinstance(segment, failure.Failure):
@@ -373,7 +366,7 @@
         probed = self._held.take_probe(segment.flow)
         if probed is not None:
             # The entry forwards the packet once more, which is no new request then.
-            self._record_caller_packet(now, flow, probed.segment)
+            self._requests.record_caller_packet(now, flow, probed.segment)
             reply = holdings.Holdings(owned=(segment.flow,))
             actions.append(_node(probed.source, reply))
         return actions + self._record_upstream_packet(now, flow, segment)
@@ -395,12 +388,10 @@
         if segment.is_fin or segment.is_reset:
             flow.has_upstream_fin = True
             flow.has_caller_fin = flow.has_caller_fin or segment.is_reset
-        has_answered = segment.size > 0 and flow.phase is flow_phase.FlowPhase.WORKING
-        if has_answered:
-            seconds = now - flow.phase_at
-            self._capacity.record_service_time(seconds)
+        seconds = self._requests.record_response(now, flow) if segment.size else None
+        if seconds is not None:
             actions.append(histogram_sample.HistogramSample("service_seconds", seconds))
-        if has_answered or flow.is_closed:
+        if flow.is_closed:
             self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
         return actions + self._serve_waiting(now) if len(self._queue) else actions
 
@@ -443,7 +434,11 @@
         if flow is not None:
             return self._repeat(source, message, flow)
         if segment.flow in self._queue:
-            return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
+            return [
+                self._verdict(
+                    source, message.offer_id, segment.flow, outcome.Outcome.QUEUED
+                )
+            ]
         refusal = self._admission.refusal(
             now, segment.flow, message.version, self.is_accepting(now)
         )
@@ -459,8 +454,12 @@
             and self._admission.can_wait(matched_route)
         ):
             self._wait(now, source, message, segment.flow, matched_route)
-            return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
-        return [self._verdict(source, message.offer_id, refusal)]
+            return [
+                self._verdict(
+                    source, message.offer_id, segment.flow, outcome.Outcome.QUEUED
+                )
+            ]
+        return [self._verdict(source, message.offer_id, segment.flow, refusal)]
 
     def _repeat(
         self, source: Address, message: offer.Offer, flow: owned_flow.OwnedFlow
@@ -468,7 +467,9 @@
         """Forward a repeated opening packet; the answer to it may have been lost."""
         if flow.phase is flow_phase.FlowPhase.OFFERED:
             flow.entry, flow.offer_id = source, message.offer_id
-        accepted = self._verdict(source, message.offer_id, outcome.Outcome.ACCEPTED)
+        accepted = self._verdict(
+            source, message.offer_id, flow.key, outcome.Outcome.ACCEPTED
+        )
         if flow.is_confirmed:
             return [accepted]
         return [send_upstream.SendUpstream(message.packet), accepted]
@@ -518,28 +519,17 @@
     def _refuse(
         self, waiting: waiting_flow.WaitingFlow, reason: outcome.Outcome
     ) -> msgspec.Struct:
-        return self._verdict(waiting.entry, waiting.offer_id, reason)
+        return self._verdict(waiting.entry, waiting.offer_id, waiting.flow, reason)
 
     def _answer(
         self, flow: owned_flow.OwnedFlow, result: outcome.Outcome
     ) -> msgspec.Struct:
-        return self._verdict(flow.entry, flow.offer_id, result)
+        return self._verdict(flow.entry, flow.offer_id, flow.key, result)
 
     def _verdict(
-        self, target: Address, offer_id: int, result: outcome.Outcome
+        self, target: Address, offer_id: int, flow: bytes, result: outcome.Outcome
     ) -> msgspec.Struct:
-        self.outcomes[result.name] = self.outcomes.get(result.name, 0) + 1
-        limit = self._capacity.limit()
-        occupied = self._flows.occupied + len(self._queue)
-        wait = self._admission.wait_seconds(0) if occupied >= limit else 0.0
-        message = verdict.Verdict(
-            offer_id,
-            result,
-            int(wait * 1000),
-            int(self._capacity.service_seconds * 1000),
-            100 * occupied // limit,
-        )
-        return _node(target, message)
+        return self._verdicts.write(self._now, target, offer_id, flow, result)
 
 
 def _node(target: Address, message: stream_codec.Message) -> msgspec.Struct:
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -16,7 +16,7 @@
     (
         "flows wait for as long as the caller",
         _SOURCE + "serving/flow_admission.py",
-        "matched_route.answer_ms / 1000 - service - HANDSHAKE_SECONDS\n",
+        "matched_route.answer_ms / 1000 - response - HANDSHAKE_SECONDS\n",
         "matched_route.timeout_ms / 1000\n",
         _LOAD + "test_overload_is_served_up_to_capacity",
     ),
