Count a slot as held from the end of a request

Cause: an upload of 40 kB occupied a slot from its first byte and its transfer counted as service time, so agents expected waits of 0.45 s for requests of 5 ms and refused them. Change: a flow is RECEIVING while its request arrives, which holds no slot. A packet that is not full ends the request, or 30 ms without data. Skipped packets are noted (PacketGaps): a request of which some are missing has not ended, however long the silence. Beyond 64 flows that send requests each further one counts as a slot. Pattern: 50 uploads a second of 34 packets over 150 to 800 ms to four upstreams of three slots.

--- a/src/limpetreel/platform/segment_format.py
+++ b/src/limpetreel/platform/segment_format.py
@@ -25,6 +25,8 @@
 class SegmentFormat(segment_codec.SegmentCodec):
     """Codec of packets between callers and upstreams."""
 
+    max_data_bytes = MAX_DATA_BYTES
+
     def from_caller(self, data: bytes) -> segment.Segment | failure.Failure:
         """Return a packet that a caller sent, or that an upstream returned."""
         return _decode(data, is_from_caller=True)
--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -7,12 +7,17 @@
 from limpetreel.streams import flow_phase, owned_flow
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from limpetreel.streams.serving import slot_occupancy
 
 CLOSED_SECONDS = 3.0
 """Time for which the last packets of a closed flow are still forwarded; the interval
 of retransmission grows up to 1.6 s."""
 SWEEP_SECONDS = 1.0
+MAX_RECEIVING = 64
+"""Flows that may send a request concurrently without occupying slots. Requests of
+240 kB then take 15 MB of the upstream; 50 uploads a second are about 40 at once."""
 
 _OCCUPYING = frozenset(
     (
@@ -37,6 +42,7 @@
         self._flows: dict[bytes, owned_flow.OwnedFlow] = {}
         self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
         self._occupying: set[owned_flow.OwnedFlow] = set()
+        self._receiving: set[owned_flow.OwnedFlow] = set()
         self._swept_at = 0.0
 
     def __len__(self) -> int:
@@ -46,7 +52,12 @@
     @property
     def occupied(self) -> int:
         """Return the number of flows that occupy a slot of the upstream."""
-        return len(self._occupying)
+        return len(self._occupying) + max(0, len(self._receiving) - MAX_RECEIVING)
+
+    @property
+    def receiving(self) -> Set[owned_flow.OwnedFlow]:
+        """Return the flows whose request is still arriving."""
+        return self._receiving
 
     @property
     def offered(self) -> int:
@@ -75,13 +86,17 @@
         """Change the phase of a flow."""
         working = flow_phase.FlowPhase.WORKING
         if phase is working and flow.phase is not working:
-            self._slots.begin(now, flow, now)
+            self._slots.begin(now, flow)
         elif flow.phase is working and phase is not working:
             self._slots.end(now, flow)
         if phase in _OCCUPYING:
             self._occupying.add(flow)
         else:
             self._occupying.discard(flow)
+        if phase is flow_phase.FlowPhase.RECEIVING:
+            self._receiving.add(flow)
+        elif flow.phase is flow_phase.FlowPhase.RECEIVING:
+            self._receiving.discard(flow)
         flow.phase = phase
         flow.phase_at = now
 
@@ -90,6 +105,7 @@
         flow = self._flows.pop(key, None)
         if flow is not None:
             self._occupying.discard(flow)
+            self._receiving.discard(flow)
             self._slots.forget(flow)
         self._offered.pop(key, None)
 
@@ -99,6 +115,7 @@
         self._flows.clear()
         self._offered.clear()
         self._occupying.clear()
+        self._receiving.clear()
         self._slots.clear()
         return lost
 
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from limpetreel.streams import flow_phase
+    from limpetreel.streams.serving import packet_gaps
 
 
 ROUTE_BYTES = slice(6, 12)
@@ -17,7 +18,9 @@
     """State of one flow.
 
     Its attribute `is_established` tells whether the upstream has sent a packet after
-    the handshake, which shows that it took the caller's last packet of it.
+    the handshake, which shows that it took the caller's last packet of it. Of the
+    latest request, `data_at` is the time of its last data, `gaps` are its missing
+    packets and `has_last_packet` tells whether the packet that ends it has come.
 
     Parameters
     ----------
@@ -32,9 +35,12 @@
     __slots__ = (
         "caller_ack",
         "caller_end",
+        "data_at",
         "entry",
         "first_sequence",
+        "gaps",
         "has_caller_fin",
+        "has_last_packet",
         "has_upstream_fin",
         "is_confirmed",
         "is_established",
@@ -59,6 +65,9 @@
         self.caller_end: int | None = None
         self.caller_ack = 0
         self.requests = 0
+        self.data_at = now
+        self.gaps: packet_gaps.PacketGaps | None = None
+        self.has_last_packet = False
         self.is_confirmed = False
         self.is_established = False
         self.has_caller_fin = False
--- a/src/limpetreel/streams/segment_codec.py
+++ b/src/limpetreel/streams/segment_codec.py
@@ -11,7 +11,12 @@
 
 
 class SegmentCodec(abc.ABC):
-    """Reads and writes packets of flows."""
+    """Reads and writes packets of flows.
+
+    Its attribute `max_data_bytes` is the size of the data in a full packet.
+    """
+
+    max_data_bytes: int
 
     @abc.abstractmethod
     def from_caller(self, data: bytes) -> segment.Segment | failure.Failure:
--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.streams import flow_phase
+from limpetreel.streams.serving import packet_gaps
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -14,7 +15,12 @@
 
 SEQUENCE_WINDOW = 1 << 24
 """Bytes by which new data may be ahead of the last data of the caller."""
+SILENCE_SECONDS = 0.03
+"""Time without further data after which a request of full packets has ended."""
 _SEQUENCE_MASK = 0xFFFFFFFF
+_REQUEST_PHASES = frozenset(
+    (flow_phase.FlowPhase.RECEIVING, flow_phase.FlowPhase.WORKING)
+)
 
 
 class RequestTracker:
@@ -30,6 +36,8 @@
         Takes the measured times.
     lengths : FlowLengths
         Learns whether flows carry several requests.
+    full_bytes : int
+        Data of a full packet; a smaller packet ends a request.
     """
 
     def __init__(
@@ -38,11 +46,13 @@
         slots: slot_occupancy.SlotOccupancy,
         capacity: capacity.Capacity,
         lengths: flow_lengths.FlowLengths,
+        full_bytes: int,
     ) -> None:
         self._flows = flows
         self._slots = slots
         self._capacity = capacity
         self._lengths = lengths
+        self._full_bytes = full_bytes
 
     def record_caller_packet(
         self, now: float, flow: owned_flow.OwnedFlow, segment: segment.Segment
@@ -55,8 +65,11 @@
         flow.has_caller_fin = flow.has_caller_fin or segment.is_fin or segment.is_reset
         if segment.is_reset:
             flow.has_upstream_fin = True
-        if segment.size and is_new_data(flow, segment):
-            self._record_data(now, flow, segment)
+        if segment.size:
+            if is_new_data(flow, segment):
+                self._record_data(now, flow, segment)
+            else:
+                self._fill_gap(now, flow, segment)
         if flow.is_closed:
             self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
 
@@ -65,9 +78,13 @@
 
         It is None if the data does not start the response to a request in service.
         """
-        if flow.phase is not flow_phase.FlowPhase.WORKING:
+        if flow.phase not in _REQUEST_PHASES:
             return None
-        seconds = self._slots.end(now, flow)
+        if flow.phase is flow_phase.FlowPhase.RECEIVING:
+            # The upstream knew the end of the request before the agent did.
+            seconds = None if flow.gaps else now - flow.data_at
+        else:
+            seconds = self._slots.end(now, flow)
         if seconds is not None:
             self._capacity.record_service_time(seconds)
         self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
@@ -79,18 +96,63 @@
             if flow.requests == 1:
                 self._lengths.record(flow.route_address, has_several=False)
 
+    def end_silent(self, now: float) -> None:
+        """End the requests whose data has stopped without a packet that is not full.
+
+        A request of which packets are missing has not ended: its caller sends them
+        again, and the upstream waits for them.
+        """
+        silent = [
+            flow
+            for flow in self._flows.receiving
+            if now - flow.data_at >= SILENCE_SECONDS and not flow.gaps
+        ]
+        for flow in silent:
+            self._flows.move(flow, flow_phase.FlowPhase.WORKING, now)
+
     def _record_data(
         self, now: float, flow: owned_flow.OwnedFlow, segment: segment.Segment
     ) -> None:
-        flow.caller_end = (segment.sequence + segment.size) & _SEQUENCE_MASK
+        """Record data that is ahead of all data before it."""
         if flow.phase is flow_phase.FlowPhase.OPENING:
             self._capacity.record_opening_time(now - flow.phase_at)
-        if flow.phase is flow_phase.FlowPhase.WORKING:
-            return
+        if flow.phase not in _REQUEST_PHASES:
+            self._record_start(flow)
+        self._record_gap(flow, segment)
+        flow.caller_end = (segment.sequence + segment.size) & _SEQUENCE_MASK
+        flow.has_last_packet = segment.size < self._full_bytes
+        flow.data_at = now
+        self._update_phase(now, flow)
+
+    def _record_start(self, flow: owned_flow.OwnedFlow) -> None:
+        flow.gaps = None
         flow.requests += 1
         if flow.requests == 2:  # each flow counts once
             self._lengths.record(flow.route_address, has_several=True)
-        self._flows.move(flow, flow_phase.FlowPhase.WORKING, now)
+
+    def _record_gap(self, flow: owned_flow.OwnedFlow, segment: segment.Segment) -> None:
+        if flow.caller_end is None:
+            return
+        skipped = (segment.sequence - flow.caller_end) & _SEQUENCE_MASK
+        if 0 < skipped < SEQUENCE_WINDOW:
+            flow.gaps = flow.gaps or packet_gaps.PacketGaps()
+            flow.gaps.add(flow.caller_end, segment.sequence)
+
+    def _fill_gap(
+        self, now: float, flow: owned_flow.OwnedFlow, segment: segment.Segment
+    ) -> None:
+        if flow.gaps is None or not flow.gaps.fill(segment.sequence, segment.size):
+            return
+        if flow.phase in _REQUEST_PHASES:
+            flow.data_at = now
+            self._update_phase(now, flow)
+
+    def _update_phase(self, now: float, flow: owned_flow.OwnedFlow) -> None:
+        phase = flow_phase.FlowPhase.RECEIVING
+        if flow.has_last_packet and not flow.gaps:
+            phase = flow_phase.FlowPhase.WORKING
+        if flow.phase is not phase:
+            self._flows.move(flow, phase, now)
 
 
 def is_new_data(flow: owned_flow.OwnedFlow, segment: segment.Segment) -> bool:
--- a/src/limpetreel/streams/serving/slot_occupancy.py
+++ b/src/limpetreel/streams/serving/slot_occupancy.py
@@ -31,20 +31,10 @@
         self._utilisation = utilisation.Utilisation()
         self._changed_at = 0.0
 
-    def begin(self, now: float, flow: owned_flow.OwnedFlow, ended_at: float) -> None:
-        """Record that a request is complete at the upstream.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        flow : OwnedFlow
-            Flow of the request.
-        ended_at : float
-            Time of its last data, which may be known later than it was.
-        """
+    def begin(self, now: float, flow: owned_flow.OwnedFlow) -> None:
+        """Record that the request of a flow is complete at the upstream."""
         if len(self._serving) < self._capacity.slots:
-            self._serving[flow] = ended_at
+            self._serving[flow] = flow.data_at
             self._record(now)
         else:
             self._queued[flow] = None
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -128,7 +128,7 @@
         )
         lengths = flow_lengths.FlowLengths()
         self._requests = request_tracker.RequestTracker(
-            self._flows, self._slots, self._capacity, lengths
+            self._flows, self._slots, self._capacity, lengths, codec.max_data_bytes
         )
         self._verdicts = verdict_writer.VerdictWriter(
             self._flows,
@@ -157,8 +157,8 @@
 
     @property
     def needs_tick_soon(self) -> bool:
-        """Return whether a flow waits for an answer or a slot."""
-        return bool(self._flows.offered or len(self._queue))
+        """Return whether a flow waits for an answer or a slot, or sends a request."""
+        return bool(self._flows.offered or self._flows.receiving or len(self._queue))
 
     def is_accepting(self, now: float) -> bool:
         """Return whether the upstream accepts new flows."""
@@ -280,6 +280,7 @@
         # All callers of a request have timed out after the longest time limit.
         working = self._routes.longest_timeout_seconds if self._routes else 0.0
         self._flows.release_stalled(now, MAX_OPENING_SECONDS, working)
+        self._requests.end_silent(now)
         self._held.sweep(now)
         return actions + self._serve_waiting(now)
 
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -11,6 +11,8 @@
 _OWNERSHIP = "tests.streams.test_flow_ownership."
 _ENDED = "tests.streams.test_ended_flows."
 _UPSTREAM = "tests.streams.test_upstream_state."
+_LARGE = "tests.streams.serving.test_large_requests."
+_TRACKER = "tests.streams.serving.test_request_tracker."
 
 MUTANTS = [
     (
@@ -150,4 +152,39 @@
         _ENDED
         + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
     ),
+    (
+        "request that still arrives occupies a slot",
+        _SOURCE + "serving/request_tracker.py",
+        "        if flow.has_last_packet and not flow.gaps:\n",
+        "        if True:\n",
+        _LARGE + "test_uploads_are_not_refused_while_slots_are_free",
+    ),
+    (
+        "request of full packets does not end",
+        _SOURCE + "serving/request_tracker.py",
+        "if now - flow.data_at >= SILENCE_SECONDS and not flow.gaps",
+        "if False",
+        _TRACKER + "test_request_of_full_packets_ends_after_a_silence",
+    ),
+    (
+        "request with missing packets ends after a silence",
+        _SOURCE + "serving/request_tracker.py",
+        "SILENCE_SECONDS and not flow.gaps",
+        "SILENCE_SECONDS",
+        _TRACKER + "test_packet_that_fills_a_gap_starts_no_request_and_may_end_one",
+    ),
+    (
+        "any number of flows may send requests",
+        _SOURCE + "flow_set.py",
+        "len(self._occupying) + max(0, len(self._receiving) - MAX_RECEIVING)",
+        "len(self._occupying)",
+        _TRACKER + "test_flows_that_send_a_request_are_bounded",
+    ),
+    (
+        "wait in the upstream's queue counts as service time",
+        _SOURCE + "serving/slot_occupancy.py",
+        "            self._serving[following] = now\n",
+        "            self._serving[following] = following.data_at\n",
+        _TRACKER + "test_wait_in_the_queue_of_the_upstream_is_no_service_time",
+    ),
 ]
