--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from limpetreel.streams import flow_phase, owned_flow
 
+if TYPE_CHECKING:
+    from collections.abc import Set
+
+    from limpetreel.streams.serving import slot_occupancy
+
 CLOSED_SECONDS = 3.0
 """Time for which the last packets of a closed flow are still forwarded; the interval
 of retransmission grows up to 1.6 s."""
 SWEEP_SECONDS = 1.0
+MAX_RECEIVING = 64
+"""Flows that may send a request concurrently without occupying slots. Requests of
+240 kB then take 15 MB of the upstream; 50 uploads a second are about 40 at once."""
 
 _OCCUPYING = frozenset(
     (
@@ -19,12 +29,20 @@
 
 
 class FlowSet:
-    """Flows by key, and the number of them that occupy a slot of the upstream."""
+    """Flows by key, and the number of them that occupy a slot of the upstream.
+
+    Parameters
+    ----------
+    slots : SlotOccupancy
+        Follows the requests at the upstream.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, slots: slot_occupancy.SlotOccupancy) -> None:
+        self._slots = slots
         self._flows: dict[bytes, owned_flow.OwnedFlow] = {}
         self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
         self._occupying: set[owned_flow.OwnedFlow] = set()
+        self._receiving: set[owned_flow.OwnedFlow] = set()
         self._swept_at = 0.0
 
     def __len__(self) -> int:
@@ -34,7 +52,12 @@
     @property
     def occupied(self) -> int:
         """Return the number of flows that occupy a slot of the upstream."""
-        return len(self._occupying)
+        return len(self._occupying) + max(0, len(self._receiving) - MAX_RECEIVING)
+
+    @property
+    def receiving(self) -> Set[owned_flow.OwnedFlow]:
+        """Return the flows whose request is still arriving."""
+        return self._receiving
 
     @property
     def offered(self) -> int:
@@ -49,7 +72,7 @@
         self, key: bytes, now: float, phase: flow_phase.FlowPhase
     ) -> owned_flow.OwnedFlow:
         """Add a flow."""
-        flow = owned_flow.OwnedFlow(now, phase)
+        flow = owned_flow.OwnedFlow(key, now, phase)
         self._flows[key] = flow
         if phase in _OCCUPYING:
             self._occupying.add(flow)
@@ -61,10 +84,19 @@
         self, flow: owned_flow.OwnedFlow, phase: flow_phase.FlowPhase, now: float
     ) -> None:
         """Change the phase of a flow."""
+        working = flow_phase.FlowPhase.WORKING
+        if phase is working and flow.phase is not working:
+            self._slots.begin(now, flow)
+        elif flow.phase is working and phase is not working:
+            self._slots.end(now, flow)
         if phase in _OCCUPYING:
             self._occupying.add(flow)
         else:
             self._occupying.discard(flow)
+        if phase is flow_phase.FlowPhase.RECEIVING:
+            self._receiving.add(flow)
+        elif flow.phase is flow_phase.FlowPhase.RECEIVING:
+            self._receiving.discard(flow)
         flow.phase = phase
         flow.phase_at = now
 
@@ -73,6 +105,8 @@
         flow = self._flows.pop(key, None)
         if flow is not None:
             self._occupying.discard(flow)
+            self._receiving.discard(flow)
+            self._slots.forget(flow)
         self._offered.pop(key, None)
 
     def clear(self) -> list[tuple[bytes, owned_flow.OwnedFlow]]:
@@ -81,6 +115,8 @@
         self._flows.clear()
         self._offered.clear()
         self._occupying.clear()
+        self._receiving.clear()
+        self._slots.clear()
         return lost
 
     def take_unanswered(
@@ -117,8 +153,8 @@
             if _is_stalled(flow, now, opening_seconds, working_seconds):
                 self.move(flow, flow_phase.FlowPhase.IDLE, now)
 
-    def sweep(self, now: float, idle_seconds: float) -> None:
-        """Remove flows that have ended.
+    def sweep(self, now: float, idle_seconds: float) -> list[owned_flow.OwnedFlow]:
+        """Remove and return flows that have ended.
 
         Parameters
         ----------
@@ -128,16 +164,17 @@
             Time without packets after which a flow is removed; 0 for never.
         """
         if now - self._swept_at < SWEEP_SECONDS:
-            return
+            return []
         self._swept_at = now
         expired = []
-        for key, flow in self._flows.items():
+        for flow in self._flows.values():
             idle = now - flow.last_at
             is_over = flow.is_closed and idle > CLOSED_SECONDS
             if is_over or (idle_seconds and idle > idle_seconds):
-                expired.append(key)
-        for key in expired:
-            self.remove(key)
+                expired.append(flow)
+        for flow in expired:
+            self.remove(flow.key)
+        return expired
 
 
 def _is_stalled(
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -6,8 +6,11 @@
 
 if TYPE_CHECKING:
     from limpetreel.streams import flow_phase
+    from limpetreel.streams.serving import packet_gaps
 
 
+ROUTE_BYTES = slice(6, 12)
+"""Part of a key that names the service address; see `stream_key`."""
 _SEQUENCE_MASK = 0xFFFFFFFF
 
 
@@ -15,10 +18,14 @@
     """State of one flow.
 
     Its attribute `is_established` tells whether the upstream has sent a packet after
-    the handshake, which shows that it took the caller's last packet of it.
+    the handshake, which shows that it took the caller's last packet of it. Of the
+    latest request, `data_at` is the time of its last data, `gaps` are its missing
+    packets and `has_last_packet` tells whether the packet that ends it has come.
 
     Parameters
     ----------
+    key : bytes
+        Identifies the flow, see `stream_key`.
     now : float
         Time of the opening packet.
     phase : FlowPhase
@@ -28,20 +35,26 @@
     __slots__ = (
         "caller_ack",
         "caller_end",
+        "data_at",
         "entry",
         "first_sequence",
+        "gaps",
         "has_caller_fin",
+        "has_last_packet",
         "has_upstream_fin",
         "is_confirmed",
         "is_established",
+        "key",
         "last_at",
         "offer_id",
         "phase",
         "phase_at",
+        "requests",
         "upstream_end",
     )
 
-    def __init__(self, now: float, phase: flow_phase.FlowPhase) -> None:
+    def __init__(self, key: bytes, now: float, phase: flow_phase.FlowPhase) -> None:
+        self.key = key
         self.phase = phase
         self.phase_at = now
         self.last_at = now
@@ -51,6 +64,10 @@
         self.upstream_end = 0
         self.caller_end: int | None = None
         self.caller_ack = 0
+        self.requests = 0
+        self.data_at = now
+        self.gaps: packet_gaps.PacketGaps | None = None
+        self.has_last_packet = False
         self.is_confirmed = False
         self.is_established = False
         self.has_caller_fin = False
@@ -77,6 +94,11 @@
         assert self.first_sequence is not None
         return (number - self.first_sequence) & _SEQUENCE_MASK
 
+    @property
+    def route_address(self) -> bytes:
+        """Return the address that the flow was opened to."""
+        return self.key[ROUTE_BYTES]
+
     @property
     def is_closed(self) -> bool:
         """Return whether both ends have closed the flow."""
