--- a/src/limpetreel/streams/held_flows.py
+++ b/src/limpetreel/streams/ownership/held_flows.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from limpetreel.streams import probed_packet
 from limpetreel.streams.messages import holdings
+from limpetreel.streams.ownership import probed_packet
 
 if TYPE_CHECKING:
     from limpetreel.streams import flow_set, segment
--- a/src/limpetreel/streams/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from limpetreel.streams import sought_flow
 from limpetreel.streams.actions import send_node
 from limpetreel.streams.messages import carry, probe, search, sought, stream_codec
+from limpetreel.streams.ownership import sought_flow
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -12,7 +12,6 @@
     flow_admission,
     flow_phase,
     flow_set,
-    held_flows,
     opening_queue,
     owned_flow,
     route_table,
@@ -51,6 +50,7 @@
     stream_codec,
     verdict,
 )
+from limpetreel.streams.ownership import held_flows
 
 if TYPE_CHECKING:
     import msgspec
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -10,8 +10,6 @@
 from limpetreel.node import tick
 from limpetreel.streams import (
     candidates,
-    known_owner,
-    owner_search,
     pending_offer,
     route_table,
     stream_key,
@@ -32,6 +30,7 @@
     stream_codec,
     verdict,
 )
+from limpetreel.streams.ownership import known_owner, owner_search
 
 if TYPE_CHECKING:
     import msgspec
