--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -9,8 +9,6 @@
 from limpetreel.core import core, failure
 from limpetreel.node import tick
 from limpetreel.streams import (
-    known_owner,
-    owner_search,
     route_table,
     stream_key,
 )
@@ -27,6 +25,7 @@
     stream_codec,
     verdict,
 )
+from limpetreel.streams.ownership import known_owner, owner_search
 from limpetreel.streams.placement import candidates, flow_placement
 from limpetreel.streams.transfers import transfer_admission, transfer_limit
 
@@ -119,6 +118,7 @@
         version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
+        self._search.change_list(view.is_list_current)
         if view.configuration is not None and view.configuration.version > version:
             self._routes = route_table.RouteTable(view.configuration)
             self._placement.routes = self._routes
@@ -191,7 +191,7 @@
     def _reset_ended(self, now: float) -> Actions:
         """Reset flows that no upstream holds, so that their callers open new ones."""
         actions: Actions = []
-        for latest in self._search.take_ended(now, self._view.is_list_current):
+        for latest in self._search.take_ended(now):
             self.outcomes["ENDED"] = self.outcomes.get("ENDED", 0) + 1
             host = stream_key.caller(latest.flow)[0]
             fields: Fields = {
@@ -211,6 +211,7 @@
         owner = self._owners.get(segment.flow)
         if owner is not None and owner.address == source:
             del self._owners[segment.flow]
+        self._search.record_not_owned(now, segment.flow, source)
         return self._find_owner(now, segment)
 
     # Placement of new flows
