Give no new flows to an upstream whose state is unknown

An announcement with a state other than `ready` and `draining` was refused, so an upstream that had been ready stayed in use until it counted as silent, 2.6 announcements later (3.1 s).

It takes no new flows at once and keeps those it has; the agent logs `upstream.unknown_state`.

--- a/src/limpetreel/platform/announcement_format.py
+++ b/src/limpetreel/platform/announcement_format.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated
 
 import msgspec
 
@@ -20,12 +20,14 @@
     address: str
     zone: str
     max_concurrency: _Positive
-    state: Literal["ready", "draining"]
+    state: str
     sequence: _NotNegative
     warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     born: int | None = msgspec.field(name="born", default=None)
 
 
+_READY = "ready"
+_DRAINING = "draining"
 _DECODER = msgspec.json.Decoder(_Announcement)
 
 
@@ -34,6 +36,8 @@
 ) -> upstream_status.UpstreamStatus | failure.Failure:
     """Return the announcement in a request.
 
+    An upstream whose state is not known keeps its flows and takes no new ones.
+
     Parameters
     ----------
     instance_id : str
@@ -53,6 +57,7 @@
         announcement.sequence,
         announcement.backend,
         announcement.max_concurrency,
-        announcement.state == "draining",
+        announcement.state != _READY,
         int(announcement.warmup_left_ms),
+        None if announcement.state in (_READY, _DRAINING) else announcement.state,
     )
--- a/src/limpetreel/platform/http_upstream_api.py
+++ b/src/limpetreel/platform/http_upstream_api.py
@@ -75,5 +75,8 @@
         if isinstance(decoded, failure.Failure):
             self._telemetry.refuse(decoded.step, instance_id, decoded.detail)
             return http_response.HttpResponse(400)
+        if decoded.unknown_state is not None:
+            fields = {"instance": instance_id, "state": decoded.unknown_state}
+            self._telemetry.log_decision("warning", "upstream.unknown_state", fields)
         self._shell.announce(decoded)
         return http_response.HttpResponse(200, b"{}")
--- a/src/limpetreel/streams/upstream_status.py
+++ b/src/limpetreel/streams/upstream_status.py
@@ -21,9 +21,12 @@
     slots : int
         Requests that it processes concurrently.
     is_draining : bool
-        Whether it is about to leave.
+        Whether it takes no new flows, since it is about to leave or its state is not
+        known.
     cold_ms : int
         Time for which it stays cold.
+    unknown_state : str or None
+        State as it was announced, if it is not known.
     """
 
     instance_id: str
@@ -33,3 +36,4 @@
     slots: int
     is_draining: bool
     cold_ms: int
+    unknown_state: str | None = None
