Keep roles on the platform running after an unexpected error

An unexpected error at a tick, or a committed document that this release cannot read, ended a control instance, and the same entry ended it again after each start. Errors in tasks ended them silently: the connection to control at a seed with a wrong port, the flush of the log at a full disk, a dial to an address that is none, the ticks of an idle node at an error in the report after them.

A control instance now drops an event of a node at which an error arises. At any other event the log in memory may be ahead of the files, so it drops its connections and reads its files again, as at a start. A disk failure and damaged files end the process as before. A document that cannot be read is replicated and read back; nodes keep what they have (`configuration.unreadable`). What no code handles is a log line of the node, `process.unhandled_error`, with its trace.

--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -167,7 +167,7 @@
             self._relay_at = now + RELAY_SECONDS
             actions += self._relay(self._direct_reports.values())
         actions += self._snapshot(now)
-        actions += self._unknown_kinds()
+        actions += self._check_document()
         return actions + self._update_nodes(now)
 
     # Nodes
@@ -365,18 +365,22 @@
         }
         return [log_line.LogLine("info", "state.applied", fields)]
 
-    def _unknown_kinds(self) -> Actions:
-        """Return log lines for kinds that are not known, once per version."""
-        config = self._state.configuration
-        if config is None or config.version == self._checked_version:
+    def _check_document(self) -> Actions:
+        """Return log lines for what is not known in a document, once per version."""
+        version = self._state.version
+        if version == self._checked_version:
             return []
-        self._checked_version = config.version
+        self._checked_version = version
+        config = self._state.configuration
+        if config is None:
+            unread: Fields = {"version": version, "detail": self._state.unreadable}
+            return [log_line.LogLine("error", "configuration.unreadable", unread)]
         return [
             log_line.LogLine(
                 "warning",
                 "configuration.unknown_kind",
                 {
-                    "version": config.version,
+                    "version": version,
                     "route": route.name,
                     "kind": route.unknown_kind,
                     "treated_as": str(route.kind),
--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -52,7 +52,14 @@
 STOP_SECONDS = 0.5
 """Time for the next leader to be elected after a planned stop."""
 REOPEN_SECONDS = 0.5
-"""Interval between attempts to reopen the store on a full disk; each reads the log."""
+"""Interval between attempts to reopen the store on a full disk, or after an unexpected
+error; each reads the log."""
+_SOFT_EVENTS = (
+    report_arrived.ReportArrived,
+    node_connected.NodeConnected,
+    node_disconnected.NodeDisconnected,
+)
+"""Events that change no part of the replicated log."""
 
 
 class OperatorApi(abc.ABC):
@@ -74,6 +81,10 @@
     the others elect a leader without it, and recovers from its files once a write
     succeeds. Any other disk failure ends the process.
 
+    An unexpected error while soft state changes is logged and its event dropped. At any
+    other event the replicated log in memory may have changed without its files, so the
+    instance is recovered from them, as at a start.
+
     Parameters
     ----------
     listen : tuple of (str, int)
@@ -192,10 +203,14 @@
         """Stop serving, because the state in memory may not be durable."""
         self._telemetry.log("error", exc.step, detail=exc.detail, path=exc.path)
         self._failure = exc
+        self._abandon_instance("disk failed")
+
+    def _abandon_instance(self, reason: str) -> None:
+        """Drop the connections and the state in memory; the files are read again."""
         if self._instance is not None:
             self._instance.store.close()
         self._instance = None
-        self._fail_pending_calls("disk failed")
+        self._fail_pending_calls(reason)
         self._links.close()
         self._links = self._new_links()
         for link in list(self._connections):
@@ -293,17 +308,38 @@
     def _handle(self, event: msgspec.Struct) -> None:
         instance = self._instance
         if instance is None:
-            self._fail_pending_calls("disk full")
+            self._fail_pending_calls("no open log")
             return
         try:
             for action in instance.core.handle(steady_clock.now(), event):
                 self._execute(instance, action)
         except exceptions.StorageError as exc:
             self._handle_disk_failure(exc)
+        except Exception as exc:  # one call or message must not end the process
+            self._log_error(event, exc)
+            if not isinstance(event, _SOFT_EVENTS):
+                self._open_at = asyncio.get_running_loop().time() + REOPEN_SECONDS
+                self._abandon_instance("unexpected error")
+
+    def _log_error(self, source: msgspec.Struct, exc: Exception) -> None:
+        event, detail = type(source).__name__, repr(exc)
+        self._telemetry.log("error", "control.event_failed", event=event, detail=detail)
 
     def _execute(
         self, instance: durable_instance.DurableInstance, action: msgspec.Struct
     ) -> None:
+        match action:
+            case persist.Persist():
+                instance.store.persist(action)
+            case save_snapshot.SaveSnapshot():
+                instance.store.save_snapshot(action)
+            case _:
+                try:
+                    self._send(action)
+                except Exception as exc:  # later actions may have to be persisted
+                    self._log_error(action, exc)
+
+    def _send(self, action: msgspec.Struct) -> None:
         match action:
             case send_control.SendControl():
                 self._links.send(action.address, action.data)
@@ -313,10 +349,6 @@
                 link = self._sessions.get(action.session_id)
                 if link is not None:
                     link.send(cluster_codec.encode(action.update))
-            case persist.Persist():
-                instance.store.persist(action)
-            case save_snapshot.SaveSnapshot():
-                instance.store.save_snapshot(action)
             case answer_call.AnswerCall():
                 self._answer(action, "no quorum in time")
             case log_line.LogLine():
--- a/src/limpetreel/cluster/cluster_state.py
+++ b/src/limpetreel/cluster/cluster_state.py
@@ -37,6 +37,19 @@
     ----------
     parser : DocumentParser
         Format of the documents.
+
+    Attributes
+    ----------
+    applied : int
+        Index of the last entry that was applied.
+    version : int
+        Version of the document in force; 0 before the first one.
+    configuration : Configuration or None
+        The document in force, None if there is none or it cannot be read.
+    unreadable : str
+        Why the document in force cannot be read, empty if it can.
+    zones_out : frozenset of str
+        Data centres that take no new flows.
     """
 
     def __init__(self, parser: document_parser.DocumentParser) -> None:
@@ -45,6 +58,7 @@
         self.applied = 0
         self.version = 0
         self.configuration: configurations.Configuration | None = None
+        self.unreadable = ""
         self.zones_out: frozenset[str] = frozenset()
 
     @property
@@ -102,7 +116,13 @@
     def _set_document(self, version: int, compressed: bytes) -> None:
         self.version = version
         self._compressed = compressed
-        self.configuration = self._parser.parse(zlib.decompress(compressed))
+        self.configuration, self.unreadable = None, ""
+        try:
+            self.configuration = self._parser.parse(zlib.decompress(compressed))
+        except exceptions.DocumentError as exc:
+            # Another release has accepted it. It is replicated and read back all the
+            # same; nodes keep the configuration that they have.
+            self.unreadable = exc.detail
 
 
 def encode(command: Command) -> bytes:
--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -100,15 +100,25 @@
     async def run(self) -> None:
         """Stay connected until cancelled."""
         while True:
-            link = await self._connect()
-            if link is not None:
-                self._connect_seconds = MIN_CONNECT_SECONDS
-                await self._follow(link)
-            else:
-                longer = 2 * self._connect_seconds
-                self._connect_seconds = min(MAX_CONNECT_SECONDS, longer)
+            try:
+                await self._follow_any()
+            except Exception as exc:  # the node would keep its last state for good
+                fields = {"detail": repr(exc)}
+                self._telemetry.log_decision("error", "control.client_failed", fields)
+                if self._link is not None:
+                    self._link.abort()
+                    self._link = None
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _follow_any(self) -> None:
+        link = await self._connect()
+        if link is not None:
+            self._connect_seconds = MIN_CONNECT_SECONDS
+            await self._follow(link)
+        else:
+            longer = 2 * self._connect_seconds
+            self._connect_seconds = min(MAX_CONNECT_SECONDS, longer)
+
     def _addresses(self) -> list[str]:
         """Return the control instances, shuffled, with the one left last at the end."""
         addresses = sorted({*self._known_controls, *self._seeds()})
@@ -158,7 +168,8 @@
         try:
             async with asyncio.timeout(self._connect_seconds):
                 await loop.create_connection(lambda: link, host, int(port))
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # The last two are raised for an address in the settings that is wrong.
             link.abort()
             self._telemetry.refuse("control.connect", address, type(exc).__name__)
             return None
--- a/src/limpetreel/cluster/control_links.py
+++ b/src/limpetreel/cluster/control_links.py
@@ -115,7 +115,8 @@
         try:
             async with asyncio.timeout(limit):
                 await loop.create_connection(lambda: link, host, int(port))
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The last two are raised for an address that a peer has given wrongly.
             link.abort()
             self._connect_seconds[address] = min(MAX_CONNECT_SECONDS, 2 * limit)
             return
--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -115,11 +115,20 @@
                 self._idle.discard(writer)
             if req is None:
                 return
-            await _write(conn, writer, await self._handler(req))
+            await _write(conn, writer, await self._respond(req, peer))
             if conn.our_state is not h11.DONE:
                 return
             conn.start_next_cycle()
 
+    async def _respond(
+        self, req: http_request.HttpRequest, peer: object
+    ) -> http_response.HttpResponse:
+        try:
+            return await self._handler(req)
+        except Exception as exc:  # the client would wait for a response
+            self._refuse("http.handler", peer, type(exc).__name__)
+            return http_response.HttpResponse(500)
+
 
 async def _read_request(
     conn: h11.Connection, reader: asyncio.StreamReader
--- a/src/limpetreel/runtime/udp_socket.py
+++ b/src/limpetreel/runtime/udp_socket.py
@@ -66,7 +66,8 @@
                 self._sock.send(data)
             else:
                 self._sock.sendto(data, address)
-        except OSError:
+        except (OSError, OverflowError, ValueError):
+            # The last two are raised for an address that is not one.
             self.send_errors += 1
 
     def close(self) -> None:
--- a/src/limpetreel/streams/stream_shell.py
+++ b/src/limpetreel/streams/stream_shell.py
@@ -64,13 +64,14 @@
             for action in actions:
                 self._execute(action)
         except Exception as exc:  # the other flows must go on
-            kind = type(event).__name__
-            self._telemetry.log(
-                "error", "node.event_failed", event=kind, detail=repr(exc)
-            )
+            self._log_error(type(event).__name__, exc)
         if self._tick_at > time.monotonic() + SOON_SECONDS and self._needs_tick_soon():
             self._schedule(SOON_SECONDS)
 
+    def _log_error(self, name: str, exc: Exception) -> None:
+        fields = {"event": name, "detail": repr(exc)}
+        self._telemetry.log_decision("error", "node.event_failed", fields)
+
     def _execute(self, action: msgspec.Struct) -> None:
         match action:
             case send_node.SendNode():
@@ -97,7 +98,10 @@
             self._telemetry.log("warning", "process.late", seconds=round(late, 3))
         self._tick_at = float("inf")
         self._handle(tick.Tick())
-        self._after_tick()
+        try:
+            self._after_tick()
+        except Exception as exc:  # the ticks must go on
+            self._log_error("after_tick", exc)
         if self._tick_at == float("inf"):
             is_soon = self._needs_tick_soon()
             self._schedule(SOON_SECONDS if is_soon else IDLE_SECONDS)
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+import traceback
 from typing import TYPE_CHECKING, Any
 
 from limpetreel.telemetry import metrics, rate_limit
@@ -19,6 +20,8 @@
     from limpetreel.telemetry import log_writer, metrics_server, span_recorder
 
 FLUSH_SECONDS = 1.0
+MAX_TRACE_CHARACTERS = 4000
+"""Characters of a stack trace that are logged, from its end, where the error arose."""
 DEFER_SECONDS = 2.0
 """Time after the start until a deferred log loads its library and writes its lines."""
 
@@ -77,6 +80,7 @@
     async def start(self) -> None:
         """Start the metrics server and the regular flush of files."""
         self.log("info", "process.start")
+        asyncio.get_running_loop().set_exception_handler(self._log_unhandled)
         if self._metrics_address is not None:
             # Imported here because the library takes memory that is not needed
             # without a metrics address.
@@ -255,10 +259,28 @@
     async def _flush_regularly(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_SECONDS)
-            self.report()
-            for output in (self._log, self._spans, self._decisions):
-                if output is not None:
-                    output.flush()
+            outputs = (self._log, self._spans, self._decisions)
+            for step in (self.report, *(o.flush for o in outputs if o is not None)):
+                try:
+                    step()
+                except Exception as exc:  # later lines would never be written
+                    self.refuse("telemetry.flush", "", type(exc).__name__)
+
+    def _log_unhandled(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an exception of a callback or task that nothing else has handled."""
+        if self._log is None:
+            loop.default_exception_handler(context)
+            return
+        exc = context.get("exception")
+        trace = "".join(traceback.format_exception(exc)) if exc else ""
+        fields = {
+            "reason": context.get("message", ""),
+            "detail": repr(exc),
+            "trace": trace[-MAX_TRACE_CHARACTERS:],
+        }
+        self.log_decision("error", "process.unhandled_error", fields)
 
     def report(self, at_end: bool = False) -> None:
         """Log suppressed lines, dropped input and a failure of the decision log.
--- a/tests/cluster/test_cluster_shell.py
+++ b/tests/cluster/test_cluster_shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import socket
 
@@ -13,8 +14,12 @@
     cluster_shell,
     durable_instance,
 )
+from limpetreel.cluster.events import change_requested, node_connected
+from limpetreel.cluster.messages import cluster_codec, hello
 from limpetreel.consensus import member, open_membership, raft_core
+from limpetreel.node import tick
 from limpetreel.platform import configuration_format
+from limpetreel.runtime import frame_protocol
 from limpetreel.storage import log_store
 from limpetreel.telemetry import telemetry
 from tests import fixtures
@@ -41,6 +46,21 @@
         """Do nothing."""
 
 
+class FailingCore(cluster_core.ClusterCore):
+    """Core that raises an error at some events, after it has handled them."""
+
+    def __init__(self, fail, *args):
+        super().__init__(*args)
+        self.fail = fail
+
+    def handle(self, now, event):
+        """Handle an event and raise an error that nothing expects."""
+        actions = super().handle(now, event)
+        if self.fail(event):
+            raise KeyError("a name that is not known")
+        return actions
+
+
 def free_address():
     """Return an address that nothing listens on."""
     with socket.socket() as sock:
@@ -48,8 +68,11 @@
         return sock.getsockname()
 
 
-def build(files, others=()):
-    """Return the shell of an instance whose group has these other members."""
+def build(files, others=(), fail=lambda event: False):
+    """Return the shell of an instance whose group has these other members.
+
+    Its core raises an unexpected error at each event for which `fail` is true.
+    """
     listen = free_address()
     address = f"{listen[0]}:{listen[1]}"
     names = (address, *others)
@@ -67,7 +90,7 @@
             open_membership.OpenMembership(len(names)),
             4,
         )
-        core = cluster_core.ClusterCore(raft, PARSER, address)
+        core = FailingCore(fail, raft, PARSER, address)
         return durable_instance.DurableInstance(core, store)
 
     return cluster_shell.ClusterShell(
@@ -161,3 +184,42 @@
     status, exc = asyncio.run(_fail_sync())
     assert status is UNAVAILABLE
     assert isinstance(exc, exceptions.StorageError)
+
+
+async def _fail_at(event_type):
+    """Return how often the log was opened around one error at an event."""
+    armed, shells = [], []
+
+    def fail(event):
+        return isinstance(event, event_type) and bool(armed) and bool(armed.pop())
+
+    shell = build(fake_disk.FakeDisk(), fail=fail)
+    open_instance = shell._open_instance
+    shell._open_instance = lambda: shells.append(1) or open_instance()
+    stopped = asyncio.Event()
+    serving = asyncio.create_task(shell.serve(stopped))
+    await _change_until_done(shell, COMMAND)
+    armed.append(True)
+    link = frame_protocol.FrameProtocol(lambda *args: None, lambda link: None)
+    await asyncio.get_running_loop().create_connection(lambda: link, *shell._listen)
+    link.send(cluster_codec.encode(hello.Hello("edge-1", "", True)))
+    await asyncio.sleep(0.2)
+    link.abort()
+    if event_type is change_requested.ChangeRequested:
+        assert (await shell.change(LATER)).status is UNAVAILABLE
+    await _change_until_done(shell, LATER)
+    answer = await shell.read()
+    stopped.set()
+    await serving
+    return len(shells), json.loads(answer.document)["Version"]
+
+
+def test_unexpected_error_at_a_tick_or_call_recovers_from_the_files():
+    """Guards against an end of the process, and against a log that only memory has."""
+    for event_type in (tick.Tick, change_requested.ChangeRequested):
+        assert asyncio.run(_fail_at(event_type)) == (2, 5)
+
+
+def test_unexpected_error_of_a_node_drops_only_its_event():
+    """Guards against a node whose connection makes control start anew."""
+    assert asyncio.run(_fail_at(node_connected.NodeConnected)) == (1, 5)
--- a/tests/cluster/test_control_group.py
+++ b/tests/cluster/test_control_group.py
@@ -4,7 +4,8 @@
 
 import random
 
-from limpetreel.cluster.commands import set_zone
+from limpetreel.cluster import cluster_state
+from limpetreel.cluster.commands import set_configuration, set_zone
 from tests import fixtures
 from tests.cluster import control_group
 
@@ -49,6 +50,21 @@
         assert lines[0].fields["route"] == "r-1"
 
 
+def test_document_that_another_release_accepted_ends_no_instance():
+    """Guards against instances that end, again and again, at one committed entry."""
+    group = control_group.ControlGroup(22)
+    assert group.change_until_acked(group.replace(4))
+    unreadable = cluster_state.compress(b"{}")
+    command = set_configuration.SetConfiguration(5, unreadable)
+    assert group.change_until_acked(command)
+    group.run(1)
+    for instance in group.instances.values():
+        assert instance.core.state.configuration is None
+        assert instance.lines[-1].step == "configuration.unreadable"
+    assert group.change_until_acked(group.replace(6))
+    group.check_final_state()
+
+
 def test_instance_that_is_no_seed_joins_without_a_vote():
     """Guards against an even number of voters, which tolerates no more failures."""
     group = control_group.ControlGroup(3, size=4)
--- a/tests/cluster/test_control_links.py
+++ b/tests/cluster/test_control_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import socket
 import time
@@ -149,3 +150,56 @@
         silent = [stack.enter_context(silent_listener()) for _ in range(4)]
         seconds = asyncio.run(_connect_past_silent_instances(silent))
     assert seconds < 0.4
+
+
+async def _follow_past_errors():
+    """Return whether a node reaches control after two kinds of wrong seeds."""
+    peer = Peer()
+    address = await peer.listen()
+    attempts = iter((["no-port"], [f"{HOST}:99999"], [f"{'x' * 70}.y:1"]))
+
+    def seeds():
+        if (wrong := next(attempts, None)) is not None:
+            return wrong
+        if not raised:
+            raised.append(True)
+            raise KeyError("settings")
+        return [address]
+
+    raised = []
+    client = control_client.ControlClient(
+        "edge-1", seeds, True, lambda view: None, telemetry.disabled(), random.Random(1)
+    )
+    task = asyncio.create_task(client.run())
+    until = asyncio.get_running_loop().time() + 5
+    while not peer.received and asyncio.get_running_loop().time() < until:
+        await asyncio.sleep(0.05)
+    is_running = not task.done()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    peer.close()
+    return is_running, bool(peer.received)
+
+
+def test_wrong_seeds_or_an_unexpected_error_do_not_end_the_search_for_control():
+    """Guards against a node that keeps its last state for good, with no log line."""
+    assert asyncio.run(_follow_past_errors()) == (True, True)
+
+
+async def _send_to_wrong_addresses():
+    """Return the errors of tasks that dialled addresses which are none."""
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    links = control_links.ControlLinks(HELLO, ALIVE, lambda link, data: None)
+    for address in ("", "no-port", f"{HOST}:99999"):
+        links.send(address, b"x")
+    await asyncio.sleep(0.1)
+    gc.collect()
+    links.close()
+    return errors
+
+
+def test_wrong_address_of_another_instance_is_a_dial_in_vain():
+    """Guards against tasks that end silently."""
+    assert asyncio.run(_send_to_wrong_addresses()) == []
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -15,10 +15,10 @@
     return http_response.HttpResponse(200, f"{req.method} {req.path}".encode())
 
 
-async def exchange(data, responses=1):
+async def exchange(data, responses=1, handler=answer):
     """Send bytes to a server; return its responses and the rejections."""
     refused = []
-    server = http_server.HttpServer(answer, lambda *args: refused.append(args))
+    server = http_server.HttpServer(handler, lambda *args: refused.append(args))
     await server.start("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection(*server.address)
     writer.write(data)
@@ -142,3 +142,16 @@
     loop_errors = []
     asyncio.run(_end_after_close(loop_errors))
     assert not loop_errors
+
+
+def test_unexpected_error_is_answered_with_500():
+    """Guards against a client that waits, and a task that ends without a log line."""
+
+    async def fail(req):
+        raise KeyError(req.path)
+
+    received, refused = asyncio.run(
+        exchange(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", handler=fail)
+    )
+    assert received.startswith(b"HTTP/1.1 500")
+    assert [args[2] for args in refused] == ["KeyError"]
--- a/tests/streams/test_stream_shell.py
+++ b/tests/streams/test_stream_shell.py
@@ -44,19 +44,35 @@
         pass
 
 
-async def _run_past_an_error():
+class IdleShell(Shell):
+    """Shell that awaits nothing, and whose work after a tick fails."""
+
+    def _needs_tick_soon(self):
+        return False
+
+    def _after_tick(self):
+        raise KeyError("a record that cannot be sent")
+
+
+async def _run_past_an_error(shell_type, seconds):
     failing = FailingCore()
-    shell = Shell(failing, telemetry.disabled())
+    shell = shell_type(failing, telemetry.disabled())
     shell._handle(node_datagram.NodeDatagram("10.0.0.1", 1, b""))
     shell._schedule(0.0)
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(seconds)
     shell._tick_timer.cancel()
     return failing.ticks
 
 
 def test_ticks_go_on_after_an_unexpected_error():
     """Guards against a node whose timers stop at one error, with its process alive."""
-    assert asyncio.run(_run_past_an_error()) >= 3
+    assert asyncio.run(_run_past_an_error(Shell, 0.2)) >= 3
+
+
+def test_ticks_go_on_after_an_error_in_the_work_after_a_tick():
+    """Guards against an agent that reports nothing more, with its process alive."""
+    seconds = 2.5 * stream_shell.IDLE_SECONDS
+    assert asyncio.run(_run_past_an_error(IdleShell, seconds)) >= 2
 
 
 def test_holdings_with_keys_of_another_size_are_dropped():
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -211,4 +211,40 @@
         writer.close()
 
 
+class _FullOnce(io.BytesIO):
+    """Stream whose first flush fails, as on a full disk."""
+
+    flushes = 0
+
+    def flush(self):
+        self.flushes += 1
+        if self.flushes == 1:
+            raise OSError("no space")
+
+
+async def _run_past_errors(stream):
+    """Raise an error in a callback, and wait for two flushes of the log."""
+    process_telemetry = _make_telemetry(stream, _Clock())
+    await process_telemetry.start()
+    asyncio.get_running_loop().call_soon(lambda: {}["a name"])
+    await asyncio.sleep(2.5 * telemetry.FLUSH_SECONDS)
+    flushes = stream.flushes
+    await process_telemetry.close()
+    return flushes
+
+
+def test_log_is_flushed_after_a_flush_that_failed():
+    """Guards against a task that ends silently, and lines that are never written."""
+    assert asyncio.run(_run_past_errors(_FullOnce())) == 2
+
+
+def test_error_of_a_callback_is_a_log_line():
+    """Guards against errors that only the interpreter prints, without the node."""
+    stream = _FullOnce()
+    asyncio.run(_run_past_errors(stream))
+    (line,) = (ln for ln in _lines(stream) if ln["step"] == "process.unhandled_error")
+    assert line["detail"] == "KeyError('a name')"
+    assert "test_telemetry.py" in line["trace"]
+
+
 load_tests = fixtures.load_functions(globals())
