End a CoAP control instance whose log failed at any event

A failed write ends a control instance, since an acknowledgement without a sync would be false. That held at ticks and calls. At a frame of a node the error arose in a callback of a socket, was only printed, and the instance went on with entries in memory that its files did not have; as leader it could count itself towards a majority for them.

Any error now ends the instance, and it handles nothing in between.

--- a/src/limpetreel/agent/agent_shell.py
+++ b/src/limpetreel/agent/agent_shell.py
@@ -123,10 +123,14 @@
 
     def _handle(self, event: msgspec.Struct) -> None:
         now = time.monotonic()
-        actions = self._core.handle(now, event)
-        self._telemetry.record_decision(now, event, actions)
-        for action in actions:
-            self._execute(action)
+        try:
+            actions = self._core.handle(now, event)
+            self._telemetry.record_decision(now, event, actions)
+            for action in actions:
+                self._execute(action)
+        except Exception as exc:  # the other flows must go on
+            fields = {"event": type(event).__name__, "detail": repr(exc)}
+            self._telemetry.log_decision("error", "node.event_failed", fields)
 
     def _execute(self, action: msgspec.Struct) -> None:
         if isinstance(action, send_frame.SendFrame):
--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -32,6 +32,9 @@
 class ControlShell:
     """Turns messages into events of the core and carries out its actions.
 
+    An error at any event ends the process, which recovers from its files at the next
+    start.
+
     Parameters
     ----------
     cfg : ControlSettings
@@ -72,6 +75,7 @@
     async def serve(self, stopped: asyncio.Event) -> None:
         """Answer nodes, operators and other instances until stopped."""
         await self._telemetry.start()
+        self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         self._peers = peer_links.PeerLinks(
             self._peer_codec, self._peer, self._cfg.peer_listen, self._telemetry.refuse
@@ -82,7 +86,8 @@
             self._cfg.operator_listen,
             self._telemetry.refuse,
         )
-        tasks = [
+        tasks: list[asyncio.Future[None]] = [
+            self._failed,
             asyncio.create_task(self._peers.receive()),
             asyncio.create_task(self._operators.serve()),
             asyncio.create_task(self._run_ticks(stopped)),
@@ -124,11 +129,21 @@
         self._handle(operator_call.OperatorCall(call_id, body))
 
     def _handle(self, event: msgspec.Struct) -> None:
+        if self._failed.done():
+            return
         now = time.monotonic()
-        actions = self._core.handle(now, event)
-        self._telemetry.record_decision(now, event, actions)
-        for action in actions:
-            self._execute(action)
+        try:
+            actions = self._core.handle(now, event)
+            self._telemetry.record_decision(now, event, actions)
+            for action in actions:
+                self._execute(action)
+        except Exception as exc:
+            # The log in memory may be ahead of the files, whichever event it was.
+            self._failed.set_exception(exc)
+            event_name, detail = type(event).__name__, repr(exc)
+            self._telemetry.log(
+                "error", "control.event_failed", event=event_name, detail=detail
+            )
 
     def _execute(self, action: msgspec.Struct) -> None:
         if isinstance(action, send_frame.SendFrame):
--- a/tests/agent/test_agent_bad_input.py
+++ b/tests/agent/test_agent_bad_input.py
@@ -12,6 +12,7 @@
 from limpetreel.agent.actions import send_upstream
 from limpetreel.agent.events import upstream_announced, upstream_datagram
 from limpetreel.core import failure, reason
+from limpetreel.node import tick
 from limpetreel.wire import address, frame_codec, kind, mode, packet
 from tests import bad_input, builders, fixtures
 
@@ -180,4 +181,18 @@
     bad_input.check_log(telemetry)
 
 
+def test_unexpected_error_is_logged_and_its_event_dropped():
+    """Guards against an agent that ends at one event, with all its flows."""
+    telemetry = bad_input.CapturingTelemetry()
+    shell, core, _ = _shell(telemetry)
+
+    def fail(now, event):
+        raise KeyError("a name that is not known")
+
+    core.handle = fail
+    shell._handle(tick.Tick())
+    (line,) = telemetry.lines()
+    assert (line["step"], line["event"]) == ("node.event_failed", "Tick")
+
+
 load_tests = fixtures.load_functions(globals())
--- a/tests/entry/test_entry_shell.py
+++ b/tests/entry/test_entry_shell.py
@@ -38,4 +38,24 @@
     assert core.ticks_after > 1
 
 
+class _FailingCore(_Core):
+    """Core that fails at its first tick."""
+
+    def handle(self, now, event):
+        super().handle(now, event)
+        if self.left and self.ticks_after == 1:
+            raise KeyError("a name that is not known")
+        return []
+
+
+def test_entry_goes_on_after_an_unexpected_error():
+    """Guards against a process that ends at one event, with all it forwards."""
+    core = _FailingCore()
+    cfg = types.SimpleNamespace(listen=("127.0.0.1", 0), service_ip="127.0.0.1")
+    stopped = asyncio.Event()
+    stopped.set()
+    asyncio.run(entry_shell.EntryShell(cfg, core, None).serve(stopped))
+    assert core.ticks_after > 2
+
+
 load_tests = fixtures.load_functions(globals())
