Lose nothing that was accepted a moment before a planned stop

- An agent that had been asked to stop still opened flows that entries offered before they heard of it.
They were cut when the process ended.
It answers CLOSED from the signal on, also to flows that wait for a slot, and goes on serving the open ones.
- An entry closed its sockets with datagrams unread if the process ran late at that moment (64 are the most that one wake-up reads), and with packets that waited for an agent.
It reads what has arrived and waits up to 0.5 s for answers.
CoAP entries read the rest as well.
CoAP agents do not: a request that they start then could not be answered, and its caller repeats it elsewhere.
- The HTTP servers closed connections whose request had arrived and was not read yet.
They read for another 20 ms and answer.
- A call that a control instance read during its stop waited for a log that was closed.
It is answered as unavailable at once.

--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -135,12 +135,14 @@
         try:
             await self._run(stopped)
         finally:
+            if self._instance is not None:
+                self._instance.store.close()
+            # Calls from now on are answered as unavailable at once.
+            self._instance = None
             self._fail_pending_calls("instance stops")
             await self._api.close()
             server.close()
             self._links.close()
-            if self._instance is not None:
-                self._instance.store.close()
             await self._telemetry.close()
 
     async def change(self, command: cluster_state.Command) -> answer_call.AnswerCall:
--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -75,6 +75,8 @@
         deadline = time.monotonic() + LEAVING_SECONDS
         while time.monotonic() < deadline:
             await self._tick()
+        for sock in (*self._classes.values(), self._frames):
+            sock.read_remaining()
         for sock in (self._frames, *self._classes.values()):
             sock.close()
         await self._telemetry.close()
--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -18,6 +18,8 @@
 """Time limit for sending a request, so that slow clients do not hold connections."""
 IDLE_SECONDS = 30.0
 WRITE_SECONDS = 5.0
+ARRIVED_SECONDS = 0.02
+"""Time at a planned stop to read the requests that have already arrived."""
 CLOSE_SECONDS = 0.2
 """Time limit for responses in progress at a planned stop; they are a few kilobytes."""
 
@@ -61,6 +63,7 @@
         self._is_closing = True
         if self._server is not None:
             self._server.close()
+        await asyncio.sleep(ARRIVED_SECONDS)
         for writer in self._idle:
             writer.close()
         if not self._connections:
@@ -101,10 +104,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: object
     ) -> None:
         conn = h11.Connection(h11.SERVER)
-        while not self._is_closing:
+        is_first = True
+        while is_first or not self._is_closing:
+            is_first = False
             self._idle.add(writer)
             try:
-                req = await _read_request(conn, reader)
+                req = await self._read_request(conn, reader, writer)
             except h11.RemoteProtocolError as exc:
                 self._refuse("http.request", peer, "malformed")
                 if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -120,6 +125,40 @@
                 return
             conn.start_next_cycle()
 
+    async def _read_request(
+        self,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> http_request.HttpRequest | None:
+        """Return the next request, None if the client closed the connection."""
+        head: h11.Request | None = None
+        body = bytearray()
+        seconds = IDLE_SECONDS
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(seconds):
+                    data = await reader.read(RECEIVE_BYTES)
+                self._idle.discard(writer)
+                conn.receive_data(data)
+                seconds = REQUEST_SECONDS
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    raise h11.RemoteProtocolError(
+                        "body too large", error_status_hint=413
+                    )
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                path = head.target.decode("ascii", "replace").partition("?")[0]
+                return http_request.HttpRequest(
+                    head.method.decode("ascii", "replace"), path, bytes(body)
+                )
+            else:
+                return None
+
     async def _respond(
         self, req: http_request.HttpRequest, peer: object
     ) -> http_response.HttpResponse:
@@ -130,35 +169,6 @@
             return http_response.HttpResponse(500)
 
 
-async def _read_request(
-    conn: h11.Connection, reader: asyncio.StreamReader
-) -> http_request.HttpRequest | None:
-    """Return the next request, None if the client closed the connection."""
-    head: h11.Request | None = None
-    body = bytearray()
-    seconds = IDLE_SECONDS
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            async with asyncio.timeout(seconds):
-                data = await reader.read(RECEIVE_BYTES)
-            conn.receive_data(data)
-            seconds = REQUEST_SECONDS
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_BODY_BYTES:
-                raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            path = head.target.decode("ascii", "replace").partition("?")[0]
-            return http_request.HttpRequest(
-                head.method.decode("ascii", "replace"), path, bytes(body)
-            )
-        else:
-            return None
-
-
 async def _write(
     conn: h11.Connection,
     writer: asyncio.StreamWriter,
--- a/src/limpetreel/runtime/udp_socket.py
+++ b/src/limpetreel/runtime/udp_socket.py
@@ -8,6 +8,8 @@
 
 DATAGRAMS_PER_WAKEUP = 64
 """Reading a batch costs about a fifth of waking up once for each datagram."""
+MAX_REMAINING = 4096
+"""Datagrams read at a stop; the buffer of the kernel holds about 3,500 packets."""
 RECEIVE_BYTES = 65535
 BUFFER_BYTES = 4 * 1024 * 1024
 
@@ -70,13 +72,20 @@
             # The last two are raised for an address that is not one.
             self.send_errors += 1
 
+    def read_remaining(self) -> None:
+        """Pass on the datagrams that have arrived and were not read yet."""
+        self._read(MAX_REMAINING)
+
     def close(self) -> None:
         """Stop reading and close the socket."""
         self._loop.remove_reader(self._sock.fileno())
         self._sock.close()
 
     def _read_batch(self) -> None:
-        for _ in range(DATAGRAMS_PER_WAKEUP):
+        self._read(DATAGRAMS_PER_WAKEUP)
+
+    def _read(self, limit: int) -> None:
+        for _ in range(limit):
             try:
                 data, address = self._sock.recvfrom(RECEIVE_BYTES)
             except BlockingIOError:
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -112,6 +112,7 @@
         self._capacity = capacity.Capacity()
         self._starts = start_rate.StartRate()
         self._queue_number = 0
+        self._is_leaving = False
         self.upstream = upstream_state.UpstreamState(announcement_seconds)
         self._admission = flow_admission.FlowAdmission(
             service,
@@ -141,7 +142,7 @@
 
     def is_accepting(self, now: float) -> bool:
         """Return whether the upstream accepts new flows."""
-        if self._data_centre in self._view.zones_out:
+        if self._is_leaving or self._data_centre in self._view.zones_out:
             return False
         return self.upstream.is_accepting(now)
 
@@ -162,7 +163,7 @@
         if isinstance(event, upstream_ended.UpstreamEnded):
             return self._end_upstream(now, event)
         if isinstance(event, agent_leaving.AgentLeaving):
-            return self._reset_flows() if self.upstream.has_departed else []
+            return self._leave()
         raise TypeError(type(event))
 
     def _announce(
@@ -211,6 +212,12 @@
         actions += self._refuse_waiting(outcome.Outcome.CLOSED)
         return actions + self._reset_flows()
 
+    def _leave(self) -> Actions:
+        """Take no new flows; entries may offer some before they hear of the stop."""
+        self._is_leaving = True
+        actions = self._refuse_waiting(outcome.Outcome.CLOSED)
+        return actions + (self._reset_flows() if self.upstream.has_departed else [])
+
     def _reset_flows(self) -> Actions:
         """Forget all flows, since the start of the upstream that held them has ended.
 
--- a/src/limpetreel/streams/stream_entry_shell.py
+++ b/src/limpetreel/streams/stream_entry_shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from limpetreel.runtime import udp_socket
@@ -18,6 +19,9 @@
 second, and 0.5 s for packets in transit. With a longer time, more entries of a data
 centre are out of rotation at once during a rolling stop."""
 
+PENDING_SECONDS = 0.5
+"""Time limit for packets that wait for an agent; openings are held for up to 0.4 s."""
+
 
 class StreamEntryShell(stream_shell.StreamShell):
     """Runs an entry.
@@ -65,12 +69,20 @@
         self._is_leaving = True
         self._telemetry.log("info", "entry.leaving", open_flows=self._core.open_flows)
         await asyncio.sleep(STOP_SECONDS)
+        await self._finish_pending()
         task.cancel()
         await self._api.close()
         self._callers.close()
         self._nodes.close()
         await self._telemetry.close()
 
+    async def _finish_pending(self) -> None:
+        """Forward what arrived before the stop, also on a process that runs late."""
+        until = time.monotonic() + PENDING_SECONDS
+        self._callers.read_remaining()
+        while self._core.needs_tick_soon and time.monotonic() < until:
+            await asyncio.sleep(stream_shell.SOON_SECONDS)
+
     def is_ready(self) -> bool:
         """Return whether the fabric should send packets."""
         ready = self._core.is_ready and not self._is_leaving
--- a/tests/cluster/test_cluster_shell.py
+++ b/tests/cluster/test_cluster_shell.py
@@ -117,6 +117,20 @@
     assert answer.status is UNAVAILABLE
 
 
+async def _call_after_stop():
+    shell = build(fake_disk.FakeDisk())
+    stopped = asyncio.Event()
+    stopped.set()
+    await shell.serve(stopped)
+    async with asyncio.timeout(1):
+        return [(await call).status for call in (shell.change(COMMAND), shell.read())]
+
+
+def test_call_that_is_read_during_the_stop_is_answered_at_once():
+    """Guards against an operator that waits for a connection that is cut."""
+    assert asyncio.run(_call_after_stop()) == [UNAVAILABLE, UNAVAILABLE]
+
+
 async def _change_until_done(shell, command):
     """Repeat a change for five seconds until it is acknowledged."""
     async with asyncio.timeout(5):
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -155,3 +155,22 @@
     )
     assert received.startswith(b"HTTP/1.1 500")
     assert [args[2] for args in refused] == ["KeyError"]
+
+
+async def _stop_after(data):
+    """Stop a server when a request has arrived that it has not read yet."""
+    server = http_server.HttpServer(answer, lambda *args: None)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.address)
+    writer.write(data)
+    await server.close()
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    return received
+
+
+def test_request_that_has_just_arrived_is_answered_before_the_server_closes():
+    """Guards against a call without a response, whose outcome nobody knows."""
+    received = asyncio.run(_stop_after(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"))
+    assert received.endswith(b"GET /a")
--- a/tests/streams/test_flow_ownership.py
+++ b/tests/streams/test_flow_ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from limpetreel.streams.events import agent_leaving
 from tests import fixtures
 from tests.streams import stream_site
 
@@ -96,6 +97,17 @@
     assert len([1 for _, name in site.opened if name == "agent-0"]) == before
 
 
+def test_leaving_agent_takes_no_flow_from_entries_that_do_not_know():
+    """Guards against flows that are cut when the process ends soon after."""
+    site = make_site(18)
+    callers = open_flows(site)
+    site.to_core("agent-0", agent_leaving.AgentLeaving())
+    before = len([1 for _, name in site.opened if name == "agent-0"])
+    open_flows(site)
+    assert len([1 for _, name in site.opened if name == "agent-0"]) == before
+    assert send_requests(site, callers) == len(callers)
+
+
 def test_zone_that_is_out_gets_no_new_flow():
     """Guards against an agent that relies on entries to exclude its zone."""
     site = make_site(15)
