--- a/src/limpetreel/entry/entry_shell.py
+++ b/src/limpetreel/entry/entry_shell.py
@@ -75,6 +75,8 @@
         deadline = time.monotonic() + LEAVING_SECONDS
         while time.monotonic() < deadline:
             await self._tick()
+        for sock in (*self._classes.values(), self._frames):
+            sock.read_remaining()
         for sock in (self._frames, *self._classes.values()):
             sock.close()
         await self._telemetry.close()
@@ -105,10 +107,14 @@
 
     def _handle(self, event: msgspec.Struct) -> None:
         now = time.monotonic()
-        actions = self._core.handle(now, event)
-        self._telemetry.record_decision(now, event, actions)
-        for action in actions:
-            self._execute(action)
+        try:
+            actions = self._core.handle(now, event)
+            self._telemetry.record_decision(now, event, actions)
+            for action in actions:
+                self._execute(action)
+        except Exception as exc:  # the other flows must go on
+            fields = {"event": type(event).__name__, "detail": repr(exc)}
+            self._telemetry.log_decision("error", "node.event_failed", fields)
 
     def _execute(self, action: msgspec.Struct) -> None:
         if isinstance(action, send_frame.SendFrame):
--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -1,15 +1,16 @@
-"""Small HTTP/1.1 server.
-
-Plain requests are read by `plain_request`, all others by the library ``h11``.
-"""
+"""Small HTTP/1.1 server on the protocol library ``h11``."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from limpetreel.runtime import http_request, http_response
 
-from limpetreel.runtime import http_request, http_response, plain_request
+if TYPE_CHECKING:
+    import h11
 
 RECEIVE_BYTES = 65536
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -19,6 +20,8 @@
 """Time limit for sending a request, so that slow clients do not hold connections."""
 IDLE_SECONDS = 30.0
 WRITE_SECONDS = 5.0
+ARRIVED_SECONDS = 0.02
+"""Time at a planned stop to read the requests that have already arrived."""
 CLOSE_SECONDS = 0.2
 """Time limit for responses in progress at a planned stop; they are a few kilobytes."""
 
@@ -62,6 +65,7 @@
         self._is_closing = True
         if self._server is not None:
             self._server.close()
+        await asyncio.sleep(ARRIVED_SECONDS)
         for writer in self._idle:
             writer.close()
         if not self._connections:
@@ -101,92 +105,94 @@
     async def _serve_requests(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: object
     ) -> None:
-        data = b""
-        while not self._is_closing:
-            with self._idling(writer):
-                req = await _read_plain(reader, data)
-            if not isinstance(req, plain_request.PlainRequest):
-                if req:
-                    await self._serve_with_library(reader, writer, peer, req)
-                return
-            data = req.rest
-            res = await self._handler(req.request)
-            await _write(writer, _encode(res, req.is_last))
-            if req.is_last:
-                return
-
-    async def _serve_with_library(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        peer: object,
-        received: bytes,
-    ) -> None:
-        """Serve the rest of a connection, from a request that is not plain."""
-        # Imported at the first such request: it takes a tenth of the time to start.
-        from limpetreel.runtime import http_connection
-
-        conn = http_connection.HttpConnection(reader, received)
-        while not self._is_closing:
+        # Takes a tenth of the start of a role, which serves packets before that.
+        import h11
+
+        conn = h11.Connection(h11.SERVER)
+        is_first = True
+        while is_first or not self._is_closing:
+            is_first = False
+            self._idle.add(writer)
             try:
-                with self._idling(writer):
-                    req = await conn.read()
-            except http_connection.MalformedError as exc:
+                req = await self._read_request(conn, reader, writer)
+            except h11.RemoteProtocolError as exc:
                 self._refuse("http.request", peer, "malformed")
-                if exc.status:
-                    res = http_response.HttpResponse(exc.status)
-                    await _write(writer, conn.encode(res))
+                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    res = http_response.HttpResponse(exc.error_status_hint)
+                    await _write(conn, writer, res)
                 return
+            finally:
+                self._idle.discard(writer)
             if req is None:
                 return
-            await _write(writer, conn.encode(await self._handler(req)))
-            if not conn.start_next():
+            await _write(conn, writer, await self._respond(req, peer))
+            if conn.our_state is not h11.DONE:
                 return
+            conn.start_next_cycle()
 
-    @contextlib.contextmanager
-    def _idling(self, writer: asyncio.StreamWriter) -> Iterator[None]:
-        """Mark a connection on which no request is in progress."""
-        self._idle.add(writer)
+    async def _read_request(
+        self,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> http_request.HttpRequest | None:
+        """Return the next request, None if the client closed the connection."""
+        import h11
+
+        head: h11.Request | None = None
+        body = bytearray()
+        seconds = IDLE_SECONDS
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(seconds):
+                    data = await reader.read(RECEIVE_BYTES)
+                self._idle.discard(writer)
+                conn.receive_data(data)
+                seconds = REQUEST_SECONDS
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    raise h11.RemoteProtocolError(
+                        "body too large", error_status_hint=413
+                    )
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                path = head.target.decode("ascii", "replace").partition("?")[0]
+                return http_request.HttpRequest(
+                    head.method.decode("ascii", "replace"), path, bytes(body)
+                )
+            else:
+                return None
+
+    async def _respond(
+        self, req: http_request.HttpRequest, peer: object
+    ) -> http_response.HttpResponse:
         try:
-            yield
-        finally:
-            self._idle.discard(writer)
-
-
-async def _read_plain(
-    reader: asyncio.StreamReader, data: bytes
-) -> plain_request.PlainRequest | bytes:
-    """Return the next request, or the received data if the library has to read it."""
-    seconds = IDLE_SECONDS
-    while True:
-        req = plain_request.parse(data)
-        if isinstance(req, plain_request.PlainRequest):
-            return req
-        if req is None or len(data) > RECEIVE_BYTES:
-            return data
-        async with asyncio.timeout(seconds):
-            received = await reader.read(RECEIVE_BYTES)
-        if not received:
-            return data
-        data += received
-        seconds = REQUEST_SECONDS
-
-
-def _encode(res: http_response.HttpResponse, is_last: bool) -> bytes:
-    """Return the bytes of a response, the same as those of the protocol library."""
-    lines = [
-        f"HTTP/1.1 {res.status} ",
-        "Content-Type: application/json",
-        f"Content-Length: {len(res.body)}",
+            return await self._handler(req)
+        except Exception as exc:  # the client would wait for a response
+            self._refuse("http.handler", peer, type(exc).__name__)
+            return http_response.HttpResponse(500)
+
+
+async def _write(
+    conn: h11.Connection,
+    writer: asyncio.StreamWriter,
+    res: http_response.HttpResponse,
+) -> None:
+    import h11
+
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(res.body))),
     ]
     if res.location:
-        lines.append(f"Location: {res.location}")
-    if is_last:
-        lines.append("Connection: close")
-    return "\r\n".join((*lines, "", "")).encode("ascii") + res.body
-
-
-async def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
+        headers.append(("Location", res.location))
+    data = conn.send(h11.Response(status_code=res.status, headers=headers)) or b""
+    if res.body:
+        data += conn.send(h11.Data(data=res.body)) or b""
+    data += conn.send(h11.EndOfMessage()) or b""
     writer.write(data)
     async with asyncio.timeout(WRITE_SECONDS):
         await writer.drain()
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -26,7 +26,6 @@
     "argparse": "not needed: the roles have no arguments",
     "ast": "with inspect, by the log library",
     "eliot": "2 s after the start",
-    "h11": "first request that is not plain",
     "ipaddress": "a document with an invalid host",
     "pathlib": "with the libraries above",
     "_ssl": "not needed; asyncio tries to import ssl, which is hidden",
