--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -1,4 +1,4 @@
-"""Small HTTP/1.1 server on the protocol library ``h11``."""
+"""Small HTTP/1.1 server whose requests ``httptools`` reads."""
 
 from __future__ import annotations
 
@@ -10,11 +10,9 @@
 from limpetreel.runtime import http_request, http_response
 
 if TYPE_CHECKING:
-    import h11
+    from limpetreel.runtime import request_reader
 
 RECEIVE_BYTES = 65536
-MAX_BODY_BYTES = 4 * 1024 * 1024
-"""Enough for a configuration of tens of thousands of routes."""
 MAX_CONNECTIONS = 128
 REQUEST_SECONDS = 5.0
 """Time limit for sending a request, so that slow clients do not hold connections."""
@@ -105,66 +103,51 @@
     async def _serve_requests(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: object
     ) -> None:
-        # Takes a tenth of the start of a role, which serves packets before that.
-        import h11
+        # Imported with the first connection; a role serves packets before that.
+        from limpetreel.runtime import request_reader
 
-        conn = h11.Connection(h11.SERVER)
+        requests = request_reader.RequestReader()
         is_first = True
         while is_first or not self._is_closing:
             is_first = False
             self._idle.add(writer)
             try:
-                req = await self._read_request(conn, reader, writer)
-            except h11.RemoteProtocolError as exc:
+                req = await self._read_request(requests, reader, writer)
+            except request_reader.RequestError as exc:
                 self._refuse("http.request", peer, "malformed")
-                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                    res = http_response.HttpResponse(exc.error_status_hint)
-                    await _write(conn, writer, res)
+                res = http_response.HttpResponse(exc.status)
+                await _write(writer, res, is_last=True)
                 return
             finally:
                 self._idle.discard(writer)
             if req is None:
                 return
-            await _write(conn, writer, await self._respond(req, peer))
-            if conn.our_state is not h11.DONE:
+            is_last = requests.is_last and not requests.has_next
+            await _write(writer, await self._respond(req, peer), is_last)
+            if is_last:
                 return
-            conn.start_next_cycle()
 
     async def _read_request(
         self,
-        conn: h11.Connection,
+        requests: request_reader.RequestReader,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> http_request.HttpRequest | None:
         """Return the next request, None if the client closed the connection."""
-        import h11
-
-        head: h11.Request | None = None
-        body = bytearray()
         seconds = IDLE_SECONDS
-        while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                async with asyncio.timeout(seconds):
-                    data = await reader.read(RECEIVE_BYTES)
-                self._idle.discard(writer)
-                conn.receive_data(data)
-                seconds = REQUEST_SECONDS
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY_BYTES:
-                    raise h11.RemoteProtocolError(
-                        "body too large", error_status_hint=413
+        while (req := requests.take()) is None:
+            async with asyncio.timeout(seconds):
+                data = await reader.read(RECEIVE_BYTES)
+            self._idle.discard(writer)
+            if not data:
+                if requests.is_in_progress:
+                    self._refuse(
+                        "http.request", writer.get_extra_info("peername"), "malformed"
                     )
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                path = head.target.decode("ascii", "replace").partition("?")[0]
-                return http_request.HttpRequest(
-                    head.method.decode("ascii", "replace"), path, bytes(body)
-                )
-            else:
                 return None
+            requests.feed(data)
+            seconds = REQUEST_SECONDS
+        return req
 
     async def _respond(
         self, req: http_request.HttpRequest, peer: object
@@ -177,22 +160,17 @@
 
 
 async def _write(
-    conn: h11.Connection,
-    writer: asyncio.StreamWriter,
-    res: http_response.HttpResponse,
+    writer: asyncio.StreamWriter, res: http_response.HttpResponse, is_last: bool
 ) -> None:
-    import h11
-
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(res.body))),
+    lines = [
+        f"HTTP/1.1 {res.status} ",
+        "Content-Type: application/json",
+        f"Content-Length: {len(res.body)}",
     ]
     if res.location:
-        headers.append(("Location", res.location))
-    data = conn.send(h11.Response(status_code=res.status, headers=headers)) or b""
-    if res.body:
-        data += conn.send(h11.Data(data=res.body)) or b""
-    data += conn.send(h11.EndOfMessage()) or b""
-    writer.write(data)
+        lines.append(f"Location: {res.location}")
+    if is_last:
+        lines.append("Connection: close")
+    writer.write("\r\n".join((*lines, "", "")).encode("ascii") + res.body)
     async with asyncio.timeout(WRITE_SECONDS):
         await writer.drain()
