Let a control shell handle events before it serves

Cause: the future that ends a failed instance existed only once it served, so an event before that, as a test passes them, raised AttributeError. Change: it is None until then, and an error of such an event is raised to its caller.

--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -71,11 +71,12 @@
         self._peer_codec = peer_codec
         self._operator_codec = operators
         self._telemetry = process_telemetry or telemetry.disabled()
+        self._failed: asyncio.Future[None] | None = None
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Answer nodes, operators and other instances until stopped."""
         await self._telemetry.start()
-        self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._failed = asyncio.get_running_loop().create_future()
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         self._peers = peer_links.PeerLinks(
             self._peer_codec, self._peer, self._cfg.peer_listen, self._telemetry.refuse
@@ -129,7 +130,7 @@
         self._handle(operator_call.OperatorCall(call_id, body))
 
     def _handle(self, event: msgspec.Struct) -> None:
-        if self._failed.done():
+        if self._failed is not None and self._failed.done():
             return
         now = time.monotonic()
         try:
@@ -138,6 +139,8 @@
             for action in actions:
                 self._execute(action)
         except Exception as exc:
+            if self._failed is None:
+                raise
             # The log in memory may be ahead of the files, whichever event it was.
             self._failed.set_exception(exc)
             event_name, detail = type(event).__name__, repr(exc)
