Give nodes no state that control may have superseded before a restart

Nodes that run keep their newer state. A node that had restarted too, as after a loss of power everywhere, opened flows by routes that had been removed, and in zones that were out, until the first commit.

Nodes now get the state with the first lease of the instance, or after 5 s without one, so that a site without a quorum is still served by its last document.

--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -74,6 +74,9 @@
 """Interval at which agents' reports are sent again to the other control instances."""
 SEED_SECONDS = 2.0
 """Interval at which the seed addresses are read again from the settings file."""
+UNCONFIRMED_SECONDS = 5.0
+"""Time after a start without a lease until nodes get the state from the files. It may
+lack the last changes, but a site without a quorum would otherwise serve nobody."""
 MAX_CALLS = 256
 
 
@@ -104,6 +107,9 @@
         self._read_seeds_at = 0.0
         self._address = address
         self._state = cluster_state.ClusterState(parser)
+        self._empty_state = cluster_state.ClusterState(parser)
+        self._started_at: float | None = None
+        self._is_confirmed = False
         self._snapshot_at = raft.snapshot.index
         if raft.snapshot.data:
             self._state.restore(raft.snapshot.index, raft.snapshot.data)
@@ -168,6 +174,7 @@
             actions += self._relay(self._direct_reports.values())
         actions += self._snapshot(now)
         actions += self._check_document()
+        self._confirm_state(now)
         return actions + self._update_nodes(now)
 
     # Nodes
@@ -219,13 +226,23 @@
         if self._is_leaving:
             lease_ms = 0
         controls = tuple(sorted(m.address for m in self._raft.members))
-        message = session.next_update(
-            now, self._state, self._directory, lease_ms, controls
-        )
+        state = self._state if self._is_confirmed else self._empty_state
+        message = session.next_update(now, state, self._directory, lease_ms, controls)
         if message is None:
             return []
         return [send_session.SendSession(session_id, message)]
 
+    def _confirm_state(self, now: float) -> None:
+        """Let nodes have the state once it is known to hold what was acknowledged.
+
+        After a start it is that of the last snapshot, until a leader tells more.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        is_alone = now - self._started_at >= UNCONFIRMED_SECONDS
+        if is_alone or self._raft.lease_remaining(now) > 0:
+            self._is_confirmed = True
+
     # Operators
 
     def _call(
--- a/tests/cluster/control_group.py
+++ b/tests/cluster/control_group.py
@@ -9,7 +9,7 @@
 
 from limpetreel import exceptions
 from limpetreel.cluster import call_status, cluster_core, cluster_state
-from limpetreel.cluster.actions import answer_call, send_control
+from limpetreel.cluster.actions import answer_call, send_control, send_session
 from limpetreel.cluster.commands import set_configuration, set_zone
 from limpetreel.cluster.events import (
     change_requested,
@@ -63,6 +63,7 @@
         self.disk = fake_disk.FakeDisk()
         self.core = None
         self.lines = []
+        self.updates = []
 
     def start(self):
         """Start from the files on the disk."""
@@ -125,6 +126,8 @@
                 self.group.post(self.address, action)
             case answer_call.AnswerCall():
                 self.group.answers[action.call_id] = action
+            case send_session.SendSession():
+                self.updates.append(action.update)
             case log_line.LogLine():
                 self.lines.append(action)
 
