Open a flow whose address a closed flow has used before

An agent keeps a closed flow for 3 s for its last packets. An opening packet of the same address and port in that time was taken for a copy of the first one: the agent answered ACCEPTED and did not forward it, so the caller waited until its attempt ended (1.4 s). The opening packet now opens the next flow.

--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -445,7 +445,7 @@
         if isinstance(segment, failure.Failure) or not segment.is_open:
             return self._drop("offer without an opening packet")
         flow = self._flows.get(segment.flow)
-        if flow is not None:
+        if flow is not None and not flow.is_closed:
             return self._repeat(source, message, flow)
         if segment.flow in self._queue:
             return [self._verdict(source, message.offer_id, outcome.Outcome.QUEUED)]
@@ -481,6 +481,8 @@
     def _open(
         self, now: float, source: Address, offer_id: int, key: bytes, packet: bytes
     ) -> Actions:
+        # A closed flow of the same address may still be there for its last packets.
+        self._flows.remove(key)
         flow = self._flows.add(key, now, flow_phase.FlowPhase.OFFERED)
         flow.entry, flow.offer_id = source, offer_id
         self._starts.record(now)
--- a/tests/cluster/test_control_group.py
+++ b/tests/cluster/test_control_group.py
@@ -4,8 +4,9 @@
 
 import random
 
-from limpetreel.cluster import cluster_state
+from limpetreel.cluster import call_status, cluster_state
 from limpetreel.cluster.commands import set_configuration, set_zone
+from limpetreel.cluster.events import change_requested
 from tests import fixtures
 from tests.cluster import control_group
 
@@ -133,6 +134,26 @@
     group.check_final_state()
 
 
+def test_order_to_a_leader_that_was_replaced_takes_no_effect_later():
+    """Guards against an order that two leaders carry out, one of them late."""
+    for seed in range(20):
+        group = control_group.ControlGroup(seed)
+        assert group.change_until_acked(group.replace(4))
+        old = group.leader().address
+        others = [n for n in group.instances if n != old]
+        group.blocked_links = {frozenset((old, n)) for n in others}
+        out = set_zone.SetZone("zone-a", True)
+        answer = group.call(old, change_requested.ChangeRequested, out)
+        assert answer.status is call_status.CallStatus.UNAVAILABLE
+        assert group.change_until_acked(set_zone.SetZone("zone-a", False))
+        group.blocked_links = set()
+        group.run(3)
+        group.check_final_state()
+        for instance in group.instances.values():
+            applied = [ln for ln in instance.lines if ln.step == "state.applied"]
+            assert "zone-a" not in {ln.fields["zones_out"] for ln in applied}, seed
+
+
 def test_all_instances_killed_at_once_keep_everything():
     """Guards against an acknowledgement before a majority has synced."""
     for seed in range(10):
--- a/tests/streams/test_flow_ownership.py
+++ b/tests/streams/test_flow_ownership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limpetreel.streams.events import agent_leaving
+from limpetreel.streams.events import agent_leaving, caller_packet
 from tests import fixtures
 from tests.streams import stream_site
 
@@ -149,3 +149,40 @@
     site.load(20, 0.3, retries=0)
     site.run(2.0)
     assert len(site.opened) == before
+
+
+def test_flow_that_two_entries_opened_at_two_upstreams_runs_its_request_once():
+    """Guards against two agents that both take a flow for theirs."""
+    site = make_site(19)
+    for number in range(40):
+        request = stream_site.Request(site.now)
+        caller = stream_site.Caller(site, request, 0)
+        copy = stream_site.make_packet(caller.flow, stream_site.SYN, ack=1)
+        event = caller_packet.CallerPacket(copy)
+        served = sum(u.served for u in site.upstreams.values())
+        caller.open()
+        for name in site.entries:
+            site.to_core(name, event)
+        site.run(site.now + 1.0)
+        assert request.answered_at is not None, number
+        assert sum(u.served for u in site.upstreams.values()) == served + 1, number
+    assert len(site.opened) > len(site.callers)
+
+
+def test_address_of_a_closed_flow_can_be_used_for_the_next_one():
+    """Guards against an opening packet that is taken for a copy of an earlier one."""
+    site = make_site(20)
+    (caller,) = open_flows(site, 1)
+    (opened,) = (u for u in site.upstreams.values() if caller.flow in u.flows)
+    fin = stream_site.make_packet(caller.flow, stream_site.FIN, 3, 0)
+    site.from_caller(caller.flow, fin)
+    site.run(site.now + 0.1)
+    opened.send(caller.flow, stream_site.FIN, opened.flows.pop(caller.flow) + 5)
+    site.run(site.now + 0.1)
+    before = len(site.opened)
+    following = stream_site.Caller(site, stream_site.Request(site.now), 0)
+    following.flow = caller.flow
+    following.open()
+    site.run(site.now + 0.15)
+    assert len(site.opened) == before + 1
+    assert following.is_open
