--- a/tests/bad_input.py
+++ b/tests/bad_input.py
@@ -94,3 +94,13 @@
         key = line["step"], line["reason"]
         counts[key] = counts.get(key, 0) + 1
     assert counts and max(counts.values()) <= rate_limit.LINES_PER_PERIOD
+
+
+def damaged(rng, data):
+    """Return data with up to three other bytes, at times cut off."""
+    changed = bytearray(data)
+    for _ in range(rng.randrange(4)):
+        changed[rng.randrange(len(changed))] = rng.randrange(256)
+    if rng.random() < 0.1:
+        del changed[rng.randrange(len(changed)) :]
+    return bytes(changed)
