Hold requests on open flows while the upstream has no free slot

Cause: only openings were admitted by the agent's count. Requests on long flows took every slot at once and queued at the upstream, ahead of lookups that waited for a slot as openings. Change: when a request begins on an open flow while all slots and the margin are busy, RequestGate holds its packets (64 a flow, 2 MB and 512 requests an agent; copies replace each other) for a quarter of answer_ms at most. WaitingQueue orders openings and requests: routes that got nothing for a quarter of timeout_ms, then what can be in time, then priority, then arrival; within a route callers are served in turn by admission.WaitQueue. What exceeds the bounds is forwarded, a FIN or RST of the caller discards what is held.

--- a/src/limpetreel/admission/wait_queue.py
+++ b/src/limpetreel/admission/wait_queue.py
@@ -36,6 +36,11 @@
         """Return the queued requests in the order in which they are served."""
         return list(self._requests)
 
+    @property
+    def first(self) -> waiting_request.WaitingRequest:
+        """Return the next request to serve; the queue is not empty."""
+        return self._requests[0]
+
     def position(self, caller: int, open_count: int) -> int:
         """Return how many requests would be served before a new one.
 
--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -54,6 +54,10 @@
         """Return the number of flows that occupy a slot of the upstream."""
         return len(self._occupying) + max(0, len(self._receiving) - MAX_RECEIVING)
 
+    def count_occupying(self, caller_host: bytes) -> int:
+        """Return how many flows of a caller address occupy slots."""
+        return sum(flow.key.startswith(caller_host) for flow in self._occupying)
+
     @property
     def receiving(self) -> Set[owned_flow.OwnedFlow]:
         """Return the flows whose request is still arriving."""
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from limpetreel.streams import flow_phase
-    from limpetreel.streams.serving import packet_gaps
+    from limpetreel.streams.serving import held_request, packet_gaps
 
 
 ROUTE_BYTES = slice(6, 12)
@@ -21,6 +21,7 @@
     the handshake, which shows that it took the caller's last packet of it. Of the
     latest request, `data_at` is the time of its last data, `gaps` are its missing
     packets and `has_last_packet` tells whether the packet that ends it has come.
+    `held` is a request that waits for a slot.
 
     Parameters
     ----------
@@ -42,6 +43,7 @@
         "has_caller_fin",
         "has_last_packet",
         "has_upstream_fin",
+        "held",
         "is_confirmed",
         "is_established",
         "key",
@@ -68,6 +70,7 @@
         self.data_at = now
         self.gaps: packet_gaps.PacketGaps | None = None
         self.has_last_packet = False
+        self.held: held_request.HeldRequest | None = None
         self.is_confirmed = False
         self.is_established = False
         self.has_caller_fin = False
--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from limpetreel.configuration import route
     from limpetreel.streams import flow_set, route_table, upstream_state
-    from limpetreel.streams.serving import capacity, opening_queue, start_rate
+    from limpetreel.streams.serving import capacity, start_rate, waiting_queue
 
 HANDSHAKE_SECONDS = 0.02
 """Part of the answer time that the handshake and the transfer of the answer take."""
@@ -28,8 +28,8 @@
         Service of the upstream.
     flows : FlowSet
         Flows of the upstream.
-    queue : OpeningQueue
-        Flows that wait for a slot.
+    queue : WaitingQueue
+        What waits for a slot.
     capacity : Capacity
         Estimate of the concurrent flows that the upstream can serve.
     starts : StartRate
@@ -42,7 +42,7 @@
         self,
         service: str,
         flows: flow_set.FlowSet,
-        queue: opening_queue.OpeningQueue,
+        queue: waiting_queue.WaitingQueue,
         capacity: capacity.Capacity,
         starts: start_rate.StartRate,
         upstream: upstream_state.UpstreamState,
@@ -86,13 +86,27 @@
             return outcome.Outcome.FULL
         if not self._has_cold_start_capacity(now):
             return outcome.Outcome.WARMING
-        if self._flows.occupied >= self._capacity.limit() or len(self._queue):
+        if not self.has_free_slot() or len(self._queue):
             return outcome.Outcome.BUSY
         return None
 
-    def can_wait(self, matched_route: route.Route) -> bool:
-        """Return whether a queued flow would be answered in time."""
-        wait = self.wait_seconds(matched_route.priority)
+    def find_route(self, flow: bytes) -> route.Route | None:
+        """Return the route of a flow, None if there is none."""
+        return self.routes.find(flow) if self.routes is not None else None
+
+    def has_free_slot(self) -> bool:
+        """Return whether one more flow or request can be served now."""
+        return self._flows.occupied < self._capacity.limit()
+
+    def can_wait(self, now: float, matched_route: route.Route, flow: bytes) -> bool:
+        """Return whether a queued flow would be answered in time.
+
+        A route that got nothing for too long is served before all others.
+        """
+        ahead = self._queue.count_ahead_in_starved(now, flow)
+        if ahead is None:
+            ahead = self._queue.count_ahead(matched_route.priority)
+        wait = self._wait_seconds(ahead)
         return wait <= self.max_wait_seconds(matched_route) and not self._queue.is_full
 
     def max_wait_seconds(self, matched_route: route.Route) -> float:
@@ -107,14 +121,14 @@
 
     def wait_seconds(self, priority: int) -> float:
         """Return the expected wait of a new flow of a priority."""
+        return self._wait_seconds(self._queue.count_ahead(priority))
+
+    def _wait_seconds(self, ahead: int) -> float:
         excess = self._flows.occupied - self._capacity.limit()
-        ahead = self._queue.count_ahead(priority)
         return self._capacity.wait_seconds(max(0, excess) + ahead)
 
-    def may_serve_waiting(self, now: float) -> bool:
-        """Return whether the next waiting flow can be opened."""
-        if not len(self._queue) or self._flows.occupied >= self._capacity.limit():
-            return False
+    def may_open_waiting(self, now: float) -> bool:
+        """Return whether a waiting flow may be opened once a slot is free."""
         return self._has_cold_start_capacity(now)
 
     def _has_cold_start_capacity(self, now: float) -> bool:
--- /dev/null
+++ b/src/limpetreel/streams/serving/slot_scheduler.py
@@ -0,0 +1,91 @@
+"""Gives free slots to waiting openings and requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.streams.messages import outcome
+from limpetreel.streams.serving import held_request, waiting_opening
+
+if TYPE_CHECKING:
+    import msgspec
+
+    from limpetreel.streams.serving import (
+        capacity,
+        flow_admission,
+        flow_opener,
+        request_gate,
+        waiting,
+        waiting_queue,
+    )
+
+    Actions = list[msgspec.Struct]
+
+
+class SlotScheduler:
+    """Serves the queue while slots are free, and ends waits that have expired.
+
+    Parameters
+    ----------
+    queue : WaitingQueue
+        What waits for a slot.
+    capacity : Capacity
+        Tells the expected time of a request.
+    admission : FlowAdmission
+        Tells whether a slot is free.
+    opener : FlowOpener
+        Opens and refuses flows.
+    gate : RequestGate
+        Forwards held requests.
+    """
+
+    def __init__(
+        self,
+        queue: waiting_queue.WaitingQueue,
+        capacity: capacity.Capacity,
+        admission: flow_admission.FlowAdmission,
+        opener: flow_opener.FlowOpener,
+        gate: request_gate.RequestGate,
+    ) -> None:
+        self._queue = queue
+        self._capacity = capacity
+        self._admission = admission
+        self._opener = opener
+        self._gate = gate
+
+    def serve(self, now: float) -> Actions:
+        """Serve what waits while slots are free."""
+        actions: Actions = []
+        while len(self._queue) and self._admission.has_free_slot():
+            item = self._queue.pop(
+                now,
+                self._capacity.response_seconds(),
+                self._admission.may_open_waiting(now),
+            )
+            if item is None:
+                break
+            actions += self._serve(now, item)
+        return actions
+
+    def expire(self, now: float) -> Actions:
+        """Refuse openings and forward requests whose wait has expired."""
+        actions: Actions = []
+        for item in self._queue.take_expired(now):
+            if isinstance(item, waiting_opening.WaitingOpening):
+                actions.append(self._opener.refuse(now, item, outcome.Outcome.BUSY))
+            else:
+                actions += self._serve(now, item)
+        return actions
+
+    def refuse_openings(self, now: float, reason: outcome.Outcome) -> Actions:
+        """Refuse all waiting openings."""
+        return [
+            self._opener.refuse(now, item, reason)
+            for item in self._queue.take_openings()
+        ]
+
+    def _serve(self, now: float, item: waiting.Waiting) -> Actions:
+        if isinstance(item, held_request.HeldRequest):
+            return self._gate.release(now, item)
+        assert isinstance(item, waiting_opening.WaitingOpening)
+        return self._opener.open_waiting(now, item)
--- a/src/limpetreel/streams/serving/verdict_writer.py
+++ b/src/limpetreel/streams/serving/verdict_writer.py
@@ -14,8 +14,8 @@
         capacity,
         flow_admission,
         flow_lengths,
-        opening_queue,
         slot_occupancy,
+        waiting_queue,
     )
 
     Address = tuple[str, int]
@@ -28,8 +28,8 @@
     ----------
     flows : FlowSet
         Flows of the upstream.
-    queue : OpeningQueue
-        Flows that wait for a slot.
+    queue : WaitingQueue
+        What waits for a slot.
     capacity : Capacity
         Estimate of the concurrent flows that the upstream can serve.
     admission : FlowAdmission
@@ -43,7 +43,7 @@
     def __init__(
         self,
         flows: flow_set.FlowSet,
-        queue: opening_queue.OpeningQueue,
+        queue: waiting_queue.WaitingQueue,
         capacity: capacity.Capacity,
         admission: flow_admission.FlowAdmission,
         slots: slot_occupancy.SlotOccupancy,
--- /dev/null
+++ b/src/limpetreel/streams/serving/waiting_opening.py
@@ -0,0 +1,47 @@
+"""New flow that waits for a slot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.streams.serving import waiting
+
+if TYPE_CHECKING:
+    from limpetreel.configuration import route
+
+
+class WaitingOpening(waiting.Waiting):
+    """Opening packet of a flow, which is refused if its wait expires.
+
+    Parameters
+    ----------
+    key : bytes
+        Key of the flow.
+    route : Route
+        Route of the flow.
+    arrived_at, expires_at : float
+        See `waiting.Waiting`.
+    offer_id : int
+        Identifier of the offer.
+    entry : tuple of (str, int)
+        Address of the entry that sent the offer.
+    packet : bytes
+        The opening packet.
+    """
+
+    __slots__ = ("entry", "offer_id", "packet")
+
+    def __init__(
+        self,
+        key: bytes,
+        route: route.Route,
+        arrived_at: float,
+        expires_at: float,
+        offer_id: int,
+        entry: tuple[str, int],
+        packet: bytes,
+    ) -> None:
+        super().__init__(key, route, arrived_at, expires_at)
+        self.offer_id = offer_id
+        self.entry = entry
+        self.packet = packet
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -49,18 +49,19 @@
     capacity,
     flow_admission,
     flow_lengths,
-    opening_queue,
+    flow_opener,
+    request_gate,
     request_tracker,
     slot_occupancy,
+    slot_scheduler,
     start_rate,
     verdict_writer,
-    waiting_flow,
+    waiting_queue,
 )
 
 if TYPE_CHECKING:
     import msgspec
 
-    from limpetreel.configuration import route
     from limpetreel.streams import segment, segment_codec
 
     Actions = list[msgspec.Struct]
@@ -114,16 +115,15 @@
         self._flows = flow_set.FlowSet(self._slots)
         # The upstream may hold flows that were opened before this process restarted.
         self._held = held_flows.HeldFlows(self._flows, now + max_flow_seconds)
-        self._queue = opening_queue.OpeningQueue()
-        self._starts = start_rate.StartRate()
-        self._queue_number = 0
+        self._queue = waiting_queue.WaitingQueue()
+        starts = start_rate.StartRate()
         self.upstream = upstream_state.UpstreamState(announcement_seconds)
         self._admission = flow_admission.FlowAdmission(
             service,
             self._flows,
             self._queue,
             self._capacity,
-            self._starts,
+            starts,
             self.upstream,
         )
         lengths = flow_lengths.FlowLengths()
@@ -138,6 +138,15 @@
             self._slots,
             lengths,
         )
+        self._gate = request_gate.RequestGate(
+            self._flows, self._queue, self._requests, self._admission
+        )
+        self._opener = flow_opener.FlowOpener(
+            self._flows, self._queue, starts, self._admission, self._verdicts
+        )
+        self._scheduler = slot_scheduler.SlotScheduler(
+            self._queue, self._capacity, self._admission, self._opener, self._gate
+        )
         self.dropped: dict[str, int] = {}
 
     @property
@@ -239,6 +248,7 @@
         Their callers would wait for an answer until their time limit.
         """
         self._held.mark_all_known()
+        self._gate.discard_all()
         actions: Actions = []
         for key, flow in self._flows.clear():
             fields: Fields = {"flow": stream_key.text(key)}
@@ -273,8 +283,7 @@
             actions.append(self._answer(flow, outcome.Outcome.UNRESPONSIVE))
             fields: Fields = {"flow": stream_key.text(key)}
             actions.append(log_line.LogLine("warning", "upstream.unresponsive", fields))
-        for waiting in self._queue.take_expired(now):
-            actions.append(self._refuse(waiting, outcome.Outcome.BUSY))
+        actions += self._scheduler.expire(now)
         idle = self._routes.idle_seconds if self._routes is not None else 0.0
         self._requests.record_removed(self._flows.sweep(now, idle))
         # All callers of a request have timed out after the longest time limit.
@@ -347,9 +356,10 @@
 
     def _forward(self, now: float, segment: segment.Segment) -> Actions:
         flow = self._flows.get(segment.flow)
-        if flow is not None:
-            self._requests.record_caller_packet(now, flow, segment)
-        return [send_upstream.SendUpstream(segment.data)]
+        if flow is None:
+            return [send_upstream.SendUpstream(segment.data)]
+        actions = self._gate.forward(now, flow, segment)
+        return actions + self._serve_waiting(now) if len(self._queue) else actions
 
     def _from_upstream(self, now: float, data: bytes) -> Actions:
         segment = self._codec.from_upstream(data)
@@ -431,106 +441,19 @@
         segment = self._codec.from_caller(message.packet)
         if isinstance(segment, failure.Failure) or not segment.is_open:
             return self._drop("offer without an opening packet")
-        flow = self._flows.get(segment.flow)
-        if flow is not None:
-            return self._repeat(source, message, flow)
-        if segment.flow in self._queue:
-            return [
-                self._verdict(
-                    source, message.offer_id, segment.flow, outcome.Outcome.QUEUED
-                )
-            ]
-        refusal = self._admission.refusal(
-            now, segment.flow, message.version, self.is_accepting(now)
-        )
-        if refusal is None:
-            return self._open(now, source, message.offer_id, segment.flow, segment.data)
-        matched_route = (
-            self._routes.find(segment.flow) if self._routes is not None else None
-        )
-        may_wait = message.may_wait and refusal is outcome.Outcome.BUSY
-        if (
-            may_wait
-            and matched_route is not None
-            and self._admission.can_wait(matched_route)
-        ):
-            self._wait(now, source, message, segment.flow, matched_route)
-            return [
-                self._verdict(
-                    source, message.offer_id, segment.flow, outcome.Outcome.QUEUED
-                )
-            ]
-        return [self._verdict(source, message.offer_id, segment.flow, refusal)]
-
-    def _repeat(
-        self, source: Address, message: offer.Offer, flow: owned_flow.OwnedFlow
-    ) -> Actions:
-        """Forward a repeated opening packet; the answer to it may have been lost."""
-        if flow.phase is flow_phase.FlowPhase.OFFERED:
-            flow.entry, flow.offer_id = source, message.offer_id
-        accepted = self._verdict(
-            source, message.offer_id, flow.key, outcome.Outcome.ACCEPTED
-        )
-        if flow.is_confirmed:
-            return [accepted]
-        return [send_upstream.SendUpstream(message.packet), accepted]
-
-    def _open(
-        self, now: float, source: Address, offer_id: int, key: bytes, packet: bytes
-    ) -> Actions:
-        flow = self._flows.add(key, now, flow_phase.FlowPhase.OFFERED)
-        flow.entry, flow.offer_id = source, offer_id
-        self._starts.record(now)
-        return [send_upstream.SendUpstream(packet)]
-
-    def _wait(
-        self,
-        now: float,
-        source: Address,
-        message: offer.Offer,
-        key: bytes,
-        matched_route: route.Route,
-    ) -> None:
-        self._queue_number += 1
-        limit = self._admission.max_wait_seconds(matched_route)
-        waiting = waiting_flow.WaitingFlow(
-            matched_route.priority,
-            self._queue_number,
-            now + limit,
-            message.offer_id,
-            source,
-            key,
-            message.packet,
-        )
-        self._queue.put(waiting)
-
-    def _serve_waiting(self, now: float) -> Actions:
-        actions: Actions = []
-        while self._admission.may_serve_waiting(now):
-            waiting = self._queue.pop()
-            if waiting is not None:
-                actions += self._open(
-                    now, waiting.entry, waiting.offer_id, waiting.flow, waiting.packet
-                )
-        return actions
-
-    def _refuse_waiting(self, reason: outcome.Outcome) -> Actions:
-        return [self._refuse(waiting, reason) for waiting in self._queue.take_all()]
-
-    def _refuse(
-        self, waiting: waiting_flow.WaitingFlow, reason: outcome.Outcome
-    ) -> msgspec.Struct:
-        return self._verdict(waiting.entry, waiting.offer_id, waiting.flow, reason)
+        is_accepting = self.is_accepting(now)
+        return self._opener.handle(now, source, message, segment.flow, is_accepting)
 
     def _answer(
         self, flow: owned_flow.OwnedFlow, result: outcome.Outcome
     ) -> msgspec.Struct:
-        return self._verdict(flow.entry, flow.offer_id, flow.key, result)
+        return self._opener.answer(self._now, flow, result)
 
-    def _verdict(
-        self, target: Address, offer_id: int, flow: bytes, result: outcome.Outcome
-    ) -> msgspec.Struct:
-        return self._verdicts.write(self._now, target, offer_id, flow, result)
+    def _serve_waiting(self, now: float) -> Actions:
+        return self._scheduler.serve(now)
+
+    def _refuse_waiting(self, reason: outcome.Outcome) -> Actions:
+        return self._scheduler.refuse_openings(self._now, reason)
 
 
 def _node(target: Address, message: stream_codec.Message) -> msgspec.Struct:
--- a/tests/streams/serving/load_site.py
+++ b/tests/streams/serving/load_site.py
@@ -67,6 +67,7 @@
         new.sequence = old.sequence
         site.upstreams[name] = new
     site.verdicts = []
+    site.flow_ports = itertools.count()
     site.on_action = lambda node, action: note_verdict(site, node, action)
     return site
 
@@ -146,8 +147,6 @@
         Packets of a request, and the time in which they are sent.
     """
 
-    ports = itertools.count(1024)
-
     def __init__(self, site, load, host, packets=1, transfer_s=0.0):
         self.site, self.load, self.host = site, load, host
         self.packets, self.transfer_s = packets, transfer_s
@@ -176,7 +175,7 @@
             self.finish()
             return
         request.tries += 1
-        port = next(self.ports) % 60000 + 1024
+        port = next(self.site.flow_ports) % 60000 + 1024
         caller = stream_key.pack(self.host, port)
         self.flow = caller + stream_key.pack(stream_site.HOST, self.load.port)
         self.sequence, self.is_open = 1, False
