Shorten the path of packets that do not wait

Cause: the agent's work per request rose from 4.4 to 10.2 us and per response from 5.9 to 9.6 us with the admission of requests, although nothing waited. Change: the limit of Capacity is computed when a time is recorded, phases are compared by identity, and the list of missing packets is touched only where a packet was skipped.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -19,12 +19,13 @@
 """Flows that may send a request concurrently without occupying slots. Requests of
 240 kB then take 15 MB of the upstream; 50 uploads a second are about 40 at once."""
 
-_OCCUPYING = frozenset(
-    (
-        flow_phase.FlowPhase.OFFERED,
-        flow_phase.FlowPhase.OPENING,
-        flow_phase.FlowPhase.WORKING,
-    )
+_RECEIVING = flow_phase.FlowPhase.RECEIVING
+_WORKING = flow_phase.FlowPhase.WORKING
+# A search in a tuple compares by identity; the hash of an enum member is slow.
+_OCCUPYING = (
+    flow_phase.FlowPhase.OFFERED,
+    flow_phase.FlowPhase.OPENING,
+    flow_phase.FlowPhase.WORKING,
 )
 
 
@@ -52,7 +53,8 @@
     @property
     def occupied(self) -> int:
         """Return the number of flows that occupy a slot of the upstream."""
-        return len(self._occupying) + max(0, len(self._receiving) - MAX_RECEIVING)
+        excess = len(self._receiving) - MAX_RECEIVING
+        return len(self._occupying) + (excess if excess > 0 else 0)
 
     def count_occupying(self, caller_host: bytes) -> int:
         """Return how many flows of a caller address occupy slots."""
@@ -88,18 +90,19 @@
         self, flow: owned_flow.OwnedFlow, phase: flow_phase.FlowPhase, now: float
     ) -> None:
         """Change the phase of a flow."""
-        working = flow_phase.FlowPhase.WORKING
-        if phase is working and flow.phase is not working:
-            self._slots.begin(now, flow)
-        elif flow.phase is working and phase is not working:
+        before = flow.phase
+        if phase is _WORKING:
+            if before is not _WORKING:
+                self._slots.begin(now, flow)
+        elif before is _WORKING:
             self._slots.end(now, flow)
         if phase in _OCCUPYING:
             self._occupying.add(flow)
         else:
             self._occupying.discard(flow)
-        if phase is flow_phase.FlowPhase.RECEIVING:
+        if phase is _RECEIVING:
             self._receiving.add(flow)
-        elif flow.phase is flow_phase.FlowPhase.RECEIVING:
+        elif before is _RECEIVING:
             self._receiving.discard(flow)
         flow.phase = phase
         flow.phase_at = now
--- a/src/limpetreel/streams/serving/capacity.py
+++ b/src/limpetreel/streams/serving/capacity.py
@@ -20,22 +20,34 @@
     """
 
     def __init__(self) -> None:
-        self.slots = 1
+        self._slots = 1
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self._opening_seconds = INITIAL_OPENING_SECONDS
+        self._limit = self._compute_limit()
+
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that the upstream processes concurrently."""
+        return self._slots
+
+    @slots.setter
+    def slots(self, slots: int) -> None:
+        self._slots = slots
+        self._limit = self._compute_limit()
 
     def record_service_time(self, seconds: float) -> None:
         """Record the time from a request to the start of its answer."""
         self.service_seconds += WEIGHT * (seconds - self.service_seconds)
+        self._limit = self._compute_limit()
 
     def record_opening_time(self, seconds: float) -> None:
         """Record the time from an opening packet to the request."""
         self._opening_seconds += WEIGHT * (seconds - self._opening_seconds)
+        self._limit = self._compute_limit()
 
     def limit(self) -> int:
         """Return how many flows may be opening or working concurrently."""
-        share = self._opening_seconds / max(self.service_seconds, 0.001)
-        return self.slots + min(self.slots, max(1, math.ceil(self.slots * share)))
+        return self._limit
 
     def response_seconds(self) -> float:
         """Return the expected time from a request to its answer at the limit.
@@ -48,3 +60,7 @@
     def wait_seconds(self, ahead: int) -> float:
         """Return the expected wait behind a number of flows over the limit."""
         return (ahead + 1) * self.service_seconds / max(1, self.slots)
+
+    def _compute_limit(self) -> int:
+        share = self._opening_seconds / max(self.service_seconds, 0.001)
+        return self._slots + min(self._slots, max(1, math.ceil(self._slots * share)))
--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -18,9 +18,9 @@
 SILENCE_SECONDS = 0.03
 """Time without further data after which a request of full packets has ended."""
 _SEQUENCE_MASK = 0xFFFFFFFF
-_REQUEST_PHASES = frozenset(
-    (flow_phase.FlowPhase.RECEIVING, flow_phase.FlowPhase.WORKING)
-)
+_RECEIVING = flow_phase.FlowPhase.RECEIVING
+_WORKING = flow_phase.FlowPhase.WORKING
+_REQUEST_PHASES = (_RECEIVING, _WORKING)
 
 
 class RequestTracker:
@@ -118,7 +118,8 @@
             self._capacity.record_opening_time(now - flow.phase_at)
         if flow.phase not in _REQUEST_PHASES:
             self._record_start(flow)
-        self._record_gap(flow, segment)
+        if flow.caller_end is not None and flow.caller_end != segment.sequence:
+            self._record_gap(flow, flow.caller_end, segment.sequence)
         flow.caller_end = (segment.sequence + segment.size) & _SEQUENCE_MASK
         flow.has_last_packet = segment.size < self._full_bytes
         flow.data_at = now
@@ -130,13 +131,10 @@
         if flow.requests == 2:  # each flow counts once
             self._lengths.record(flow.route_address, has_several=True)
 
-    def _record_gap(self, flow: owned_flow.OwnedFlow, segment: segment.Segment) -> None:
-        if flow.caller_end is None:
-            return
-        skipped = (segment.sequence - flow.caller_end) & _SEQUENCE_MASK
-        if 0 < skipped < SEQUENCE_WINDOW:
+    def _record_gap(self, flow: owned_flow.OwnedFlow, start: int, end: int) -> None:
+        if (end - start) & _SEQUENCE_MASK < SEQUENCE_WINDOW:
             flow.gaps = flow.gaps or packet_gaps.PacketGaps()
-            flow.gaps.add(flow.caller_end, segment.sequence)
+            flow.gaps.add(start, end)
 
     def _fill_gap(
         self, now: float, flow: owned_flow.OwnedFlow, segment: segment.Segment
@@ -148,9 +146,9 @@
             self._update_phase(now, flow)
 
     def _update_phase(self, now: float, flow: owned_flow.OwnedFlow) -> None:
-        phase = flow_phase.FlowPhase.RECEIVING
+        phase = _RECEIVING
         if flow.has_last_packet and not flow.gaps:
-            phase = flow_phase.FlowPhase.WORKING
+            phase = _WORKING
         if flow.phase is not phase:
             self._flows.move(flow, phase, now)
 
--- a/src/limpetreel/streams/serving/slot_occupancy.py
+++ b/src/limpetreel/streams/serving/slot_occupancy.py
@@ -75,5 +75,5 @@
 
     def _record(self, now: float) -> None:
         self._changed_at = now
-        share = len(self._serving) / max(1, self._capacity.slots)
-        self._utilisation.record(now, min(1.0, share))
+        busy, slots = len(self._serving), self._capacity.slots
+        self._utilisation.record(now, busy / slots if busy < slots else 1.0)
--- a/src/limpetreel/streams/serving/utilisation.py
+++ b/src/limpetreel/streams/serving/utilisation.py
@@ -19,6 +19,8 @@
 
     def record(self, now: float, share: float) -> None:
         """Record the share of busy slots from now on, between 0 and 1."""
+        if share == self._share and self._since is not None:
+            return
         self._average = self._average_at(now)
         self._share = share
         self._since = now
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -176,7 +176,7 @@
     (
         "any number of flows may send requests",
         _SOURCE + "flow_set.py",
-        "len(self._occupying) + max(0, len(self._receiving) - MAX_RECEIVING)",
+        "len(self._occupying) + (excess if excess > 0 else 0)",
         "len(self._occupying)",
         _TRACKER + "test_flows_that_send_a_request_are_bounded",
     ),
