Let agents tell that their upstream started after them

Cause: an agent that misses the first announcement of its upstream was unsure of every flow for 60 s.

Change: the agent compares the start of its upstream with the creation of its own process (wall clock less the processor time used so far, read first thing in the composition root). If the announced start time, the sequence and the remaining cold time of the first announcement heard all say that the upstream did not start earlier, less 0.1 s, all its flows have passed this process, and it answers `missing` (log line `upstream.flows_known`). A missing field, an upstream that is warm, a start in the future, or a cold time that the configuration does not allow leaves the agent unsure, as before.

--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -27,6 +27,7 @@
     from limpetreel.consensus import durable_state
     from limpetreel.storage import disk, log_store
     from limpetreel.streams import stream_agent_shell, stream_entry_shell, stream_shell
+    from limpetreel.streams.ownership import process_start
 
     Settings = process_settings.ProcessSettings
 
@@ -71,6 +72,7 @@
 
 def build_agent(path: pathlib.Path) -> stream_agent_shell.StreamAgentShell:
     """Return an agent that is ready to serve."""
+    process = _read_process_start()
     from limpetreel.platform import http_upstream_api
     from limpetreel.streams import stream_agent_core, stream_agent_shell
 
@@ -83,6 +85,7 @@
         cfg.data_centre,
         cfg.heartbeat_ms / _MS_PER_SECOND,
         cfg.max_flow_s,
+        process,
     )
     telemetry.add_metric(
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
@@ -145,6 +148,18 @@
     return shell
 
 
+def _read_process_start() -> process_start.ProcessStart:
+    """Return a bound on the time of creation of this process.
+
+    It has existed for at least the processor time that it has used.
+    """
+    from limpetreel.streams.ownership import process_start
+
+    age = time.process_time()
+    unix_ms = (time.time() - age) * _MS_PER_SECOND
+    return process_start.ProcessStart(time.monotonic() - age, unix_ms)
+
+
 def _build_telemetry(cfg: Settings, role: str) -> telemetry.Telemetry:
     log = log_writer.LogWriter(
         cfg.node, cfg.role, "info", sys.stdout.buffer, is_deferred=True
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -47,13 +47,14 @@
     stream_codec,
     verdict,
 )
-from limpetreel.streams.ownership import held_flows, owner_answers
+from limpetreel.streams.ownership import held_flows, owner_answers, upstream_start
 
 if TYPE_CHECKING:
     import msgspec
 
     from limpetreel.configuration import route
     from limpetreel.streams import segment, segment_codec
+    from limpetreel.streams.ownership import process_start
 
     Actions = list[msgspec.Struct]
     Address = tuple[str, int]
@@ -86,6 +87,8 @@
         Time between announcements of the upstream.
     max_flow_seconds : float
         Age up to which a flow must be kept.
+    process : ProcessStart or None
+        Creation of this process, None if it is not known.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         data_centre: str,
         announcement_seconds: float,
         max_flow_seconds: float,
+        process: process_start.ProcessStart | None = None,
     ) -> None:
         self._codec = codec
         self._service = service
@@ -111,6 +115,7 @@
         self._starts = start_rate.StartRate()
         self._queue_number = 0
         self.upstream = upstream_state.UpstreamState(announcement_seconds)
+        self._start = upstream_start.UpstreamStart(process, announcement_seconds)
         self._admission = flow_admission.FlowAdmission(
             service,
             self._flows,
@@ -179,20 +184,33 @@
         if freshness is upstream_state.Freshness.LATE:
             return [log_line.LogLine("warning", "upstream.late_announcement", fields)]
         self._capacity.slots = status.slots
+        is_new_start = freshness is upstream_state.Freshness.NEW_START
+        self._start.record(now, status, is_new_start)
         actions: Actions = []
-        if freshness is upstream_state.Freshness.NEW_START:
+        if is_new_start:
             actions.append(log_line.LogLine("info", "upstream.started", fields))
             if is_first and status.sequence <= 1:
                 # The upstream has just started and holds no earlier flows.
                 self._held.mark_all_known()
             elif not is_first:
                 actions += self._reset_flows()
+            actions += self._compare_starts(now)
         if status.is_draining and not was_draining:
             actions.append(log_line.LogLine("info", "upstream.draining", fields))
         if not self.is_accepting(now):
             actions += self._refuse_waiting(outcome.Outcome.CLOSED)
         return actions + self._serve_waiting(now)
 
+    def _compare_starts(self, now: float) -> Actions:
+        """Record that all flows are known if the upstream is younger than the agent."""
+        limits = self._routes.service(self._service) if self._routes else None
+        cold_seconds = limits.cold_seconds if limits is not None else 0.0
+        if not self._held.may_hold(now) or not self._start.is_later(cold_seconds):
+            return []
+        self._held.mark_all_known()
+        fields: Fields = {"cold_seconds": cold_seconds}
+        return [log_line.LogLine("info", "upstream.flows_known", fields)]
+
     def _depart(self, event: upstream_departed.UpstreamDeparted) -> Actions:
         if not self.upstream.record_sign_off(event.instance_id):
             return []
@@ -232,15 +250,17 @@
         is_out = self._data_centre in view.zones_out
         version = self._routes.version if self._routes is not None else 0
         self._view = view
+        actions: Actions = []
         if view.configuration is not None and view.configuration.version > version:
             self._routes = route_table.RouteTable(view.configuration)
             self._admission.routes = self._routes
+            actions += self._compare_starts(now)
         if was_out and not is_out:
             # Upstreams may need a cold start after their zone was out.
             self.upstream.expect_cold()
         if is_out and not was_out:
-            return self._refuse_waiting(outcome.Outcome.CLOSED)
-        return []
+            actions += self._refuse_waiting(outcome.Outcome.CLOSED)
+        return actions
 
     def _tick(self, now: float) -> Actions:
         actions: Actions = []
--- a/tests/streams/faulty_site.py
+++ b/tests/streams/faulty_site.py
@@ -2,27 +2,73 @@
 
 from __future__ import annotations
 
+from limpetreel.streams import stream_agent_core
 from limpetreel.streams.actions import send_node, send_upstream
-from limpetreel.streams.events import node_datagram
+from limpetreel.streams.events import node_datagram, upstream_announced
 from limpetreel.streams.messages import stream_codec
+from limpetreel.streams.ownership import process_start
 from tests.streams import stream_site, test_ended_flows
 
 WINDOW_SECONDS = 2.0
 MAX_MISDIRECTED = 2
+COLD_SECONDS = 2.0
+"""Time for which an upstream is cold in the configuration of the site."""
+UNIX_MS = 1_700_000_000_000
+"""Time of day at the start of the simulation."""
 
 
 class FaultySite(stream_site.StreamSite):
     """Site with faults between nodes.
 
     Its attribute `delay` maps source, target and message to a delay in seconds, None
-    for a loss.
+    for a loss. Upstreams in `started_at` announce the time of their start, and agents
+    in `created_at` know that of their process.
     """
 
     def __init__(self, *args, **kwargs):
         self.arrivals = []
+        self.started_at = {}
+        self.created_at = {}
         self.delay = lambda source, target, message: stream_site.LINK_SECONDS
         super().__init__(*args, **kwargs)
 
+    def start_agent(self, name):
+        """Start an agent without any state."""
+        process = None
+        created_at = self.created_at.get(name)
+        if created_at is not None:
+            unix_ms = UNIX_MS + created_at * 1000
+            process = process_start.ProcessStart(created_at, unix_ms)
+        self.agents[name] = stream_agent_core.StreamAgentCore(
+            self.now,
+            stream_site.CODEC,
+            stream_site.SERVICE,
+            "zone-a",
+            stream_site.ANNOUNCEMENT_SECONDS,
+            60.0,
+            process,
+        )
+        self.to_core(name, self.fleet_update())
+
+    def announce(self, name):
+        """Pass one announcement of an upstream to its agent."""
+        started_at = self.started_at.get(name)
+        if started_at is None:
+            super().announce(name)
+            return
+        cold_ms = max(0.0, COLD_SECONDS - (self.now - started_at)) * 1000
+        status = stream_site.replace(
+            self.upstreams[name].status(),
+            started_ms=int(UNIX_MS + started_at * 1000),
+            cold_ms=int(cold_ms),
+        )
+        self.to_core(name, upstream_announced.UpstreamAnnounced(status))
+
+    def announce_regularly(self, now, name):
+        """Pass announcements periodically, unless the test passes them itself."""
+        if name not in self.started_at:
+            super().announce_regularly(now, name)
+
     def execute(self, name, action):
         """Carry out an action of a node, with the faults."""
         if isinstance(action, send_upstream.SendUpstream):
@@ -92,3 +138,34 @@
     """Start all entries anew."""
     for name in list(site.entries):
         site.start_entry(name)
+
+
+def lose_power(site, start_seconds=(0.3, 1.1), announcements=4):
+    """Restart everything at once; agents hear no announcement before they are up.
+
+    Parameters
+    ----------
+    start_seconds : tuple of (float, float)
+        Bounds of the time that the process of an agent takes to start.
+    announcements : int
+        Number of announcements of each upstream.
+    """
+    for name in site.entries:
+        site.start_entry(name)
+    for name, upstream in site.upstreams.items():
+        upstream.restart()
+        site.down.add(name)
+        site.created_at[name] = site.now
+        starts_after = site.random.uniform(0.0, 0.3)
+        site.started_at[name] = site.now + starts_after
+        for i in range(announcements):
+            seconds = starts_after + i * stream_site.ANNOUNCEMENT_SECONDS
+            site.after(seconds, lambda at, name=name: site.announce(name))
+        start_after = site.random.uniform(*start_seconds)
+        site.after(start_after, lambda at, name=name: start_late(site, name))
+
+
+def start_late(site, name):
+    """Start an agent whose process was created earlier."""
+    site.down.discard(name)
+    site.start_agent(name)
