Ask the agents of the local data centre for owners first

Cause: an entry that has restarted asks all agents for the owner of each flow, although most flows are placed in its own data centre.

The list of agents that a search needs moves from the candidates to a class of its own (known_agents).

--- a/src/limpetreel/streams/candidates.py
+++ b/src/limpetreel/streams/candidates.py
@@ -95,15 +95,6 @@
         """Return the agent at an address, empty if it is not known."""
         return self._names.get(address, "")
 
-    def addresses(self, services: tuple[str, ...]) -> list[Address]:
-        """Return the addresses of all agents whose upstreams may hold flows."""
-        return [
-            (record.host, record.port)
-            for service in services
-            for record in self._by_service.get(service, ())
-            if not record.has_ended
-        ]
-
     def best(self, now: float, service: str, tried: set[str]) -> str:
         """Return the agent with the lowest cost, empty if none is left."""
         best_name, lowest_cost = "", float("inf")
--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -9,14 +9,20 @@
 
 from limpetreel.streams.actions import send_node
 from limpetreel.streams.messages import carry, probe, stream_codec
-from limpetreel.streams.ownership import probe_budget, questions, sought_flow
+from limpetreel.streams.ownership import (
+    known_agents,
+    probe_budget,
+    questions,
+    sought_flow,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     import msgspec
 
-    from limpetreel.streams import candidates, segment
+    from limpetreel.cluster import upstream_record
+    from limpetreel.streams import segment
     from limpetreel.streams.messages import holdings
     from limpetreel.streams.ownership import question
 
@@ -51,19 +57,18 @@
 
     Parameters
     ----------
-    candidates : Candidates
-        Known agents.
+    data_centre : str
+        Data centre of the entry.
     first_number : int
         Random number before that of the first question.
     """
 
-    def __init__(self, candidates: candidates.Candidates, first_number: int) -> None:
-        self._candidates = candidates
+    def __init__(self, data_centre: str, first_number: int) -> None:
+        self._known = known_agents.KnownAgents(data_centre)
         self._is_list_current = False
         self._flows: dict[bytes, sought_flow.SoughtFlow] = {}
         self._due: dict[bytes, sought_flow.SoughtFlow] = {}
         self._denied: dict[bytes, sought_flow.SoughtFlow] = {}
-        self._agents: dict[tuple[str, ...], list[Address]] = {}
         self._budget = probe_budget.ProbeBudget()
         self._questions = questions.Questions(first_number)
         self._next_batch_at = float("-inf")
@@ -72,18 +77,22 @@
         """Return the number of flows that are searched for."""
         return len(self._flows)
 
-    def change_list(self, is_list_current: bool) -> None:
-        """Ask agents that have become known since a search began.
+    def change_list(
+        self, records: Iterable[upstream_record.UpstreamRecord], is_current: bool
+    ) -> None:
+        """Replace the list of agents, and ask those that have become known.
 
         Parameters
         ----------
-        is_list_current : bool
-            Whether the list of agents is known to be complete.
+        records : iterable of UpstreamRecord
+            Known upstreams.
+        is_current : bool
+            Whether the list is known to be complete.
         """
-        self._is_list_current = is_list_current
-        self._agents.clear()
+        self._is_list_current = is_current
+        self._known.update(records)
         for flow in self._flows.values():
-            if flow.add_agents(self._known_agents(flow.services)):
+            if flow.add_agents(self._known.groups(flow.services)):
                 self._due[flow.flow] = flow
 
     def add(
@@ -98,7 +107,7 @@
             self._remove(next(iter(self._flows)))
         flow = sought_flow.SoughtFlow(now, segment, services)
         self._flows[segment.flow] = flow
-        flow.add_agents(self._known_agents(services))
+        flow.add_agents(self._known.groups(services))
         self._due[segment.flow] = flow
         return self._ask_due(now)
 
@@ -199,12 +208,6 @@
         self._questions.sweep(now)
         return expired, actions + self._ask_due(now)
 
-    def _known_agents(self, services: tuple[str, ...]) -> list[Address]:
-        agents = self._agents.get(services)
-        if agents is None:
-            agents = self._agents[services] = self._candidates.addresses(services)
-        return agents
-
     def _remove(self, key: bytes) -> sought_flow.SoughtFlow | None:
         self._due.pop(key, None)
         self._denied.pop(key, None)
@@ -226,7 +229,6 @@
             return []
         if has_owner:
             # A lost probe is noticed with the answer to the next question.
-            flow.record_asked(now, sought_flow.FIRST_ANSWER_SECONDS)
             flow.extend(now)
         for agent in targets:
             self._budget.record(now, flow.flow, agent)
@@ -242,8 +244,9 @@
         again: dict[Address, list[sought_flow.SoughtFlow]] = {}
         for key in list(itertools.islice(self._due, MAX_FLOWS_PER_ROUND)):
             flow = self._due.pop(key)
-            if not flow.was_asked:
-                first.setdefault(tuple(flow.remaining), []).append(flow)
+            group = flow.take_group()
+            if group:
+                first.setdefault(group, []).append(flow)
             else:
                 for agent in flow.remaining:
                     again.setdefault(agent, []).append(flow)
--- a/src/limpetreel/streams/ownership/sought_flow.py
+++ b/src/limpetreel/streams/ownership/sought_flow.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable
 
     from limpetreel.streams import segment
 
@@ -18,6 +18,9 @@
 FIRST_ANSWER_SECONDS = 0.15
 """Time after which the agents that have not answered are asked again. It doubles with
 each question, since the link or the processor of an entry may be what delays them."""
+NEXT_GROUP_SECONDS = 0.05
+"""Time for the answers of the agents that are asked first; a round trip and pauses of
+the machines. Others are asked earlier if those have denied the flow."""
 MAX_SECONDS = 2.0
 """Time after which a search without an answer of all agents ends."""
 
@@ -41,6 +44,7 @@
         "denied_at",
         "ends_at",
         "flow",
+        "groups",
         "latest",
         "packets",
         "probed",
@@ -50,7 +54,6 @@
         "trial",
         "unsure",
         "wait_seconds",
-        "was_asked",
     )
 
     def __init__(
@@ -60,7 +63,8 @@
         self.services = services
         self.began_at = now
         self.ends_at = now + MAX_SECONDS
-        self.was_asked = False
+        # Agents that have not been asked yet, in the order in which they are.
+        self.groups: list[tuple[Address, ...]] = []
         self.ask_again_at = float("inf")
         self.wait_seconds = FIRST_ANSWER_SECONDS
         self.denied_at: float | None = None
@@ -97,36 +101,43 @@
             # An upstream that holds the flow reacts to it, which ends a probe.
             self.trial = segment
 
-    def record_asked(self, now: float, wait_seconds: float = 0.0) -> None:
-        """Record that the remaining agents were asked, or had a packet to try.
+    def take_group(self) -> tuple[Address, ...]:
+        """Remove and return the agents to ask next, none if all have been asked."""
+        return self.groups.pop(0) if self.groups else ()
 
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        wait_seconds : float
-            Time after which they are asked again, 0 to double the last one.
-        """
-        self.was_asked = True
-        self.wait_seconds = wait_seconds or self.wait_seconds
+    def record_asked(self, now: float) -> None:
+        """Record that a group of agents, or all that remain, were asked."""
+        if self.groups:
+            self.ask_again_at = now + NEXT_GROUP_SECONDS
+            return
         self.ask_again_at = now + self.wait_seconds
         self.wait_seconds *= 2
 
     def extend(self, now: float) -> None:
-        """Search for longer, since the owner is being probed; its probe may be lost."""
+        """Search for longer, since the owner is being probed.
+
+        A lost probe is noticed with the answer to the next question.
+        """
+        self.ask_again_at = now + FIRST_ANSWER_SECONDS
+        self.wait_seconds = 2 * FIRST_ANSWER_SECONDS
         self.ends_at = min(now, self.began_at + MAX_SECONDS) + MAX_SECONDS
 
-    def add_agents(self, known: Sequence[Address]) -> bool:
-        """Add agents that have not denied the flow; return whether any is new."""
-        if self.seen.issuperset(known):
-            return False
-        added = [agent for agent in known if agent not in self.seen]
-        self.seen.update(added)
-        self.remaining.update(dict.fromkeys(added))
-        self.was_asked = False
-        self.denied_at = None
-        self.wait_seconds = FIRST_ANSWER_SECONDS
-        return True
+    def add_agents(self, known: Iterable[tuple[Address, ...]]) -> bool:
+        """Add groups of agents that may own the flow; return whether any is new."""
+        is_changed = False
+        for group in known:
+            if self.seen.issuperset(group):
+                continue
+            if not self.seen.isdisjoint(group):
+                group = tuple(agent for agent in group if agent not in self.seen)
+            self.seen.update(group)
+            self.remaining.update(dict.fromkeys(group))
+            self.groups.append(group)
+            is_changed = True
+        if is_changed:
+            self.denied_at = None
+            self.wait_seconds = FIRST_ANSWER_SECONDS
+        return is_changed
 
     def deny(self, now: float, agents: set[Address]) -> None:
         """Record that the upstreams of agents do not hold the flow."""
@@ -140,6 +151,8 @@
             self.unsure = {a: None for a in self.unsure if a not in agents}
         if before and not self.remaining:
             self.denied_at = now
+        elif self.groups and len(self.remaining) == sum(map(len, self.groups)):
+            self.ask_again_at = now
 
     def mark_unsure(self, agent: Address, number: int) -> None:
         """Record that an agent does not know whether its upstream holds the flow.
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -89,7 +89,7 @@
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
         first_number = random.Random(seed).getrandbits(FIRST_NUMBER_BITS)
-        self._search = owner_search.OwnerSearch(self._candidates, first_number)
+        self._search = owner_search.OwnerSearch(data_centre, first_number)
         self._next_id = source.getrandbits(31)
         self._swept_at = 0.0
         self._started_at: float | None = None
@@ -129,7 +129,7 @@
         version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
-        self._search.change_list(view.is_list_current)
+        self._search.change_list(view.upstreams, view.is_list_current)
         if view.configuration is not None and view.configuration.version > version:
             self._routes = route_table.RouteTable(view.configuration)
         return []
--- a/tests/streams/faulty_site.py
+++ b/tests/streams/faulty_site.py
@@ -28,10 +28,23 @@
     def __init__(self, *args, **kwargs):
         self.arrivals = []
         self.started_at = {}
+        self.data_centres = {}
         self.created_at = {}
         self.delay = lambda source, target, message: stream_site.LINK_SECONDS
         super().__init__(*args, **kwargs)
 
+    def fleet_update(self):
+        """Return the current update from control, with the agents' data centres."""
+        event = super().fleet_update()
+        records = tuple(
+            stream_site.replace(
+                record, data_centre=self.data_centres.get(record.name, "zone-a")
+            )
+            for record in event.view.upstreams
+        )
+        view = stream_site.replace(event.view, upstreams=records)
+        return stream_site.replace(event, view=view)
+
     def start_agent(self, name):
         """Start an agent without any state."""
         process = None
--- /dev/null
+++ b/tests/streams/ownership/test_known_agents.py
@@ -0,0 +1,46 @@
+"""Tests that entries ask the likely owners first where that saves messages."""
+
+from __future__ import annotations
+
+from tests import fixtures
+from tests.streams import faulty_site, test_ended_flows
+
+load_tests = fixtures.load_functions(globals())
+
+UPSTREAMS = 46
+FLOWS = 200
+
+
+def make_site(seed):
+    """Return a site with a third of the agents in the data centre of the entries."""
+    site = faulty_site.make_site(seed, upstreams=UPSTREAMS, entries=4)
+    zones = ("zone-a", "zone-b", "zone-c")
+    site.data_centres = {n: zones[i % 3] for i, n in enumerate(site.names)}
+    site.update_all()
+    return site
+
+
+def test_agents_of_the_local_data_centre_are_asked_first():
+    """Guards against a question to each agent for flows that a near one holds."""
+    site = make_site(61)
+    callers = test_ended_flows.open_flows(site, FLOWS)
+    faulty_site.restart_entries(site)
+    site.messages = 0
+    test_ended_flows.send_again(site, callers)
+    assert all(c.request.answered_at is not None for c in callers)
+    # Each packet is carried; the questions and answers are few.
+    carried = sum(1 for at, _, _ in site.arrivals if at > site.now - 1.0)
+    assert site.messages - carried < 4 * UPSTREAMS * 4
+
+
+def test_flows_of_other_data_centres_are_found_as_well():
+    """Guards against a search that ends with the local data centre."""
+    site = make_site(62)
+    callers = test_ended_flows.open_flows(site, FLOWS)
+    site.data_centres = dict.fromkeys(site.names, "zone-b")
+    site.data_centres["agent-0"] = "zone-a"
+    site.update_all()
+    faulty_site.restart_entries(site)
+    test_ended_flows.send_again(site, callers, 0.5)
+    assert all(c.request.answered_at is not None for c in callers)
+    assert not any(c.request.refused for c in callers)
