--- a/src/limpetreel/streams/ownership/sought_flow.py
+++ b/src/limpetreel/streams/ownership/sought_flow.py
@@ -18,6 +18,9 @@
 FIRST_ANSWER_SECONDS = 0.15
 """Time after which the agents that have not answered are asked again. It doubles with
 each question, since the link or the processor of an entry may be what delays them."""
+NEXT_GROUP_SECONDS = 0.05
+"""Time for the answers of the agents that are asked first; a round trip and pauses of
+the machines. Others are asked earlier if those have denied the flow."""
 MAX_SECONDS = 2.0
 """Time after which a search without an answer of all agents ends."""
 
@@ -38,14 +41,15 @@
     __slots__ = (
         "ask_again_at",
         "began_at",
-        "denied",
         "denied_at",
         "ends_at",
         "flow",
+        "groups",
         "latest",
         "packets",
         "probed",
         "remaining",
+        "seen",
         "services",
         "trial",
         "unsure",
@@ -59,6 +63,8 @@
         self.services = services
         self.began_at = now
         self.ends_at = now + MAX_SECONDS
+        # Agents that have not been asked yet, in the order in which they are.
+        self.groups: list[tuple[Address, ...]] = []
         self.ask_again_at = float("inf")
         self.wait_seconds = FIRST_ANSWER_SECONDS
         self.denied_at: float | None = None
@@ -67,7 +73,8 @@
         self.remaining: dict[Address, None] = {}
         # Those of them that have answered that they are unsure.
         self.unsure: dict[Address, None] = {}
-        self.denied: set[Address] = set()
+        # All agents that may own the flow, with those that have denied it.
+        self.seen: set[Address] = set()
         # Number of the last question before the probe of each agent.
         self.probed: dict[Address, int] = {}
         self.packets: collections.deque[bytes] = collections.deque(
@@ -76,6 +83,11 @@
         self.trial: Trial = None
         self.add_packet(segment)
 
+    @property
+    def ack(self) -> int | None:
+        """Return the last number that the caller acknowledged, None without one."""
+        return self.latest.ack if self.latest.is_ack else None
+
     @property
     def awaits_sure_agent(self) -> bool:
         """Return whether an agent has neither answered nor said that it is unsure."""
@@ -89,47 +101,58 @@
             # An upstream that holds the flow reacts to it, which ends a probe.
             self.trial = segment
 
-    def record_asked(self, now: float, wait_seconds: float = 0.0) -> None:
-        """Record that the remaining agents were asked, or had a packet to try.
+    def take_group(self) -> tuple[Address, ...]:
+        """Remove and return the agents to ask next, none if all have been asked."""
+        return self.groups.pop(0) if self.groups else ()
 
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        wait_seconds : float
-            Time after which they are asked again, 0 to double the last one.
-        """
-        self.wait_seconds = wait_seconds or self.wait_seconds
+    def record_asked(self, now: float) -> None:
+        """Record that a group of agents, or all that remain, were asked."""
+        if self.groups:
+            self.ask_again_at = now + NEXT_GROUP_SECONDS
+            return
         self.ask_again_at = now + self.wait_seconds
         self.wait_seconds *= 2
 
     def extend(self, now: float) -> None:
-        """Search for longer, since the owner is being probed; its probe may be lost."""
-        self.ends_at = min(now, self.began_at + MAX_SECONDS) + MAX_SECONDS
+        """Search for longer, since the owner is being probed.
 
-    def add_agents(self, known: Iterable[Address]) -> bool:
-        """Add agents that have not denied the flow; return whether any is new."""
-        added = [
-            agent
-            for agent in known
-            if agent not in self.denied and agent not in self.remaining
-        ]
-        if not added:
-            return False
-        self.remaining.update(dict.fromkeys(added))
-        self.denied_at = None
-        self.wait_seconds = FIRST_ANSWER_SECONDS
-        return True
+        A lost probe is noticed with the answer to the next question.
+        """
+        self.ask_again_at = now + FIRST_ANSWER_SECONDS
+        self.wait_seconds = 2 * FIRST_ANSWER_SECONDS
+        self.ends_at = min(now, self.began_at + MAX_SECONDS) + MAX_SECONDS
 
-    def deny(self, now: float, agent: Address) -> None:
-        """Record that an agent's upstream does not hold the flow."""
-        if agent not in self.remaining:
-            return
-        del self.remaining[agent]
-        self.unsure.pop(agent, None)
-        self.denied.add(agent)
-        if not self.remaining:
+    def add_agents(self, known: Iterable[tuple[Address, ...]]) -> bool:
+        """Add groups of agents that may own the flow; return whether any is new."""
+        is_changed = False
+        for group in known:
+            if self.seen.issuperset(group):
+                continue
+            if not self.seen.isdisjoint(group):
+                group = tuple(agent for agent in group if agent not in self.seen)
+            self.seen.update(group)
+            self.remaining.update(dict.fromkeys(group))
+            self.groups.append(group)
+            is_changed = True
+        if is_changed:
+            self.denied_at = None
+            self.wait_seconds = FIRST_ANSWER_SECONDS
+        return is_changed
+
+    def deny(self, now: float, agents: set[Address]) -> None:
+        """Record that the upstreams of agents do not hold the flow."""
+        before = len(self.remaining)
+        if len(agents) == 1:
+            for agent in agents:
+                self.remaining.pop(agent, None)
+                self.unsure.pop(agent, None)
+        else:
+            self.remaining = {a: None for a in self.remaining if a not in agents}
+            self.unsure = {a: None for a in self.unsure if a not in agents}
+        if before and not self.remaining:
             self.denied_at = now
+        elif self.groups and len(self.remaining) == sum(map(len, self.groups)):
+            self.ask_again_at = now
 
     def mark_unsure(self, agent: Address, number: int) -> None:
         """Record that an agent does not know whether its upstream holds the flow.
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -42,6 +42,8 @@
 DEFAULT_BYTES_PER_SECOND = 125_000_000.0
 DEFAULT_IDLE_SECONDS = 15.0
 MAX_NAMES_LOGGED = 5
+FIRST_NUMBER_BITS = 48
+"""Size of the random number before that of the first question of a start."""
 MAX_FLOWS = 200_000
 """Bounds the memory for flow owners."""
 
@@ -80,7 +82,8 @@
         self._transfers = transfer_admission.TransferAdmission(
             self._placement, transfer_limit.TransferLimit(bytes_per_second)
         )
-        self._search = owner_search.OwnerSearch(self._candidates)
+        first_number = random.Random(seed).getrandbits(FIRST_NUMBER_BITS)
+        self._search = owner_search.OwnerSearch(data_centre, first_number)
         self._swept_at = 0.0
         self.outcomes = self._placement.outcomes
         self.dropped: dict[str, int] = {}
@@ -118,7 +121,7 @@
         version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
-        self._search.change_list(view.is_list_current)
+        self._search.change_list(view.upstreams, view.is_list_current)
         if view.configuration is not None and view.configuration.version > version:
             self._routes = route_table.RouteTable(view.configuration)
             self._placement.routes = self._routes
