Defer modules that asyncio and msgspec import for other purposes

Cause: inspect, traceback, linecache, tokenize, locale, textwrap, platform and three formats of msgspec take a tenth of the start and are not used before an error or the log library. The garbage collector runs over all new classes again and again during imports. Change: runtime.lean_imports defers them too; before the log and the metrics library are imported (2 s after the start, first request to the metrics) all are imported in full, as eliot copies two of them.

--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
 import sys
 from typing import TYPE_CHECKING, Any, cast
@@ -161,9 +162,14 @@
 
 
 def _load_role(name: str) -> platform_role_command.PlatformRoleCommand:
-    """Return the command of a role, with fewer parts of the standard library."""
+    """Return the command of a role, with fewer parts of the standard library.
+
+    The garbage collector is off until the role is built: imports create many objects
+    and no garbage.
+    """
     from limpetreel.runtime import lean_imports
 
+    gc.disable()
     lean_imports.import_asyncio()
     return cast(
         "platform_role_command.PlatformRoleCommand", _load_command(_COMMANDS[name])
--- a/src/limpetreel/console/platform_role_command.py
+++ b/src/limpetreel/console/platform_role_command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import gc
 import sys
 from typing import TYPE_CHECKING, Any
 
@@ -34,7 +35,11 @@
         return exit_code.ExitCode.OK
 
     async def _serve(self, stopped: asyncio.Event) -> None:
-        await self.build(platform_factory.settings_path()).serve(stopped)
+        shell = self.build(platform_factory.settings_path())
+        # What is in memory now stays, so collections need not look at it again.
+        gc.freeze()
+        gc.enable()
+        await shell.serve(stopped)
 
     @abc.abstractmethod
     def build(self, path: process_settings.Path) -> Any:
--- a/src/limpetreel/runtime/lean_imports.py
+++ b/src/limpetreel/runtime/lean_imports.py
@@ -1,12 +1,28 @@
-"""Import of asyncio without the parts that the roles on the platform do not use."""
+"""Imports of a process without the parts of libraries that it does not use."""
 
 from __future__ import annotations
 
 import importlib
+import os
 import sys
 import types
 from typing import Any
 
+_DEFERRED = (
+    "inspect",
+    "linecache",
+    "locale",
+    "msgspec.inspect",
+    "msgspec.toml",
+    "msgspec.yaml",
+    "platform",
+    "textwrap",
+    "tokenize",
+    "traceback",
+)
+"""Modules that asyncio, msgspec and their imports use for error messages, debugging,
+subprocesses and other formats."""
+
 
 class _DeferredModule(types.ModuleType):
     """Module that is imported when its first attribute is read.
@@ -16,26 +32,32 @@
     """
 
     def __getattr__(self, attribute: str) -> Any:
+        """Import the module and return one of its attributes."""
+        self.load()
+        return getattr(sys.modules[self.__name__], attribute)
+
+    def load(self) -> None:
         """Import the module, and take over its attributes."""
         if sys.modules.get(self.__name__) is self:
             del sys.modules[self.__name__]
         module = importlib.import_module(self.__name__)
         self.__dict__.update(module.__dict__)
-        return getattr(module, attribute)
 
 
 def import_asyncio() -> None:
-    """Import asyncio without TLS, and `inspect` on first use.
+    """Import asyncio without TLS, and some modules only on first use.
 
     Both take a fifth of the processor time of a start. The roles on the platform use
-    no TLS; asyncio supports an interpreter without it. `inspect` serves error messages
-    and debugging in asyncio, and the log library, which is imported after the start.
-    Nothing happens if asyncio is imported already.
+    no TLS, and asyncio supports an interpreter without it. Nothing happens if asyncio
+    is imported already.
     """
     if "asyncio" in sys.modules:
         return
-    if "inspect" not in sys.modules:
-        sys.modules["inspect"] = _DeferredModule("inspect")
+    for name in _DEFERRED:
+        if name not in sys.modules:
+            sys.modules[name] = _DeferredModule(name)
+    # All that `uuid`, which msgspec imports, reads from this module.
+    sys.modules["platform"].__dict__.setdefault("system", lambda: os.uname().sysname)
     is_blocked = "ssl" not in sys.modules
     if is_blocked:
         # None makes the import fail; other modules can import it afterwards.
@@ -45,3 +67,15 @@
     finally:
         if is_blocked:
             del sys.modules["ssl"]
+
+
+def import_deferred() -> None:
+    """Import the deferred modules.
+
+    Called before libraries that look at the import system are imported: the log library
+    copies modules, and one that is deferred has no specification to do that with.
+    """
+    for name in _DEFERRED:
+        module = sys.modules.get(name)
+        if isinstance(module, _DeferredModule):
+            module.load()
--- a/src/limpetreel/telemetry/log_writer.py
+++ b/src/limpetreel/telemetry/log_writer.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from limpetreel.runtime import lean_imports
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -71,6 +73,7 @@
         """Load the log library and write the deferred lines."""
         if self._emit is not None:
             return
+        lean_imports.import_deferred()
         import eliot
 
         eliot.add_destinations(self._write)
--- a/src/limpetreel/telemetry/metrics_server.py
+++ b/src/limpetreel/telemetry/metrics_server.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from limpetreel.runtime import lean_imports
+
 if TYPE_CHECKING:
     import aioprometheus
 
@@ -104,6 +106,7 @@
         if request_line[1] != b"/metrics":
             return _response("404 Not Found", "text/plain", b"")
         # Imported at the first scrape to keep it out of the start-up time.
+        lean_imports.import_deferred()
         import aioprometheus
 
         content, headers = aioprometheus.render(self._registry(), [])
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -24,17 +24,21 @@
 LATER = {
     "aioprometheus": "first request to the metrics",
     "argparse": "not needed: the roles have no arguments",
-    "ast": "with inspect, by the log library",
+    "inspect": "with the log library, or for an error message",
     "eliot": "2 s after the start",
     "h11": "first request that is not plain",
     "ipaddress": "a document with an invalid host",
     "pathlib": "with the libraries above",
     "_ssl": "not needed; asyncio tries to import ssl, which is hidden",
+    "locale": "not needed",
+    "platform": "not needed",
     "shutil": "not needed: the argument parser uses it",
+    "textwrap": "not needed: schemas of msgspec use it",
+    "traceback": "with the log library, or for an error message",
     "urllib": "first name with a percent sign",
 }
 """Modules that no role imports before it serves, and when they are imported."""
-MAX_MODULES = {"entry": 246, "agent": 262, "control": 301}
+MAX_MODULES = {"entry": 235, "agent": 251, "control": 290}
 """Five above the number when this was written."""
 
 
--- a/tools/measure_start.py
+++ b/tools/measure_start.py
@@ -4,9 +4,10 @@
 as soon as it accepts connections, and prints its user and system time. ``bare`` is the
 interpreter alone.
 
-    sh deploy/build.sh && python3 tools/measure_start.py target/deps 20
+    sh deploy/build.sh && python3 tools/measure_start.py 20 target/deps
 
-A folder with other libraries on the path gives other figures, since some libraries
+With several folders it starts them in turn, since the figures depend on what else
+the machine does. Libraries beyond those of the deployment change the figures, as some
 import optional ones.
 """
 
@@ -78,21 +79,30 @@
     return usage.ru_utime + usage.ru_stime
 
 
-def main() -> None:
-    """Measure all roles and print one line for each."""
-    libraries, rounds = sys.argv[1], int(sys.argv[2])
-    seconds: dict[str, list[float]] = {"bare": [], **{role: [] for role in ROLES}}
-    env = {"PATH": os.environ["PATH"], "PYTHONPATH": libraries}
-    with tempfile.TemporaryDirectory() as folder:
-        for number in range(rounds):
-            seconds["bare"].append(processor_seconds(["-c", "pass"], env, 0))
+def measure(rounds: int, folders: list[str]) -> dict[tuple[str, str], list[float]]:
+    """Return the processor times by role and folder."""
+    seconds: dict[tuple[str, str], list[float]] = {}
+    env = {"PATH": os.environ["PATH"]}
+    with tempfile.TemporaryDirectory() as scratch:
+        for number in range(rounds * len(folders)):
+            libraries = folders[number % len(folders)]
+            env["PYTHONPATH"] = libraries
+            bare = processor_seconds(["-c", "pass"], env, 0)
+            seconds.setdefault(("bare", libraries), []).append(bare)
             for role, port in ROLES.items():
-                env["LIMPETREEL_CONFIG"] = write_settings(folder, role, number)
+                env["LIMPETREEL_CONFIG"] = write_settings(scratch, role, number)
                 words = ["-m", "limpetreel", "platform", role]
-                seconds[role].append(processor_seconds(words, env, port))
-    for name, values in seconds.items():
+                used = processor_seconds(words, env, port)
+                seconds.setdefault((role, libraries), []).append(used)
+    return seconds
+
+
+def main() -> None:
+    """Measure all roles and print one line for each."""
+    rounds, folders = int(sys.argv[1]), sys.argv[2:]
+    for (role, folder), values in sorted(measure(rounds, folders).items()):
         print(
-            f"{name:8} mean {statistics.mean(values):.3f} s, "
+            f"{role:8} {folder} mean {statistics.mean(values):.3f} s, "
             f"median {statistics.median(values):.3f}, "
             f"{min(values):.3f} to {max(values):.3f}, {rounds} starts"
         )
