Place new flows with few offers among agents drawn by weight

An entry walked over all agents of a service for each offer and went on until each of them had answered BUSY. It now draws four agents by the requests per second that they can answer, half of them from its own data centre, and offers to the one with the shortest expected wait. Agents that answered BUSY get no further offer until their reported wait or 0.25 s has passed. After four BUSY answers, or when no agent is known to be free, one last offer lets the flow wait; an agent that refuses it gets no such offer of a flow with this target or a shorter one until its next slot is due. Unanswered offers of the entry count as load, so that a burst spreads before the first answer. Other answers allow eight offers in all.

The test of agents that are not reported to control has a deliberate fault in another place, since the cost alone no longer excludes an agent.

--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -2,42 +2,108 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from limpetreel.cluster import upstream_record
+    from limpetreel.streams.messages import verdict
+
 LOAD_MAX_AGE_SECONDS = 0.25
-"""Time after which a reported load is obsolete; a few service times."""
+"""Time after which a reported wait is obsolete; a few service times."""
 INITIAL_PAUSE_SECONDS = 1.0
 """First pause after an offer without an answer; doubles up to the maximum."""
 MAX_PAUSE_SECONDS = 4.0
+INITIAL_SERVICE_SECONDS = 0.05
+"""Assumed service time until the agent has reported one."""
+MIN_SERVICE_SECONDS = 0.001
 
 
 class AgentHint:
-    """Load and reachability of one agent as one entry sees them."""
+    """Load and reachability of one agent as one entry sees them.
+
+    Its attribute `extra_cost` holds the seconds of wait at another agent that are as
+    bad as the location of this one, `is_open` whether it may get offers according to
+    control, and `open_offers` the offers of this entry that it has not answered.
+
+    Parameters
+    ----------
+    record : UpstreamRecord
+        Record from control.
+    """
 
     __slots__ = (
         "_avoid_until",
+        "_busy_until",
+        "_closed_until",
+        "_closed_wait",
         "_load",
         "_pause",
         "_reported_at",
-        "_service_seconds",
         "_starting_until",
         "_wait_seconds",
+        "extra_cost",
+        "is_open",
+        "open_offers",
+        "record",
+        "service_seconds",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, record: upstream_record.UpstreamRecord) -> None:
+        self.record = record
+        self.extra_cost = 0.0
+        self.is_open = True
+        self.open_offers = 0
+        self.service_seconds = INITIAL_SERVICE_SECONDS
         self._reported_at = float("-inf")
         self._wait_seconds = 0.0
-        self._service_seconds = 0.0
         self._load = 0.0
+        self._busy_until = float("-inf")
+        self._closed_until = float("-inf")
+        self._closed_wait = 0.0
         self._avoid_until = float("-inf")
         self._pause = INITIAL_PAUSE_SECONDS
         self._starting_until = float("-inf")
 
-    def record_load(self, now: float, wait: float, service: float, load: float) -> None:
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that the upstream processes concurrently."""
+        return max(1, self.record.slots)
+
+    @property
+    def weight(self) -> float:
+        """Return the requests per second that the upstream can answer."""
+        return self.slots / self.service_seconds
+
+    def record_load(self, now: float, message: verdict.Verdict) -> None:
         """Record the load that the agent reported."""
         self._reported_at = now
-        self._wait_seconds = wait
-        self._service_seconds = service
-        self._load = load
+        self._wait_seconds = message.wait_ms / 1000
+        self._load = message.load / 100
+        self._busy_until = float("-inf")
         self._pause = INITIAL_PAUSE_SECONDS
+        if message.service_ms:
+            seconds = message.service_ms / 1000
+            self.service_seconds = max(MIN_SERVICE_SECONDS, seconds)
+
+    def record_busy(self, now: float) -> None:
+        """Record that no slot is free before the reported wait has passed."""
+        seconds = max(self._wait_seconds, self.service_seconds / self.slots)
+        self._busy_until = now + min(LOAD_MAX_AGE_SECONDS, seconds)
+
+    def record_closed_queue(self, now: float, max_wait: float) -> None:
+        """Record that a flow may not wait here.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        max_wait : float
+            Latency target of the flow. One with a longer target may still be admitted.
+        """
+        # The queue moves when a slot becomes free.
+        seconds = min(LOAD_MAX_AGE_SECONDS, self.service_seconds / self.slots)
+        self._closed_until = now + seconds
+        self._closed_wait = max_wait
 
     def avoid(self, now: float, seconds: float) -> None:
         """Exclude the agent from offers for some time."""
@@ -58,13 +124,48 @@
         self.avoid(now, self._pause)
         self._pause = min(MAX_PAUSE_SECONDS, 2 * self._pause)
 
-    def is_avoided(self, now: float) -> bool:
-        """Return whether the agent is excluded from offers."""
-        return now < self._avoid_until
+    def is_usable(self, now: float) -> bool:
+        """Return whether the agent may get offers."""
+        return self.is_open and now >= self._avoid_until
+
+    def is_busy(self, now: float) -> bool:
+        """Return whether the agent recently answered that no slot is free."""
+        return now < self._busy_until
+
+    def has_closed_queue(self, now: float, max_wait: float) -> bool:
+        """Return whether the agent recently refused a flow that could wait as long."""
+        return now < self._closed_until and max_wait <= self._closed_wait
+
+    def wait(self, now: float, mean_wait: float) -> float:
+        """Return the expected wait for a slot in seconds.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        mean_wait : float
+            Wait that is assumed as the report grows old.
+        """
+        age = now - self._reported_at
+        if age >= LOAD_MAX_AGE_SECONDS:
+            return mean_wait
+        return max(0.0, self._wait_seconds - age)
+
+    def cost(self, now: float, mean_load: float) -> float:
+        """Return the expected wait in seconds of a flow that is offered now.
 
-    def cost(self, now: float) -> float:
-        """Return the expected wait and extra service time in seconds."""
-        freshness = max(0.0, 1.0 - (now - self._reported_at) / LOAD_MAX_AGE_SECONDS)
-        return self._service_seconds + freshness * (
-            self._wait_seconds + self._load * self._service_seconds
-        )
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        mean_load : float
+            Occupied part of the capacity that is assumed as the report grows old.
+        """
+        age = now - self._reported_at
+        load, wait = mean_load, 0.0
+        if age < LOAD_MAX_AGE_SECONDS:
+            freshness = 1.0 - age / LOAD_MAX_AGE_SECONDS
+            load += freshness * (self._load - mean_load)
+            wait = freshness * self._wait_seconds
+        offered = self.open_offers / self.slots
+        return wait + (load + offered) * self.service_seconds + self.extra_cost
--- a/src/limpetreel/streams/placement/candidates.py
+++ b/src/limpetreel/streams/placement/candidates.py
@@ -1,15 +1,15 @@
-"""Upstreams that an entry may offer a flow to."""
+"""Agents that an entry may offer a flow to."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from limpetreel.streams.messages import outcome
-from limpetreel.streams.placement import agent_hint
+from limpetreel.streams.placement import agent_hint, service_pool
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from limpetreel.cluster import upstream_record
     from limpetreel.streams.messages import verdict
@@ -22,8 +22,6 @@
 UNREPORTED_SECONDS = 0.25
 """Cost of an agent without a recent report to control, as an equivalent wait at another
 one; such agents are tried last but not excluded."""
-SPREAD_SECONDS = 0.004
-"""Random part of the cost, so that entries do not all try the same agent first."""
 CLOSED_SECONDS = 1.0
 """Pause after an agent answered that its upstream accepts no flows; an update from
 control usually arrives earlier."""
@@ -36,24 +34,22 @@
 
 
 class Candidates:
-    """Known upstreams, ordered by expected wait.
+    """Known agents by service.
 
     Parameters
     ----------
     data_centre : str
         Data centre of the entry.
     random : random.Random
-        Source of the order among equal upstreams.
+        Source of the draws among agents.
     """
 
     def __init__(self, data_centre: str, random: random.Random) -> None:
         self._data_centre = data_centre
         self._random = random
-        self._by_service: dict[str, list[upstream_record.UpstreamRecord]] = {}
-        self._all: dict[str, upstream_record.UpstreamRecord] = {}
+        self._pools: dict[str, service_pool.ServicePool] = {}
         self._names: dict[Address, str] = {}
         self._hints: dict[str, agent_hint.AgentHint] = {}
-        self._zones_out: frozenset[str] = frozenset()
 
     def update(
         self,
@@ -61,35 +57,35 @@
         zones_out: frozenset[str],
     ) -> None:
         """Replace the list of upstreams."""
-        self._zones_out = zones_out
-        self._all = {r.name: r for r in records}
-        self._names = {(r.host, r.port): r.name for r in self._all.values()}
-        self._by_service = {}
-        for record in self._all.values():
-            self._by_service.setdefault(record.service, []).append(record)
-        self._hints = {
-            name: self._hints.get(name) or agent_hint.AgentHint() for name in self._all
-        }
+        earlier, self._hints = self._hints, {}
+        by_service: dict[str, list[agent_hint.AgentHint]] = {}
+        for record in records:
+            hint = earlier.get(record.name) or agent_hint.AgentHint(record)
+            hint.record = record
+            hint.is_open = record.is_accepting and record.data_centre not in zones_out
+            hint.extra_cost = self._extra_cost(record)
+            self._hints[record.name] = hint
+            by_service.setdefault(record.service, []).append(hint)
+        self._names = {(r.host, r.port): r.name for r in self._records()}
+        pools, self._pools = self._pools, {}
+        for service, hints in by_service.items():
+            pool = service_pool.ServicePool(hints, self._data_centre, self._random)
+            if service in pools:
+                pool.inherit(pools[service])
+            self._pools[service] = pool
 
     def address(self, name: str) -> Address:
         """Return the address of an agent."""
-        record = self._all[name]
+        record = self._hints[name].record
         return record.host, record.port
 
-    def knows(self, name: str) -> bool:
-        """Return whether an agent is in the list."""
-        return name in self._all
-
     def knows_service(self, service: str) -> bool:
         """Return whether any upstream of a service is in the list."""
-        return service in self._by_service
+        return service in self._pools
 
     def has_starting(self, now: float, service: str) -> bool:
         """Return whether an agent of a service is starting."""
-        return any(
-            self._hints[r.name].is_starting(now)
-            for r in self._by_service.get(service, ())
-        )
+        return any(h.is_starting(now) for h in self._of(service))
 
     def name_at(self, address: Address) -> str:
         """Return the agent at an address, empty if it is not known."""
@@ -98,47 +94,82 @@
     def addresses(self, services: tuple[str, ...]) -> list[Address]:
         """Return the addresses of all agents whose upstreams may hold flows."""
         return [
-            (record.host, record.port)
+            (hint.record.host, hint.record.port)
             for service in services
-            for record in self._by_service.get(service, ())
-            if not record.has_ended
+            for hint in self._of(service)
+            if not hint.record.has_ended
         ]
 
-    def best(self, now: float, service: str, tried: set[str]) -> str:
-        """Return the agent with the lowest cost, empty if none is left."""
-        best_name, lowest_cost = "", float("inf")
-        for record in self._by_service.get(service, ()):
-            if record.name in tried or not self._is_usable(now, record):
-                continue
-            cost = self._hints[record.name].cost(now)
-            if record.data_centre != self._data_centre:
-                cost += OTHER_DATA_CENTRE_SECONDS
-            if not record.is_reported:
-                cost += UNREPORTED_SECONDS
-            cost += self._random.random() * SPREAD_SECONDS
-            if cost < lowest_cost:
-                best_name, lowest_cost = record.name, cost
-        return best_name
+    def choose(self, now: float, service: str, tried: set[str]) -> str:
+        """Return a good agent for an offer, empty if none is known to be free."""
+        pool = self._pools.get(service)
+        hint = pool.choose(now, tried) if pool is not None else None
+        return hint.record.name if hint is not None else ""
+
+    def least_wait(self, now: float, service: str, max_wait: float) -> str:
+        """Return the agent with the shortest wait, empty if a flow can wait at none.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        service : str
+            Service of the flow.
+        max_wait : float
+            Latency target of the flow in seconds.
+        """
+        pool = self._pools.get(service)
+        hint = pool.least_wait(now, max_wait) if pool is not None else None
+        return hint.record.name if hint is not None else ""
+
+    def count_busy(self, now: float, service: str) -> int:
+        """Return how many agents of a service are known to have no free slot."""
+        return sum(1 for h in self._of(service) if h.is_busy(now))
+
+    def record_offer(self, name: str) -> None:
+        """Record that an agent has got an offer."""
+        self._hints[name].open_offers += 1
+
+    def record_answer(self, name: str) -> None:
+        """Record that an agent has answered an offer, or will not."""
+        hint = self._hints.get(name)
+        if hint is not None and hint.open_offers:
+            hint.open_offers -= 1
 
     def record_verdict(self, now: float, name: str, message: verdict.Verdict) -> None:
         """Record the load that an agent reported with its verdict."""
         hint = self._hints[name]
-        hint.record_load(
-            now, message.wait_ms / 1000, message.service_ms / 1000, message.load / 100
-        )
-        if message.outcome in (outcome.Outcome.CLOSED, outcome.Outcome.UNRESPONSIVE):
+        hint.record_load(now, message)
+        pool = self._pools.get(hint.record.service)
+        if pool is not None:
+            pool.record_load(message)
+        if message.outcome in (outcome.Outcome.BUSY, outcome.Outcome.QUEUED):
+            hint.record_busy(now)
+        elif message.outcome in (outcome.Outcome.CLOSED, outcome.Outcome.UNRESPONSIVE):
             hint.avoid(now, CLOSED_SECONDS)
         elif message.outcome is outcome.Outcome.STARTING:
             hint.record_starting(now, STARTING_SECONDS)
         elif message.outcome is outcome.Outcome.WARMING:
             hint.avoid(now, WARMING_SECONDS)
 
+    def record_closed_queue(self, now: float, name: str, max_wait: float) -> None:
+        """Record that an agent refused a flow that could wait for some seconds."""
+        if name in self._hints:
+            self._hints[name].record_closed_queue(now, max_wait)
+
     def record_timeout(self, now: float, name: str) -> None:
         """Record that an agent did not answer."""
         if name in self._hints:
             self._hints[name].record_timeout(now)
 
-    def _is_usable(self, now: float, record: upstream_record.UpstreamRecord) -> bool:
-        if not record.is_accepting or record.data_centre in self._zones_out:
-            return False
-        return not self._hints[record.name].is_avoided(now)
+    def _of(self, service: str) -> Sequence[agent_hint.AgentHint]:
+        pool = self._pools.get(service)
+        return pool.hints if pool is not None else ()
+
+    def _records(self) -> Iterable[upstream_record.UpstreamRecord]:
+        return (h.record for h in self._hints.values())
+
+    def _extra_cost(self, record: upstream_record.UpstreamRecord) -> float:
+        is_other = record.data_centre != self._data_centre
+        cost = OTHER_DATA_CENTRE_SECONDS if is_other else 0.0
+        return cost if record.is_reported else cost + UNREPORTED_SECONDS
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -40,6 +40,12 @@
 """Time for which a flow is held while upstreams may become known. A refused caller
 retries at once, and would use up its retries before an outage ends."""
 HOLD_STEP_SECONDS = 0.05
+MAX_BUSY_ANSWERS = 4
+"""Agents without a free slot after which a flow is only offered for waiting. After four
+random ones few others are free, and each further offer delays the refusal."""
+MAX_OFFERS = 8
+"""Offers of a flow in all. Answers that say nothing about load, such as those of cold
+or draining upstreams, allow more than four."""
 SLOW_SECONDS = 0.05
 """Duration of a placement from which it is always logged. An offer is answered within
 some milliseconds, so the flow waited for a slot or an agent did not answer."""
@@ -107,7 +113,7 @@
             return []
         service = route_table.choose_service(matched_route, segment.flow)
         pending = pending_offer.PendingOffer(
-            now, segment.flow, segment.data, service, matched_route.timeout_ms / 1000
+            now, segment.flow, segment.data, service, matched_route.answer_ms / 1000
         )
         self._next_id += 1
         pending.offer_id = self._next_id
@@ -117,18 +123,26 @@
         return self._offer_next(now, pending)
 
     def _offer_next(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
-        name = self._candidates.best(now, pending.service, pending.tried)
+        name = self._next_agent(now, pending)
         if name:
             return self._offer(now, pending, name)
-        if not pending.may_wait and self._candidates.knows(pending.best):
-            pending.may_wait = True
-            return self._offer(now, pending, pending.best)
         if self._may_hold(now, pending):
             self._pending[pending.offer_id] = pending
             pending.retry_at = now + HOLD_STEP_SECONDS
             return []
         return self._refuse(now, pending)
 
+    def _next_agent(self, now: float, pending: pending_offer.PendingOffer) -> str:
+        """Return the agent for the next offer, empty if none can serve the flow."""
+        if pending.may_wait or pending.offers >= MAX_OFFERS:
+            return ""
+        if pending.busy_answers < MAX_BUSY_ANSWERS:
+            name = self._candidates.choose(now, pending.service, pending.tried)
+            if name:
+                return name
+        pending.may_wait = True
+        return self._candidates.least_wait(now, pending.service, pending.target_seconds)
+
     def _may_hold(self, now: float, pending: pending_offer.PendingOffer) -> bool:
         """Return whether an upstream may become known in time."""
         has_just_started = now - (self._started_at or now) < START_SECONDS
@@ -139,10 +153,7 @@
         return is_in_time and (is_starting or is_incomplete)
 
     def _retry(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
-        pending.retry_at = 0.0
-        pending.tried.clear()
-        pending.best = ""
-        pending.may_wait = False
+        pending.restart()
         return self._offer_next(now, pending)
 
     def _offer(
@@ -155,6 +166,8 @@
         pending.target = name
         pending.is_queued = False
         pending.tried.add(name)
+        pending.offers += 1
+        self._candidates.record_offer(name)
         self._pending[pending.offer_id] = pending
         version = self.routes.version if self.routes is not None else 0
         message = offer.Offer(
@@ -173,6 +186,7 @@
         pending = self._pending.get(message.offer_id)
         if pending is None:
             return []
+        self._end_offer(pending)
         result = outcome.Outcome(message.outcome)
         self._count(result.name)
         if result is outcome.Outcome.QUEUED:
@@ -181,11 +195,22 @@
         if result is outcome.Outcome.ACCEPTED:
             return self._place(now, pending, source)
         pending.reasons[result.name] = pending.reasons.get(result.name, 0) + 1
-        wait = (message.wait_ms + message.service_ms) / 1000
-        if result is outcome.Outcome.BUSY and wait < pending.best_wait:
-            pending.best, pending.best_wait = name, wait
+        if result is outcome.Outcome.BUSY:
+            self._record_busy(now, pending)
         return self._offer_next(now, pending)
 
+    def _end_offer(self, pending: pending_offer.PendingOffer) -> None:
+        """Count the offer as answered; a queued one is part of the agent's report."""
+        if not pending.is_queued:
+            self._candidates.record_answer(pending.target)
+
+    def _record_busy(self, now: float, pending: pending_offer.PendingOffer) -> None:
+        pending.busy_answers += 1
+        if pending.may_wait:
+            self._candidates.record_closed_queue(
+                now, pending.target, pending.target_seconds
+            )
+
     def _place(
         self, now: float, pending: pending_offer.PendingOffer, source: Address
     ) -> Actions:
@@ -213,6 +238,7 @@
         return {
             "service": pending.service,
             "tried": len(pending.tried),
+            "offers": pending.offers,
             "held_ms": int((now - pending.started_at) * 1000),
             "version": self.routes.version if self.routes is not None else 0,
             **{f"said_{k.lower()}": v for k, v in pending.reasons.items()},
@@ -223,6 +249,7 @@
         fields: Fields = {
             "reason": "no upstream takes it",
             **self._placement_fields(now, pending),
+            "known_busy": self._candidates.count_busy(now, pending.service),
         }
         return self._reject(pending.flow, fields)
 
@@ -254,6 +281,7 @@
             unanswered = now - pending.asked_at
             if unanswered < (QUEUED_SECONDS if pending.is_queued else OFFER_SECONDS):
                 continue
+            self._end_offer(pending)
             self._candidates.record_timeout(now, pending.target)
             pending.reasons["SILENT"] = pending.reasons.get("SILENT", 0) + 1
             if now - pending.started_at > QUEUED_SECONDS:
--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -16,43 +16,56 @@
         The opening packet.
     service : str
         Service of the flow.
-    timeout : float
-        Seconds for which the caller waits for the answer.
+    target_seconds : float
+        Latency target of its requests.
     """
 
     __slots__ = (
         "asked_at",
-        "best",
-        "best_wait",
+        "busy_answers",
         "flow",
         "is_queued",
         "may_wait",
         "offer_id",
+        "offers",
         "packet",
         "reasons",
         "retry_at",
         "service",
         "started_at",
         "target",
-        "timeout",
+        "target_seconds",
         "tried",
     )
 
     def __init__(
-        self, now: float, flow: bytes, packet: bytes, service: str, timeout: float
+        self,
+        now: float,
+        flow: bytes,
+        packet: bytes,
+        service: str,
+        target_seconds: float,
     ) -> None:
         self.flow = flow
         self.packet = packet
         self.service = service
-        self.timeout = timeout
+        self.target_seconds = target_seconds
         self.started_at = now
         self.asked_at = now
         self.offer_id = 0
         self.target = ""
         self.tried: set[str] = set()
         self.reasons: dict[str, int] = {}
-        self.best = ""
-        self.best_wait = float("inf")
+        self.offers = 0
+        self.busy_answers = 0
         self.may_wait = False
         self.is_queued = False
         self.retry_at = 0.0
+
+    def restart(self) -> None:
+        """Allow offers to all agents again."""
+        self.tried.clear()
+        self.retry_at = 0.0
+        self.offers = 0
+        self.busy_answers = 0
+        self.may_wait = False
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -8,6 +8,7 @@
 
 _SOURCE = "src/limpetreel/streams/"
 _PLACEMENT = _SOURCE + "placement/"
+_OFFERS = "tests.streams.placement.test_offers."
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
 _ENDED = "tests.streams.test_ended_flows."
@@ -38,8 +39,8 @@
     (
         "agents not reported to control are excluded",
         _PLACEMENT + "candidates.py",
-        "                cost += UNREPORTED_SECONDS\n",
-        "                continue\n",
+        "record.is_accepting and record",
+        "record.is_accepting and record.is_reported and record",
         _LOAD + "test_upstreams_not_reported_to_control_are_still_used",
     ),
     (
@@ -151,4 +152,46 @@
         _ENDED
         + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
     ),
+    (
+        "flow is offered to more agents while all are busy",
+        _PLACEMENT + "flow_placement.py",
+        "MAX_BUSY_ANSWERS = 4\n",
+        "MAX_BUSY_ANSWERS = 400\n",
+        _OFFERS + "test_overload_of_many_upstreams_takes_few_offers",
+    ),
+    (
+        "agents that are known to be busy get offers",
+        _PLACEMENT + "agent_hint.py",
+        "        return now < self._busy_until\n",
+        "        return False\n",
+        _OFFERS + "test_overload_of_ten_upstreams_takes_few_offers",
+    ),
+    (
+        "closed queues get offers",
+        _PLACEMENT + "agent_hint.py",
+        "now < self._closed_until and",
+        "False and",
+        _OFFERS + "test_flow_is_refused_at_once_while_no_queue_is_open",
+    ),
+    (
+        "waiting flow goes to any agent",
+        _PLACEMENT + "agent_hint.py",
+        "        return max(0.0, self._wait_seconds - age)\n",
+        "        return mean_wait\n",
+        _OFFERS + "test_flow_waits_where_it_is_answered_soonest",
+    ),
+    (
+        "unanswered offers are not counted",
+        _PLACEMENT + "candidates.py",
+        "        self._hints[name].open_offers += 1\n",
+        "        pass\n",
+        _OFFERS + "test_entry_avoids_agents_that_hold_its_unanswered_offers",
+    ),
+    (
+        "all placements of a burst are logged",
+        _PLACEMENT + "line_sample.py",
+        "return max(self._last_ratio, _ratio(self._count))\n",
+        "return 1\n",
+        "tests.streams.placement.test_line_sample.test_lines_of_a_burst_are_bounded",
+    ),
 ]
