Make an entry ready once it knows upstreams of every service

An entry was ready with a configuration and any upstream, and held openings of unknown services for 2 s after its start only. Where the configuration came later, it refused them at once with tried 0. It is now ready when it knows an upstream of each service that its configuration routes to, when control says that the list is complete, or 2 s after the configuration, since a service may have no upstream. Until then openings of an unknown service are held for up to 0.4 s; what cannot be held longer is logged (flow.not_placed) and forgotten without a refusal, since the caller repeats its opening packet. As before, an entry that knows no upstream at all is not ready.

The deliberate fault of held flows names another line, since the condition has moved.

--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -21,7 +21,7 @@
 
     from limpetreel.streams import segment, segment_codec
     from limpetreel.streams.messages import verdict
-    from limpetreel.streams.placement import candidates
+    from limpetreel.streams.placement import candidates, known_services
 
     Actions = list[msgspec.Struct]
     Address = tuple[str, int]
@@ -33,9 +33,6 @@
 QUEUED_SECONDS = 1.25
 """Time after which a queued flow is refused even if the agent has not answered; the
 caller times out 1.4 s after its first packet."""
-START_SECONDS = 2.0
-"""Time after a start in which an entry may not know all upstreams. Control sends the
-list within 1 s, and upstreams announce themselves within one announcement interval."""
 HOLD_SECONDS = 0.4
 """Time for which a flow is held while upstreams may become known. A refused caller
 retries at once, and would use up its retries before an outage ends."""
@@ -59,7 +56,9 @@
     codec : SegmentCodec
         Packet format.
     candidates : Candidates
-        Known upstreams.
+        Known agents.
+    services : KnownServices
+        Tells whether upstreams of a service may become known.
     first_id : int
         Number before the identifier of the first offer. Answers to offers of an
         earlier process must not match, so it is random.
@@ -71,17 +70,18 @@
         self,
         codec: segment_codec.SegmentCodec,
         candidates: candidates.Candidates,
+        services: known_services.KnownServices,
         first_id: int,
         record_owner: Callable[[float, bytes, Address], None],
     ) -> None:
         self._codec = codec
         self._candidates = candidates
+        self._services = services
         self._next_id = first_id
         self._record_owner = record_owner
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
         self._sample = line_sample.LineSample()
-        self._started_at: float | None = None
         self.routes: route_table.RouteTable | None = None
         self.outcomes: dict[str, int] = {}
 
@@ -89,11 +89,6 @@
         """Return the number of flows that are being placed."""
         return len(self._pending)
 
-    def record_start(self, now: float) -> None:
-        """Record the time of the first event of the process."""
-        if self._started_at is None:
-            self._started_at = now
-
     def open(self, now: float, segment: segment.Segment, owner: str) -> Actions:
         """Find an upstream for the flow of an opening packet.
 
@@ -130,6 +125,8 @@
             self._pending[pending.offer_id] = pending
             pending.retry_at = now + HOLD_STEP_SECONDS
             return []
+        if self._services.may_appear(now, pending.service):
+            return self._give_up(now, pending)
         return self._refuse(now, pending)
 
     def _next_agent(self, now: float, pending: pending_offer.PendingOffer) -> str:
@@ -145,12 +142,10 @@
 
     def _may_hold(self, now: float, pending: pending_offer.PendingOffer) -> bool:
         """Return whether an upstream may become known in time."""
-        has_just_started = now - (self._started_at or now) < START_SECONDS
-        is_unknown = not self._candidates.knows_service(pending.service)
-        is_incomplete = has_just_started and is_unknown
+        if now - pending.started_at >= HOLD_SECONDS:
+            return False
         is_starting = self._candidates.has_starting(now, pending.service)
-        is_in_time = now - pending.started_at < HOLD_SECONDS
-        return is_in_time and (is_starting or is_incomplete)
+        return is_starting or self._services.may_appear(now, pending.service)
 
     def _retry(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
         pending.restart()
@@ -253,6 +248,20 @@
         }
         return self._reject(pending.flow, fields)
 
+    def _give_up(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        """Forget a flow whose caller repeats its opening packet.
+
+        A refused caller would use up its retries before any upstream is known.
+        """
+        self._remove_pending(pending)
+        self._count("UNKNOWN")
+        fields: Fields = {
+            "flow": stream_key.text(pending.flow),
+            "reason": "no upstream is known yet",
+            **self._placement_fields(now, pending),
+        }
+        return [log_line.LogLine("warning", "flow.not_placed", fields)]
+
     def _reject(self, flow: bytes, fields: Fields) -> Actions:
         """Reset a flow that has not opened, so no request of it has run."""
         self._count("REFUSED")
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -27,7 +27,7 @@
     stream_codec,
     verdict,
 )
-from limpetreel.streams.placement import candidates, flow_placement
+from limpetreel.streams.placement import candidates, flow_placement, known_services
 
 if TYPE_CHECKING:
     import msgspec
@@ -67,8 +67,13 @@
         self._routes: route_table.RouteTable | None = None
         self._candidates = candidates.Candidates(data_centre, source)
         self._owners: dict[bytes, known_owner.KnownOwner] = {}
+        self._services = known_services.KnownServices(self._candidates)
         self._placement = flow_placement.FlowPlacement(
-            codec, self._candidates, source.getrandbits(31), self._record_owner
+            codec,
+            self._candidates,
+            self._services,
+            source.getrandbits(31),
+            self._record_owner,
         )
         self._search = owner_search.OwnerSearch(self._candidates)
         self._swept_at = 0.0
@@ -77,8 +82,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether a configuration and at least one upstream are known."""
-        return self._routes is not None and bool(self._view.upstreams)
+        """Return whether upstreams of the services in the configuration are known."""
+        return self._services.is_ready
 
     @property
     def needs_tick_soon(self) -> bool:
@@ -92,7 +97,6 @@
 
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Handle one event; see `core.Core.handle`."""
-        self._placement.record_start(now)
         if isinstance(event, caller_packet.CallerPacket):
             return self._from_caller(now, event.data)
         if isinstance(event, node_datagram.NodeDatagram):
@@ -100,16 +104,18 @@
         if isinstance(event, tick.Tick):
             return self._tick(now)
         if isinstance(event, fleet_changed.FleetChanged):
-            return self._change_view(event.view)
+            return self._change_view(now, event.view)
         raise TypeError(type(event))
 
-    def _change_view(self, view: fleet_view.FleetView) -> Actions:
+    def _change_view(self, now: float, view: fleet_view.FleetView) -> Actions:
         version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
-        if view.configuration is not None and view.configuration.version > version:
+        is_new = view.configuration is not None and view.configuration.version > version
+        if view.configuration is not None and is_new:
             self._routes = route_table.RouteTable(view.configuration)
             self._placement.routes = self._routes
+        self._services.update(now, view, is_new)
         return []
 
     def _from_caller(self, now: float, data: bytes) -> Actions:
@@ -209,6 +215,7 @@
         return self._placement.open(now, segment, name)
 
     def _tick(self, now: float) -> Actions:
+        self._services.tick(now)
         actions = self._placement.tick(now)
         if now - self._swept_at >= SWEEP_SECONDS:
             self._sweep(now)
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -9,6 +9,7 @@
 _SOURCE = "src/limpetreel/streams/"
 _PLACEMENT = _SOURCE + "placement/"
 _OFFERS = "tests.streams.placement.test_offers."
+_READINESS = "tests.streams.placement.test_readiness."
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
 _ENDED = "tests.streams.test_ended_flows."
@@ -46,8 +47,8 @@
     (
         "flows are not held while agents start",
         _PLACEMENT + "flow_placement.py",
-        "        return is_in_time and (is_starting or is_incomplete)\n",
-        "        return False\n",
+        "if now - pending.started_at >= HOLD_SECONDS:\n",
+        "if True:\n",
         _LOAD + "test_callers_are_served_once_upstreams_are_known_after_a_restart",
     ),
     (
@@ -187,6 +188,27 @@
         "        pass\n",
         _OFFERS + "test_entry_avoids_agents_that_hold_its_unanswered_offers",
     ),
+    (
+        "entry is ready without upstreams of a service",
+        _PLACEMENT + "known_services.py",
+        "                knows_all or self._is_complete(now)\n",
+        "                True\n",
+        _READINESS + "test_entry_is_ready_once_it_knows_upstreams_of_all_services",
+    ),
+    (
+        "entry waits for upstreams that do not exist",
+        _PLACEMENT + "known_services.py",
+        "                knows_all or self._is_complete(now)\n",
+        "                knows_all\n",
+        _READINESS + "test_service_without_upstreams_delays_readiness_by_two_seconds",
+    ),
+    (
+        "flow of a service that is not known yet is refused",
+        _PLACEMENT + "flow_placement.py",
+        "        if self._services.may_appear(now, pending.service):\n",
+        "        if False:\n",
+        _READINESS + "test_flow_that_cannot_be_held_longer_is_not_refused",
+    ),
     (
         "all placements of a burst are logged",
         _PLACEMENT + "line_sample.py",
--- a/tests/streams/placement/entry_driver.py
+++ b/tests/streams/placement/entry_driver.py
@@ -40,16 +40,26 @@
         if names:
             self.update(0.0, names)
 
-    def update(self, now, names, configuration=True):
-        """Pass an update from control that lists some agents."""
+    def update(self, now, names, configuration=True, is_list_current=False):
+        """Pass an update from control that lists some agents.
+
+        An agent serves the service in its name, if there is one.
+        """
+        services = [s.name for s in self.cfg.services]
         records = tuple(
             upstream_record.UpstreamRecord(
-                n, n, PORT, "zone-a", stream_site.SERVICE, True, self.slots
+                n,
+                n,
+                PORT,
+                "zone-a",
+                next((s for s in services if n.startswith(s)), stream_site.SERVICE),
+                True,
+                self.slots,
             )
             for n in names
         )
         cfg = self.cfg if configuration else None
-        view = fleet_view.FleetView(1, cfg, frozenset(), records)
+        view = fleet_view.FleetView(1, cfg, frozenset(), records, is_list_current)
         self.handle(now, fleet_changed.FleetChanged(view))
 
     def open(self, now, route=(stream_site.HOST, stream_site.PORT)):
