--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -26,7 +26,12 @@
     from limpetreel.cluster import cluster_shell, control_client
     from limpetreel.consensus import durable_state
     from limpetreel.storage import disk, log_store
-    from limpetreel.streams import stream_agent_shell, stream_entry_shell, stream_shell
+    from limpetreel.streams import (
+        stream_agent_core,
+        stream_agent_shell,
+        stream_entry_shell,
+        stream_shell,
+    )
 
     Settings = process_settings.ProcessSettings
 
@@ -88,6 +93,7 @@
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
     telemetry.add_drop_counter("agent.core", lambda: core.dropped)
+    _add_request_metrics(telemetry, core)
     api = http_upstream_api.HttpUpstreamApi(
         process_settings.required(cfg, "control"), cfg.ready, telemetry
     )
@@ -107,6 +113,23 @@
     return shell
 
 
+def _add_request_metrics(
+    telemetry: telemetry.Telemetry, core: stream_agent_core.StreamAgentCore
+) -> None:
+    telemetry.add_metric(
+        "requests_waiting", "requests held", "", lambda: {"": core.requests_waiting}
+    )
+    telemetry.add_metric(
+        "requests_held_total", "requests held", "kind", lambda: core.held_by_kind
+    )
+    telemetry.add_metric(
+        "receiving_flows",
+        "flows whose request is arriving",
+        "",
+        lambda: {"": core.receiving_flows},
+    )
+
+
 def build_control(path: pathlib.Path) -> cluster_shell.ClusterShell:
     """Return a control instance that is ready to serve."""
     from limpetreel.cluster import cluster_core, cluster_shell, durable_instance
--- a/src/limpetreel/streams/serving/request_gate.py
+++ b/src/limpetreel/streams/serving/request_gate.py
@@ -86,11 +86,6 @@
             actions += self._send(now, flow, packet)
         return actions
 
-    def discard_all(self) -> None:
-        """Discard all requests, since the upstream that they were sent to has ended."""
-        for item in self._queue.take_requests():
-            item.flow.held = None
-
     def _hold(
         self, now: float, flow: owned_flow.OwnedFlow, packet: segment.Segment
     ) -> Actions:
--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -150,10 +150,6 @@
         """Remove and return all openings."""
         return self._take(list(self._openings.values()))
 
-    def take_requests(self) -> list[held_request.HeldRequest]:
-        """Remove and return all requests."""
-        return self._take(list(self._requests.values()))
-
     def _take(self, items: list[_Item]) -> list[_Item]:
         for item in items:
             self.remove(item)
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -159,6 +159,21 @@
         """Return the number of requests that the upstream processes concurrently."""
         return self._capacity.slots
 
+    @property
+    def requests_waiting(self) -> int:
+        """Return the number of requests that are held."""
+        return self._queue.requests
+
+    @property
+    def held_by_kind(self) -> dict[str, int]:
+        """Return the number of requests that have been held, by kind of the route."""
+        return self._gate.held_by_kind
+
+    @property
+    def receiving_flows(self) -> int:
+        """Return the number of flows whose request is arriving."""
+        return len(self._flows.receiving)
+
     @property
     def has_work(self) -> bool:
         """Return whether flows are open or waiting."""
@@ -248,7 +263,6 @@
         Their callers would wait for an answer until their time limit.
         """
         self._held.mark_all_known()
-        self._gate.discard_all()
         actions: Actions = []
         for key, flow in self._flows.clear():
             fields: Fields = {"flow": stream_key.text(key)}
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -12,6 +12,9 @@
 _ENDED = "tests.streams.test_ended_flows."
 _UPSTREAM = "tests.streams.test_upstream_state."
 _LARGE = "tests.streams.serving.test_large_requests."
+_HELD = "tests.streams.serving.test_held_requests."
+_QUEUE = "tests.streams.serving.test_waiting_queue."
+_VERDICT = "tests.streams.serving.test_verdict_load."
 _TRACKER = "tests.streams.serving.test_request_tracker."
 
 MUTANTS = [
@@ -187,4 +190,123 @@
         "            self._serving[following] = following.data_at\n",
         _TRACKER + "test_wait_in_the_queue_of_the_upstream_is_no_service_time",
     ),
+    (
+        "requests on open flows are not held",
+        _SOURCE + "serving/request_gate.py",
+        "if self._admission.has_free_slot() or not _may_hold(flow, packet):",
+        "if True:",
+        _HELD + "test_lookups_on_fresh_flows_are_in_time_beside_long_flows",
+    ),
+    (
+        "requests are held until their time limit",
+        _SOURCE + "serving/request_gate.py",
+        "answer_ms / 1000 / HOLD_DIVISOR",
+        "timeout_ms / 1000",
+        _HELD + "test_no_request_is_held_longer_than_a_quarter_of_its_target",
+    ),
+    (
+        "request of a caller that has left is kept",
+        _SOURCE + "serving/request_gate.py",
+        "        if packet.is_reset or (packet.is_fin and not packet.size):\n",
+        "        if False:\n",
+        _HELD + "test_caller_that_leaves_discards_what_is_held",
+    ),
+    (
+        "request that ends with a FIN is discarded",
+        _SOURCE + "serving/request_gate.py",
+        "packet.is_reset or (packet.is_fin and not packet.size)",
+        "packet.is_reset or packet.is_fin",
+        _HELD + "test_request_that_ends_with_fin_is_not_discarded",
+    ),
+    (
+        "packets without data are held",
+        _SOURCE + "serving/request_gate.py",
+        "if not packet.size or not request_tracker.is_new_data(flow, packet):",
+        "if False:",
+        _HELD + "test_request_is_forwarded_when_a_slot_is_free",
+    ),
+    (
+        "late release of a request is not logged",
+        _SOURCE + "serving/request_gate.py",
+        "        if now > held.answer_at:\n",
+        "        if False:\n",
+        _HELD + "test_request_that_was_held_during_a_pause_is_logged",
+    ),
+    (
+        "any number of packets is held",
+        _SOURCE + "serving/held_request.py",
+        "packet.sequence in self._packets or len(self._packets) < MAX_PACKETS",
+        "True",
+        _HELD + "test_what_exceeds_the_bounds_is_forwarded",
+    ),
+    (
+        "any number of bytes is held",
+        _SOURCE + "serving/waiting_queue.py",
+        "        if not has_room or not item.has_room(packet):\n",
+        "        if not item.has_room(packet):\n",
+        _HELD + "test_what_exceeds_the_bounds_is_forwarded",
+    ),
+    (
+        "held packets are forwarded in the order of arrival",
+        _SOURCE + "serving/held_request.py",
+        "key=lambda p: (p.sequence - start) & 0xFFFFFFFF",
+        "key=lambda p: 0",
+        _HELD + "test_request_is_forwarded_when_a_slot_is_free",
+    ),
+    (
+        "callers are served in order of arrival only",
+        _SOURCE + "serving/waiting_lane.py",
+        "        self._order.put(item.number, caller, item.expires_at, running)\n",
+        "        self._order.put(item.number, item.number, item.expires_at, 0)\n",
+        _HELD + "test_caller_address_with_many_flows_gets_no_more_than_its_share",
+    ),
+    (
+        "what is late goes before what can be in time",
+        _SOURCE + "serving/waiting_queue.py",
+        "    is_late = answer_at > first.answer_at\n",
+        "    is_late = False\n",
+        _QUEUE + "test_order_is_in_time_then_priority_then_arrival",
+    ),
+    (
+        "priority is ignored",
+        _SOURCE + "serving/waiting_queue.py",
+        "is_late, first.route.priority, first.number",
+        "is_late, 0, first.number",
+        _HELD + "test_priority_decides_before_arrival",
+    ),
+    (
+        "routes starve",
+        _SOURCE + "serving/waiting_queue.py",
+        "    return not lane.is_starved(now), is_late",
+        "    return True, is_late",
+        _QUEUE + "test_no_route_starves",
+    ),
+    (
+        "requests wait for the rate of new flows",
+        _SOURCE + "serving/waiting_queue.py",
+        "            if len(lane) and (may_open or not is_opening)\n",
+        "            if len(lane) and may_open\n",
+        _QUEUE + "test_cold_upstream_serves_requests_while_openings_wait",
+    ),
+    (
+        "verdicts carry no utilisation",
+        _SOURCE + "serving/verdict_writer.py",
+        "            self._slots.utilisation(now),\n",
+        "            0,\n",
+        _VERDICT + "test_verdicts_report_flows_utilisation_and_length_of_flows",
+    ),
+    (
+        "second requests are not learned",
+        _SOURCE + "serving/request_tracker.py",
+        "        if flow.requests == 2:  # each flow counts once\n",
+        "        if False:\n",
+        _VERDICT + "test_verdicts_report_flows_utilisation_and_length_of_flows",
+    ),
+    (
+        "held request of a removed flow is forwarded",
+        _SOURCE + "serving/request_gate.py",
+        "        if self._flows.get(flow.key) is not flow:\n            return []\n",
+        "",
+        _HELD + "test_request_of_a_flow_that_its_upstream_lost_is_dropped",
+    ),
 ]
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -256,6 +256,21 @@
     assert agent.take()
 
 
+def test_request_that_was_held_during_a_pause_is_logged():
+    """Guards against a late answer without a trace of its cause."""
+    agent = Agent()
+    flow = agent.open(agent.flow(1))
+    make_busy(agent)
+    agent.send(flow, 101)
+    assert agent.core.requests_waiting == 1
+    assert agent.core.held_by_kind == {"idempotent": 1}
+    agent.now += 2.0
+    agent.handle(tick.Tick())
+    assert agent.take() == [(flow, 101)]
+    released = [x.fields for x in agent.lines if x.step == "request.released"]
+    assert [(x["route"], x["held_ms"]) for x in released] == [("feeds", 2000)]
+
+
 def test_requests_are_dropped_when_their_upstream_has_restarted():
     """Guards against packets of ended flows that reach the next start."""
     agent = Agent()
@@ -263,9 +278,26 @@
     make_busy(agent)
     agent.send(flow, 101)
     agent.announce("i-2")
+    assert not agent.core.has_work
     agent.wait(0.5)
     assert agent.take() == []
-    assert not agent.core.has_work
+
+
+def test_request_of_a_flow_that_its_upstream_lost_is_dropped():
+    """Guards against a slot that a removed flow occupies for ever."""
+    agent = Agent()
+    flow = agent.open(agent.flow(1))
+    first, second = make_busy(agent)
+    agent.send(flow, 101)
+    returned = stream_site.make_packet(
+        flow, stream_site.ACK | stream_site.BOUNCED, 1, 1, b"?"
+    )
+    agent.handle(upstream_packet.UpstreamPacket(returned))
+    agent.wait(0.5)
+    assert agent.take() == []
+    agent.reply(first)
+    agent.reply(second)
+    assert agent.core._flows.occupied == 0
 
 
 def test_priority_decides_before_arrival():
