Reserve a range of ports for each demonstration

A demonstration took the first range whose first three ports were free. Its processes bind them seconds later, so two that started at once shared a range, and ports further up were not looked at.

Each one now holds the last port of its range while it runs, and all 600 ports that a site may use have to be free.

--- a/src/limpetreel/workload/demo.py
+++ b/src/limpetreel/workload/demo.py
@@ -7,7 +7,6 @@
 import json
 import pathlib
 import random
-import socket
 import tempfile
 import time
 from typing import TYPE_CHECKING
@@ -15,13 +14,11 @@
 import aiocoap
 
 from limpetreel.console import exit_code
-from limpetreel.workload import caller, outcome, reply, site
+from limpetreel.workload import caller, outcome, port_reservation, reply, site
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-FIRST_BASE_PORT = 24000
-LAST_BASE_PORT = 31000
 CALLERS_PER_CLASS = 20
 REQUESTS_PER_SECOND_PER_CALLER = 4.0
 POST_RATIO = 0.3
@@ -59,9 +56,12 @@
 
     async def run(self) -> int:
         """Run the demonstration and return the exit code."""
-        with tempfile.TemporaryDirectory(prefix="limpetreel-") as folder:
+        with (
+            tempfile.TemporaryDirectory(prefix="limpetreel-") as folder,
+            port_reservation.reserve() as base_port,
+        ):
             self._folder = pathlib.Path(folder)
-            self._site = site.Site(self._program, self._folder, find_base_port())
+            self._site = site.Site(self._program, self._folder, base_port)
             try:
                 await self._run()
                 self._check_runs(await self._fetch_runs())
@@ -249,22 +249,3 @@
         for problem in self._problems:
             print(f"problem: {problem}")
         return exit_code.ExitCode.FAILED if self._problems else exit_code.ExitCode.OK
-
-
-def find_base_port() -> int:
-    """Return the first port of a range whose first three ports are free."""
-    for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, site.PORTS_PER_SITE):
-        if all(_is_free(base + i) for i in (0, 1, 2)):
-            return base
-    raise OSError("no free range of ports for the demonstration")
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                return False
-    return True
--- a/src/limpetreel/workload/site.py
+++ b/src/limpetreel/workload/site.py
@@ -20,6 +20,9 @@
 DECISION_LOG = "decisions.log"
 PORTS_PER_SITE = 1000
 """Number of ports reserved for one site, from its base port on."""
+CLASS_PORTS = (500, 599)
+"""First and last port of the classes, from the base port on."""
+USED_PORTS = CLASS_PORTS[1] + 1
 
 
 class Site:
@@ -42,7 +45,7 @@
         self._folder = folder
         self._base_port = base_port
         self._processes: dict[str, asyncio.subprocess.Process] = {}
-        self.class_ports = (base_port + 500, base_port + 599)
+        self.class_ports = (base_port + CLASS_PORTS[0], base_port + CLASS_PORTS[1])
         self._upstreams: dict[str, int] = {}
 
     @property
--- a/tests/standalone/test_standalone_shell.py
+++ b/tests/standalone/test_standalone_shell.py
@@ -9,7 +9,13 @@
 
 from limpetreel.settings import port_range, standalone_settings, upstream_address
 from limpetreel.standalone import standalone_factory
-from limpetreel.workload import caller, demo, outcome, upstream, upstream_settings
+from limpetreel.workload import (
+    caller,
+    outcome,
+    port_reservation,
+    upstream,
+    upstream_settings,
+)
 from tests import fixtures
 
 ATTEMPTS = 20
@@ -55,8 +61,8 @@
 
 def test_site_serves_on_defaults():
     """Guards against a site that needs commands or keys before its first answer."""
-    with tempfile.TemporaryDirectory() as folder:
-        replies, runs = asyncio.run(_serve_and_request(demo.find_base_port(), folder))
+    with tempfile.TemporaryDirectory() as folder, port_reservation.reserve() as base:
+        replies, runs = asyncio.run(_serve_and_request(base, folder))
     assert replies[-1].outcome is outcome.Outcome.ANSWERED, replies
     assert runs[replies[-1].key] == 1
 
