--- a/src/limpetreel/consensus/node_state.py
+++ b/src/limpetreel/consensus/node_state.py
@@ -53,7 +53,7 @@
         self,
         durable: durable_state.DurableState,
         random: randoms.Random,
-        trailing_entries: int = timing.TRAILING_ENTRIES,
+        trailing_entries: int,
     ) -> None:
         self.name = durable.name
         self.incarnation = durable.incarnation
--- a/src/limpetreel/consensus/raft_core.py
+++ b/src/limpetreel/consensus/raft_core.py
@@ -71,8 +71,9 @@
     policy : MembershipPolicy or None
         Which members are added and replaced without an operator; defaults to
         `OperatorManagedMembership`.
-    trailing_entries : int
-        Log entries up to the snapshot index that stay in memory.
+    trailing_entries : int or None
+        Log entries up to the snapshot index that stay in memory; None for
+        `timing.TRAILING_ENTRIES`.
     is_durable : bool
         Whether the log is on a disk that a loss of power does not erase.
     """
@@ -84,10 +85,12 @@
         address: str,
         seeds: Sequence[str] = (),
         policy: membership_policy.MembershipPolicy | None = None,
-        trailing_entries: int = timing.TRAILING_ENTRIES,
+        trailing_entries: int | None = None,
         is_durable: bool = True,
     ) -> None:
         self._is_durable = is_durable
+        if trailing_entries is None:
+            trailing_entries = timing.TRAILING_ENTRIES
         self._state = node_state.NodeState(durable, random, trailing_entries)
         self._address = address
         self._seeds = tuple(seeds)
--- a/src/limpetreel/requests/claim_store.py
+++ b/src/limpetreel/requests/claim_store.py
@@ -138,12 +138,13 @@
 
     def _delete(self, bucket: int, key: request_key.RequestKey) -> None:
         claims_by_key = self._claims_by_bucket[bucket]
+        answer = b""
         for lookup_key in key.lookup_keys():
             claim = claims_by_key.get(lookup_key)
             if claim is not None and claim.key == key:
                 del claims_by_key[lookup_key]
-                self._answer_bytes -= len(claim.answer)
-                claim = None
+                answer = claim.answer
+        self._answer_bytes -= len(answer)
         del self._recorded_at[key, bucket]
 
     def _insert(self, start: float, bucket: int, claim: claims.Claim) -> None:
--- a/tests/consensus/test_raft_core.py
+++ b/tests/consensus/test_raft_core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from unittest import mock
 
 from limpetreel.consensus import (
     durable_state,
@@ -13,6 +14,7 @@
     raft_core,
     role,
     snapshot,
+    timing,
 )
 from limpetreel.consensus.actions import persist, proposal_result, read_result, send
 from limpetreel.consensus.events import (
@@ -22,6 +24,7 @@
     proposal,
     propose,
     read,
+    snapshot_available,
     tick,
 )
 from limpetreel.consensus.messages import (
@@ -313,4 +316,19 @@
     assert envelope_codec.decode(data[:-1]).reason is reason.Reason.MALFORMED
 
 
+def test_limit_of_kept_entries_is_read_when_an_instance_starts():
+    """Guards against fuzzing tests whose small limit has no effect.
+
+    They change the limit to make snapshots in parts frequent.
+    """
+    entries = tuple(_data_entry(i, 1) for i in range(1, 21))
+    with mock.patch.object(timing, "TRAILING_ENTRIES", 4):
+        core = _core(VOTERS[:1], 1, "", entries)
+    for step in range(100):
+        core.handle(step / 10, tick.Tick())
+    assert core.role is role.Role.LEADER
+    core.handle(10.0, snapshot_available.SnapshotAvailable(20, b"state"))
+    assert core._state.log.base_index == 16
+
+
 load_tests = fixtures.load_functions(globals())
--- a/tests/replay/test_replay.py
+++ b/tests/replay/test_replay.py
@@ -219,10 +219,15 @@
     with _folder() as folder:
         data = _record(ROLES[1], folder, packets=20).read_bytes()
     undamaged = _replay(data).agreed
-    for size in range(0, len(data), len(data) // 25):
+    ends = {len(record_codec.MAGIC)}
+    for record in record_codec.decode(data):
+        ends.add(max(ends) + len(record_codec.encode(record)))
+    assert max(ends) == len(data)
+    for size in {*range(0, len(data), len(data) // 25), *sorted(ends)[:-1]}:
         result = _replay(data[:size])
-        assert result.agreed <= undamaged and not result.difference
-        assert result.is_torn or result.problem or result.agreed <= undamaged
+        assert result.agreed < undamaged and not result.difference
+        # Only a file that ends with a whole record looks undamaged.
+        assert result.is_torn or result.problem or size in ends
     rng = random.Random(1)
     for _ in range(40):
         offset = rng.randrange(len(data))
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 from limpetreel.flows import flow_key
 from limpetreel.messages import claim_ack
 from limpetreel.requests import (
@@ -128,6 +130,21 @@
         assert len(store) == len(starts) - expired - 1
 
 
+def test_expired_claim_releases_its_answer_once():
+    """Guards against more bytes of answers than the limit after some have expired."""
+    store = claim_store.ClaimStore()
+    keys = [request_key.RequestKey(FLOW, i, b"resend-%d" % i) for i in range(4)]
+    answered = [
+        claim.Claim(k, *OTHER, i, outcome.Outcome.ANSWERED, b"answer")
+        for i, k in enumerate(keys)
+    ]
+    with mock.patch.object(claim_store, "MAX_ANSWER_BYTES", 2 * len(b"answer")):
+        store.merge(0, 1, answered[:1])
+        store.expire(lifetime.EXCHANGE_SECONDS)
+        store.merge(lifetime.EXCHANGE_SECONDS, 1, answered[1:])
+    assert [store.find(1, k).answer for k in keys[1:]] == [b"answer", b"answer", b""]
+
+
 def test_claims_of_two_owners_become_unknown():
     """Guards against an answer of which only one of two claims is the source."""
     store = claim_store.ClaimStore()
