--- a/tests/standalone/test_standalone_shell.py
+++ b/tests/standalone/test_standalone_shell.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import io
 import pathlib
 import random
 import tempfile
 
 from limpetreel.settings import port_range, standalone_settings, upstream_address
-from limpetreel.standalone import standalone_factory
-from limpetreel.workload import caller, demo, outcome, upstream, upstream_settings
+from limpetreel.standalone import standalone_factory, standalone_shell
+from limpetreel.workload import (
+    caller,
+    outcome,
+    port_reservation,
+    upstream,
+    upstream_settings,
+)
 from tests import fixtures
 
 ATTEMPTS = 20
@@ -55,10 +63,48 @@
 
 def test_site_serves_on_defaults():
     """Guards against a site that needs commands or keys before its first answer."""
-    with tempfile.TemporaryDirectory() as folder:
-        replies, runs = asyncio.run(_serve_and_request(demo.find_base_port(), folder))
+    with tempfile.TemporaryDirectory() as folder, port_reservation.reserve() as base:
+        replies, runs = asyncio.run(_serve_and_request(base, folder))
     assert replies[-1].outcome is outcome.Outcome.ANSWERED, replies
     assert runs[replies[-1].key] == 1
 
 
+class _Role:
+    """Role that serves until it is stopped."""
+
+    async def serve(self, stopped):
+        """Wait."""
+        await stopped.wait()
+
+
+class _FailingClient:
+    """Client whose calls raise an error that nothing expects."""
+
+    def call(self, body):
+        """Fail."""
+        raise KeyError(body["type"])
+
+
+async def _set_up_in_vain():
+    cfg = _settings(24000, "data")
+    shell = standalone_shell.StandaloneShell(
+        cfg, _Role(), _Role(), [_Role()], _FailingClient()
+    )
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().call_later(0.2, stopped.set)
+    await shell.serve(stopped)
+
+
+def test_error_of_the_set_up_is_printed():
+    """Guards against a site without classes that does not say why."""
+    output = io.StringIO()
+    with contextlib.redirect_stderr(output):
+        asyncio.run(_set_up_in_vain())
+    lines = output.getvalue().splitlines()
+    assert lines == [
+        "limpetreel: zone_create failed: KeyError('zone_create')",
+        "limpetreel: class_create failed: KeyError('class_create')",
+    ]
+
+
 load_tests = fixtures.load_functions(globals())
