Show operators why a flow was reset or its owner not found

The entry's part of flow ownership moves from its core to a class (flow_owners). Searches are counted by result (owner_searches_total; ENDED was a value of offers_total before), probes at entries and agents. flow.lost and flow.not_located give a reason, and flow.not_located counts unsure agents apart from silent ones.

A search that all agents have denied while the list of agents may be incomplete was forgotten without a log line, and the caller's next packet began another one. It is now kept for up to 4 s, asks nobody again, and resets the flow once the list is complete; if the list does not become complete, that is logged. In the new test the callers of 20 flows are reset within 0.1 s of the complete list without another packet, and their copies cause no further questions.

--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -60,6 +60,15 @@
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
     telemetry.add_metric("open_flows", "flows", "", lambda: {"": core.open_flows})
+    telemetry.add_metric(
+        "owner_searches_total", "searches by result", "result", lambda: core.searches
+    )
+    telemetry.add_metric(
+        "owner_probes_sent_total",
+        "packets sent to agents that are unsure of their flow",
+        "",
+        lambda: {"": core.probes},
+    )
     telemetry.add_drop_counter("entry.core", lambda: core.dropped)
     api = http_ready_api.HttpReadyApi(ready, telemetry)
     node_listen = (cfg.host, cfg.internal_ports[0] + 1)
@@ -90,6 +99,12 @@
     telemetry.add_metric(
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
+    telemetry.add_metric(
+        "owner_probes_total",
+        "packets of unknown flows that were tried on the upstream, by result",
+        "result",
+        lambda: core.probes,
+    )
     telemetry.add_drop_counter("agent.core", lambda: core.dropped)
     api = http_upstream_api.HttpUpstreamApi(
         process_settings.required(cfg, "control"), cfg.ready, telemetry
--- a/src/limpetreel/streams/ownership/owner_answers.py
+++ b/src/limpetreel/streams/ownership/owner_answers.py
@@ -26,6 +26,8 @@
 class OwnerAnswers:
     """Answers entries, and tries packets of unknown flows on the upstream for them.
 
+    Its attribute `results` counts the packets that were tried, and what came of them.
+
     Parameters
     ----------
     held : HeldFlows
@@ -34,6 +36,7 @@
 
     def __init__(self, held: held_flows.HeldFlows) -> None:
         self._held = held
+        self.results: dict[str, int] = {}
 
     def search(self, now: float, source: Address, message: search.Search) -> Actions:
         """Answer a question about several flows."""
@@ -45,7 +48,7 @@
         What is known already is answered at once.
         """
         if self._held.start_probe(now, segment, source=source):
-            return [send_upstream.SendUpstream(segment.data)]
+            return self._try(segment)
         question = search.Search((sought.Sought(segment.flow, segment.ack),))
         answer = self._held.answer(now, source, question)
         return [_node(source, answer)] if answer.owned or answer.missing else []
@@ -53,7 +56,7 @@
     def locate(self, now: float, segment: segment.Segment) -> Actions:
         """Handle a packet of an older entry, which asks all agents with each packet."""
         if self._held.start_probe(now, segment):
-            return [send_upstream.SendUpstream(segment.data)]
+            return self._try(segment)
         return []
 
     def carry(self, now: float, source: Address, segment: segment.Segment) -> Actions:
@@ -63,7 +66,7 @@
         is tried, and further ones follow unless the upstream returns it.
         """
         if self._held.start_probe(now, segment, carrier=source):
-            return [send_upstream.SendUpstream(segment.data)]
+            return self._try(segment)
         probed = self._held.current_probe(now, segment.flow)
         if probed is None or probed.is_returned:
             return [_node(source, not_owned.NotOwned(segment.data))]
@@ -76,6 +79,7 @@
         probed = self._held.record_returned(key)
         if probed is None:
             return []
+        self._count("RETURNED")
         reply = holdings.Holdings(missing=(key,))
         actions = [_node(source, reply) for source in probed.sources]
         probed.sources.clear()
@@ -83,9 +87,17 @@
 
     def record_shown(self, probed: probed_packet.ProbedPacket) -> Actions:
         """Tell entries that the upstream holds the flow of a probed packet."""
+        self._count("HELD")
         reply = holdings.Holdings(owned=(probed.segment.flow,))
         return [_node(source, reply) for source in probed.sources]
 
+    def _try(self, segment: segment.Segment) -> Actions:
+        self._count("TRIED")
+        return [send_upstream.SendUpstream(segment.data)]
+
+    def _count(self, result: str) -> None:
+        self.results[result] = self.results.get(result, 0) + 1
+
 
 def _return_carried(probed: probed_packet.ProbedPacket) -> Actions:
     carried = probed.take_held()
--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -55,6 +55,9 @@
     if they do not hold it. If one of the unsure agents must be the owner, all of them
     get it at once; otherwise few do, the same ones from each entry.
 
+    Its attribute `is_list_current` tells whether the list of agents is known to be
+    complete, and `probes` counts the packets that were sent to unsure agents.
+
     Parameters
     ----------
     data_centre : str
@@ -65,13 +68,14 @@
 
     def __init__(self, data_centre: str, first_number: int) -> None:
         self._known = known_agents.KnownAgents(data_centre)
-        self._is_list_current = False
+        self.is_list_current = False
         self._flows: dict[bytes, sought_flow.SoughtFlow] = {}
         self._due: dict[bytes, sought_flow.SoughtFlow] = {}
         self._denied: dict[bytes, sought_flow.SoughtFlow] = {}
         self._budget = probe_budget.ProbeBudget()
         self._questions = questions.Questions(first_number)
         self._next_batch_at = float("-inf")
+        self.probes = 0
 
     def __len__(self) -> int:
         """Return the number of flows that are searched for."""
@@ -89,7 +93,7 @@
         is_current : bool
             Whether the list is known to be complete.
         """
-        self._is_list_current = is_current
+        self.is_list_current = is_current
         self._known.update(records)
         for flow in self._flows.values():
             if flow.add_agents(self._known.groups(flow.services)):
@@ -174,20 +178,23 @@
                 actions += self._probe(now, flow)
         return actions
 
-    def take_ended(self, now: float) -> list[segment.Segment]:
-        """Remove flows that no agent holds; return the latest packet of each."""
-        ended = []
+    def take_denied(self, now: float) -> list[sought_flow.SoughtFlow]:
+        """Remove and return flows that all agents have denied.
+
+        While the list of agents may be incomplete they are kept, and no agent is asked
+        again.
+        """
+        denied = []
         for flow in list(self._denied.values()):
             if flow.denied_at is None:
                 # An agent has become known meanwhile.
                 del self._denied[flow.flow]
-                continue
-            if now - flow.denied_at < CONFIRM_SECONDS:
-                continue
-            self._remove(flow.flow)
-            if self._is_list_current:
-                ended.append(flow.latest)
-        return ended
+            elif not self.is_list_current:
+                flow.await_list()
+            elif now - flow.denied_at >= CONFIRM_SECONDS:
+                self._remove(flow.flow)
+                denied.append(flow)
+        return denied
 
     def tick(self, now: float) -> tuple[list[sought_flow.SoughtFlow], Actions]:
         """Ask agents again that have not answered; return expired searches too."""
@@ -218,7 +225,7 @@
         if not flow.unsure or flow.trial is None:
             return []
         # The owner is then one of the agents that are unsure, and gets the packet too.
-        has_owner = self._is_list_current and not flow.awaits_sure_agent
+        has_owner = self.is_list_current and not flow.awaits_sure_agent
         if not has_owner and now - flow.began_at < PROBE_DELAY_SECONDS:
             return []
         targets = flow.unprobed()
@@ -233,6 +240,7 @@
         for agent in targets:
             self._budget.record(now, flow.flow, agent)
             flow.probed[agent] = self._questions.last_number
+        self.probes += len(targets)
         message = probe.Probe(flow.trial.data)
         return [_send(agent, message) for agent in targets]
 
--- a/src/limpetreel/streams/ownership/sought_flow.py
+++ b/src/limpetreel/streams/ownership/sought_flow.py
@@ -122,6 +122,10 @@
         self.wait_seconds = 2 * FIRST_ANSWER_SECONDS
         self.ends_at = min(now, self.began_at + MAX_SECONDS) + MAX_SECONDS
 
+    def await_list(self) -> None:
+        """Search for longer, since the list of agents becomes complete within 2 s."""
+        self.ends_at = self.began_at + 2 * MAX_SECONDS
+
     def add_agents(self, known: Iterable[tuple[Address, ...]]) -> bool:
         """Add groups of agents that may own the flow; return whether any is new."""
         is_changed = False
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -137,6 +137,11 @@
         """Return whether flows are open or waiting."""
         return bool(len(self._flows) or len(self._queue))
 
+    @property
+    def probes(self) -> dict[str, int]:
+        """Return the number of packets of unknown flows that were tried, by result."""
+        return self._answers.results
+
     @property
     def needs_tick_soon(self) -> bool:
         """Return whether a flow waits for an answer or a slot."""
@@ -165,7 +170,9 @@
         if isinstance(event, upstream_ended.UpstreamEnded):
             return self._end_upstream(now, event)
         if isinstance(event, agent_leaving.AgentLeaving):
-            return self._reset_flows() if self.upstream.has_departed else []
+            if not self.upstream.has_departed:
+                return []
+            return self._reset_flows("upstream has departed")
         raise TypeError(type(event))
 
     def _announce(
@@ -193,7 +200,7 @@
                 # The upstream has just started and holds no earlier flows.
                 self._held.mark_all_known()
             elif not is_first:
-                actions += self._reset_flows()
+                actions += self._reset_flows("upstream has restarted")
             actions += self._compare_starts(now)
         if status.is_draining and not was_draining:
             actions.append(log_line.LogLine("info", "upstream.draining", fields))
@@ -225,9 +232,9 @@
         fields: Fields = {"instance": event.instance_id}
         actions: Actions = [log_line.LogLine("warning", "upstream.ended", fields)]
         actions += self._refuse_waiting(outcome.Outcome.CLOSED)
-        return actions + self._reset_flows()
+        return actions + self._reset_flows("upstream has ended")
 
-    def _reset_flows(self) -> Actions:
+    def _reset_flows(self, reason: str) -> Actions:
         """Forget all flows, since the start of the upstream that held them has ended.
 
         Their callers would wait for an answer until their time limit.
@@ -235,7 +242,7 @@
         self._held.mark_all_known()
         actions: Actions = []
         for key, flow in self._flows.clear():
-            fields: Fields = {"flow": stream_key.text(key)}
+            fields: Fields = {"flow": stream_key.text(key), "reason": reason}
             actions.append(log_line.LogLine("warning", "flow.lost", fields))
             if flow.is_confirmed:
                 actions.append(self._reset(key, flow.caller_ack))
@@ -433,7 +440,10 @@
         self._flows.remove(segment.flow)
         if not flow.is_established or flow.is_closed:
             return []
-        fields: Fields = {"flow": stream_key.text(segment.flow)}
+        fields: Fields = {
+            "flow": stream_key.text(segment.flow),
+            "reason": "upstream has returned a packet",
+        }
         lost = log_line.LogLine("warning", "flow.lost", fields)
         return [lost, self._reset(segment.flow, segment.ack)]
 
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -30,7 +30,7 @@
     stream_codec,
     verdict,
 )
-from limpetreel.streams.ownership import known_owner, owner_search
+from limpetreel.streams.ownership import flow_owners
 
 if TYPE_CHECKING:
     import msgspec
@@ -54,13 +54,9 @@
 """Time for which a flow is held while upstreams may become known. A refused caller
 retries at once, and would use up its retries before an outage ends."""
 HOLD_STEP_SECONDS = 0.05
-SWEEP_SECONDS = 1.0
 DEFAULT_IDLE_SECONDS = 15.0
-MAX_NAMES_LOGGED = 5
 FIRST_NUMBER_BITS = 48
 """Size of the random number before that of the first question of a start."""
-MAX_FLOWS = 200_000
-"""Bounds the memory for flow owners."""
 
 
 class StreamEntryCore(core.Core):
@@ -85,13 +81,11 @@
         self._view = fleet_view.FleetView()
         self._routes: route_table.RouteTable | None = None
         self._candidates = candidates.Candidates(data_centre, source)
-        self._owners: dict[bytes, known_owner.KnownOwner] = {}
+        first_number = random.Random(seed).getrandbits(FIRST_NUMBER_BITS)
+        self._owners = flow_owners.FlowOwners(codec, data_centre, first_number)
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
-        first_number = random.Random(seed).getrandbits(FIRST_NUMBER_BITS)
-        self._search = owner_search.OwnerSearch(data_centre, first_number)
         self._next_id = source.getrandbits(31)
-        self._swept_at = 0.0
         self._started_at: float | None = None
         self.outcomes: dict[str, int] = {}
         self.dropped: dict[str, int] = {}
@@ -104,13 +98,23 @@
     @property
     def needs_tick_soon(self) -> bool:
         """Return whether an offer or a search is pending."""
-        return bool(self._pending or len(self._search))
+        return bool(self._pending or self._owners.is_searching)
 
     @property
     def open_flows(self) -> int:
         """Return the number of flows whose owner is known."""
         return len(self._owners)
 
+    @property
+    def searches(self) -> dict[str, int]:
+        """Return the number of searches for owners by result."""
+        return self._owners.searches
+
+    @property
+    def probes(self) -> int:
+        """Return how many packets were sent to agents that are unsure of a flow."""
+        return self._owners.probes
+
     def handle(self, now: float, event: msgspec.Struct) -> list[msgspec.Struct]:
         """Handle one event; see `core.Core.handle`."""
         if self._started_at is None:
@@ -129,7 +133,7 @@
         version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
-        self._search.change_list(view.upstreams, view.is_list_current)
+        self._owners.change_view(view)
         if view.configuration is not None and view.configuration.version > version:
             self._routes = route_table.RouteTable(view.configuration)
         return []
@@ -163,12 +167,10 @@
         if matched_route is None:
             return self._drop("no route")
         services = tuple(s.name for s in matched_route.services)
-        return self._search.add(now, segment, services)
+        return self._owners.search(now, segment, services)
 
     def _record_owner(self, now: float, flow: bytes, address: Address) -> None:
-        if len(self._owners) >= MAX_FLOWS:
-            self._owners.pop(next(iter(self._owners)))
-        self._owners[flow] = known_owner.KnownOwner(address, now)
+        self._owners.record(now, flow, address)
 
     def _from_node(self, now: float, event: node_datagram.NodeDatagram) -> Actions:
         message = stream_codec.decode(event.data)
@@ -178,48 +180,18 @@
         if isinstance(message, holdings.Holdings):
             if any(len(key) != stream_key.SIZE for key in message.owned):
                 return self._drop("malformed key")
-            return self._record_holdings(now, source, message)
+            return self._owners.record_holdings(now, source, message)
         if isinstance(message, not_owned.NotOwned):
             return self._handle_not_owned(now, source, message.packet)
         if isinstance(message, failure.Failure):
             return self._drop(str(message.reason))
         return self._drop("message for an agent")
 
-    def _record_holdings(
-        self, now: float, source: Address, message: holdings.Holdings
-    ) -> Actions:
-        actions: Actions = []
-        for flow in message.owned:
-            self._record_owner(now, flow, source)
-            name = self._candidates.name_at(source)
-            fields: Fields = {"flow": stream_key.text(flow), "agent": name}
-            actions.append(log_line.LogLine("info", "flow.located", fields))
-        return actions + self._search.record_holdings(now, source, message)
-
-    def _reset_ended(self, now: float) -> Actions:
-        """Reset flows that no upstream holds, so that their callers open new ones."""
-        actions: Actions = []
-        for latest in self._search.take_ended(now):
-            self._count("ENDED")
-            host = stream_key.caller(latest.flow)[0]
-            fields: Fields = {
-                "flow": stream_key.text(latest.flow),
-                "upstreams": len(self._view.upstreams),
-                "revision": self._view.revision,
-            }
-            packet = self._codec.reset(latest.flow, latest.ack)
-            actions.append(send_caller.SendCaller(host, packet))
-            actions.append(log_line.LogLine("info", "flow.ended", fields))
-        return actions
-
     def _handle_not_owned(self, now: float, source: Address, packet: bytes) -> Actions:
         segment = self._codec.from_caller(packet)
         if isinstance(segment, failure.Failure):
             return self._drop(str(segment.reason))
-        owner = self._owners.get(segment.flow)
-        if owner is not None and owner.address == source:
-            del self._owners[segment.flow]
-        self._search.record_not_owned(now, segment.flow, source)
+        self._owners.forget(now, segment.flow, source)
         return self._find_owner(now, segment)
 
     # Placement of new flows
@@ -384,27 +356,6 @@
                 actions += self._refuse(now, pending)
             else:
                 actions += self._offer_next(now, pending)
-        if now - self._swept_at >= SWEEP_SECONDS:
-            self._sweep(now)
-        return actions + self._reset_ended(now) + self._continue_searches(now)
-
-    def _continue_searches(self, now: float) -> Actions:
-        expired, actions = self._search.tick(now)
-        for flow in expired:
-            silent = [self._candidates.name_at(a) for a in sorted(flow.remaining)]
-            fields: Fields = {
-                "flow": stream_key.text(flow.flow),
-                "silent": ",".join(silent[:MAX_NAMES_LOGGED]),
-                "unanswered": len(silent),
-            }
-            actions.append(log_line.LogLine("warning", "flow.not_located", fields))
-        return actions
-
-    def _sweep(self, now: float) -> None:
-        self._swept_at = now
-        idle = DEFAULT_IDLE_SECONDS
-        if self._routes is not None:
-            idle = self._routes.idle_seconds
-        idle_flows = [k for k, o in self._owners.items() if now - o.last_at > idle]
-        for key in idle_flows:
-            del self._owners[key]
+        idle = self._routes.idle_seconds if self._routes else DEFAULT_IDLE_SECONDS
+        self._owners.sweep(now, idle)
+        return actions + self._owners.tick(now)
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -117,8 +117,8 @@
     (
         "entry resets flows without a complete list of agents",
         _SOURCE + "ownership/owner_search.py",
-        "            if self._is_list_current:\n",
-        "            if True:\n",
+        "            elif not self.is_list_current:\n",
+        "            elif False:\n",
         _ENDED + "test_flow_is_not_reset_while_the_list_of_agents_may_be_incomplete",
     ),
     (
@@ -145,8 +145,8 @@
     (
         "flows of a running upstream are reset when its agent stops",
         _SOURCE + "stream_agent_core.py",
-        "self._reset_flows() if self.upstream.has_departed else []\n",
-        "self._reset_flows()\n",
+        "            if not self.upstream.has_departed:\n",
+        "            if False:\n",
         _ENDED
         + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
     ),
--- a/tests/streams/test_ended_flows.py
+++ b/tests/streams/test_ended_flows.py
@@ -161,6 +161,30 @@
     assert not any(c.request.refused for c in callers)
 
 
+def test_callers_are_reset_once_the_list_of_agents_is_complete():
+    """Guards against searches that are forgotten and repeated with each packet."""
+    site = make_site(33)
+    callers = open_flows(site, 20)
+    site.is_list_current = False
+    for upstream in site.upstreams.values():
+        upstream.restart()
+    for name in site.agents:
+        site.start_agent(name)
+        site.announce(name)
+    for name in list(site.entries):
+        site.start_entry(name)
+    site.messages = 0
+    send_again(site, callers, 2.5)
+    assert not any(c.request.refused for c in callers)
+    # Three entries ask five agents twice: for the first flow, and for the others.
+    assert site.messages <= 3 * 5 * 4
+    listen(site, callers)
+    site.is_list_current = True
+    site.update_all()
+    site.run(site.now + 0.1)
+    assert all(c.request.refused == 1 for c in callers)
+
+
 def test_restarted_agents_do_not_deny_flows_that_their_upstreams_hold():
     """Guards against agents that answer for an upstream that they have not asked."""
     site = make_site(27)
