--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -63,6 +63,15 @@
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
     telemetry.add_metric("open_flows", "flows", "", lambda: {"": core.open_flows})
+    telemetry.add_metric(
+        "owner_searches_total", "searches by result", "result", lambda: core.searches
+    )
+    telemetry.add_metric(
+        "owner_probes_sent_total",
+        "packets sent to agents that are unsure of their flow",
+        "",
+        lambda: {"": core.probes},
+    )
     telemetry.add_drop_counter("entry.core", lambda: core.dropped)
     api = http_ready_api.HttpReadyApi(ready, telemetry)
     node_listen = (cfg.host, cfg.internal_ports[0] + 1)
@@ -93,6 +102,12 @@
     telemetry.add_metric(
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
+    telemetry.add_metric(
+        "owner_probes_total",
+        "packets of unknown flows that were tried on the upstream, by result",
+        "result",
+        lambda: core.probes,
+    )
     telemetry.add_drop_counter("agent.core", lambda: core.dropped)
     _add_request_metrics(telemetry, core)
     api = http_upstream_api.HttpUpstreamApi(
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -183,6 +183,11 @@
         """Return whether flows are open or waiting."""
         return bool(len(self._flows) or len(self._queue))
 
+    @property
+    def probes(self) -> dict[str, int]:
+        """Return the number of packets of unknown flows that were tried, by result."""
+        return self._answers.results
+
     @property
     def needs_tick_soon(self) -> bool:
         """Return whether a flow waits for an answer or a slot, or sends a request."""
@@ -241,7 +246,7 @@
                 # The upstream has just started and holds no earlier flows.
                 self._held.mark_all_known()
             elif not is_first:
-                actions += self._reset_flows()
+                actions += self._reset_flows("upstream has restarted")
             actions += self._compare_starts(now)
         if status.is_draining and not was_draining:
             actions.append(log_line.LogLine("info", "upstream.draining", fields))
@@ -273,15 +278,17 @@
         fields: Fields = {"instance": event.instance_id}
         actions: Actions = [log_line.LogLine("warning", "upstream.ended", fields)]
         actions += self._refuse_waiting(outcome.Outcome.CLOSED)
-        return actions + self._reset_flows()
+        return actions + self._reset_flows("upstream has ended")
 
     def _leave(self) -> Actions:
         """Take no new flows; entries may offer some before they hear of the stop."""
         self._is_leaving = True
         actions = self._refuse_waiting(outcome.Outcome.CLOSED)
-        return actions + (self._reset_flows() if self.upstream.has_departed else [])
+        if self.upstream.has_departed:
+            actions += self._reset_flows("upstream has departed")
+        return actions
 
-    def _reset_flows(self) -> Actions:
+    def _reset_flows(self, reason: str) -> Actions:
         """Forget all flows, since the start of the upstream that held them has ended.
 
         Their callers would wait for an answer until their time limit.
@@ -289,7 +296,7 @@
         self._held.mark_all_known()
         actions: Actions = []
         for key, flow in self._flows.clear():
-            fields: Fields = {"flow": stream_key.text(key)}
+            fields: Fields = {"flow": stream_key.text(key), "reason": reason}
             actions.append(log_line.LogLine("warning", "flow.lost", fields))
             if flow.is_confirmed:
                 actions.append(self._reset(key, flow.caller_ack))
@@ -459,7 +466,10 @@
         self._flows.remove(segment.flow)
         if not flow.is_established or flow.is_closed:
             return []
-        fields: Fields = {"flow": stream_key.text(segment.flow)}
+        fields: Fields = {
+            "flow": stream_key.text(segment.flow),
+            "reason": "upstream has returned a packet",
+        }
         lost = log_line.LogLine("warning", "flow.lost", fields)
         return [lost, self._reset(segment.flow, segment.ack)]
 
