Place long flows by expected utilisation, and count open flows

A flow in a pause occupies no slot, so the wait at its opening says little about its requests, and fast and slow upstreams got long flows at random. Verdicts have three new last fields: open flows, utilisation and whether flows of the route are long. Flows of long routes go where the expected utilisation is lowest: the reported one with one more flow, or the open flows times the requests on a flow, whichever is higher, since utilisation follows new flows by seconds. These reports age over 8 s. For other flows the number of open flows decides among equal loads, which spreads flows that open before their first requests.

--- a/src/limpetreel/streams/messages/verdict.py
+++ b/src/limpetreel/streams/messages/verdict.py
@@ -22,6 +22,12 @@
         Expected time from a request to the start of its answer.
     load : int
         Occupied part of the capacity, in percent.
+    flows : int
+        Open flows that the upstream holds.
+    utilisation : int
+        Percent of the slot time of the last seconds in which requests were in service.
+    is_long : bool
+        Whether the flows of this route usually carry several requests.
     """
 
     offer_id: int
@@ -29,3 +35,6 @@
     wait_ms: int
     service_ms: int
     load: int
+    flows: int = 0
+    utilisation: int = 0
+    is_long: bool = False
--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -7,9 +7,15 @@
 if TYPE_CHECKING:
     from limpetreel.cluster import upstream_record
     from limpetreel.streams.messages import verdict
+    from limpetreel.streams.placement import service_means
 
 LOAD_MAX_AGE_SECONDS = 0.25
 """Time after which a reported wait is obsolete; a few service times."""
+FLOWS_MAX_AGE_SECONDS = 8.0
+"""Time after which reported flows and utilisation are obsolete. Long flows stay for
+seconds, and an entry hears from each of 50 agents every few seconds only."""
+MAX_UTILISATION = 0.95
+"""Utilisation above which the expected wait grows no faster."""
 INITIAL_PAUSE_SECONDS = 1.0
 """First pause after an offer without an answer; doubles up to the maximum."""
 MAX_PAUSE_SECONDS = 4.0
@@ -24,6 +30,7 @@
     Its attribute `extra_cost` holds the seconds of wait at another agent that are as
     bad as the location of this one, `is_open` whether it may get offers according to
     control, and `open_offers` the offers of this entry that it has not answered.
+    `flows` and `utilisation` (of 1) are as the agent reported them last.
 
     Parameters
     ----------
@@ -42,10 +49,12 @@
         "_starting_until",
         "_wait_seconds",
         "extra_cost",
+        "flows",
         "is_open",
         "open_offers",
         "record",
         "service_seconds",
+        "utilisation",
     )
 
     def __init__(self, record: upstream_record.UpstreamRecord) -> None:
@@ -54,6 +63,8 @@
         self.is_open = True
         self.open_offers = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
+        self.flows = 0
+        self.utilisation = 0.0
         self._reported_at = float("-inf")
         self._wait_seconds = 0.0
         self._load = 0.0
@@ -74,16 +85,21 @@
         """Return the requests per second that the upstream can answer."""
         return self.slots / self.service_seconds
 
-    def record_load(self, now: float, message: verdict.Verdict) -> None:
-        """Record the load that the agent reported."""
+    def record_load(
+        self, now: float, message: verdict.Verdict, means: service_means.ServiceMeans
+    ) -> None:
+        """Record the load that the agent reported, and add it to the means."""
         self._reported_at = now
         self._wait_seconds = message.wait_ms / 1000
         self._load = message.load / 100
+        self.flows = message.flows
+        self.utilisation = message.utilisation / 100
         self._busy_until = float("-inf")
         self._pause = INITIAL_PAUSE_SECONDS
         if message.service_ms:
             seconds = message.service_ms / 1000
             self.service_seconds = max(MIN_SERVICE_SECONDS, seconds)
+        means.record(message)
 
     def record_busy(self, now: float) -> None:
         """Record that no slot is free before the reported wait has passed."""
@@ -136,36 +152,73 @@
         """Return whether the agent recently refused a flow that could wait as long."""
         return now < self._closed_until and max_wait <= self._closed_wait
 
-    def wait(self, now: float, mean_wait: float) -> float:
+    def has_flow_report(self, now: float) -> bool:
+        """Return whether flows and utilisation have been reported recently."""
+        return now - self._reported_at < FLOWS_MAX_AGE_SECONDS
+
+    def wait(self, now: float, means: service_means.ServiceMeans) -> float:
         """Return the expected wait for a slot in seconds.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        mean_wait : float
-            Wait that is assumed as the report grows old.
+        means : ServiceMeans
+            What is assumed as the report grows old.
         """
         age = now - self._reported_at
         if age >= LOAD_MAX_AGE_SECONDS:
-            return mean_wait
+            return means.wait_seconds
         return max(0.0, self._wait_seconds - age)
 
-    def cost(self, now: float, mean_load: float) -> float:
-        """Return the expected wait in seconds of a flow that is offered now.
+    def short_cost(self, now: float, means: service_means.ServiceMeans) -> float:
+        """Return the expected wait in seconds of the request of a flow offered now.
 
         Parameters
         ----------
-        now : float
-            Monotonic time in seconds.
-        mean_load : float
-            Occupied part of the capacity that is assumed as the report grows old.
+        now, means
+            As in `wait`.
         """
         age = now - self._reported_at
-        load, wait = mean_load, 0.0
+        load, wait = means.load, 0.0
         if age < LOAD_MAX_AGE_SECONDS:
             freshness = 1.0 - age / LOAD_MAX_AGE_SECONDS
-            load += freshness * (self._load - mean_load)
+            load += freshness * (self._load - means.load)
             wait = freshness * self._wait_seconds
         offered = self.open_offers / self.slots
         return wait + (load + offered) * self.service_seconds + self.extra_cost
+
+    def long_cost(self, now: float, means: service_means.ServiceMeans) -> float:
+        """Return the expected wait in seconds of the requests of a long flow.
+
+        Parameters
+        ----------
+        now, means
+            As in `wait`.
+        """
+        age = now - self._reported_at
+        freshness = max(0.0, 1.0 - age / FLOWS_MAX_AGE_SECONDS)
+        # Utilisation follows new flows by some seconds, their number does not.
+        by_flows = self._flows_per_weight(freshness, means) * means.demand
+        reported = means.utilisation + freshness * (
+            self.utilisation - means.utilisation
+        )
+        with_flow = reported + means.demand / self.weight
+        expected = max(by_flows, with_flow)
+        wait = expected / (1.0 - min(MAX_UTILISATION, expected))
+        return means.service_seconds * wait + self.extra_cost
+
+    def flow_share(self, now: float, means: service_means.ServiceMeans) -> float:
+        """Return the open flows with one more, relative to the mean of the service."""
+        age = now - self._reported_at
+        freshness = max(0.0, 1.0 - age / FLOWS_MAX_AGE_SECONDS)
+        mean = means.flows_per_weight + 1.0 / self.weight
+        return self._flows_per_weight(freshness, means) / mean
+
+    def _flows_per_weight(
+        self, freshness: float, means: service_means.ServiceMeans
+    ) -> float:
+        """Return the open flows with one more over the requests per second."""
+        mean = means.flows_per_weight
+        reported = mean + freshness * (self.flows / self.weight - mean)
+        return reported + (self.open_offers + 1) / self.weight
--- a/src/limpetreel/streams/placement/candidates.py
+++ b/src/limpetreel/streams/placement/candidates.py
@@ -100,10 +100,22 @@
             if not hint.record.has_ended
         ]
 
-    def choose(self, now: float, service: str, tried: set[str]) -> str:
-        """Return a good agent for an offer, empty if none is known to be free."""
+    def choose(self, now: float, service: str, tried: set[str], is_long: bool) -> str:
+        """Return a good agent for an offer, empty if none is known to be free.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        service : str
+            Service of the flow.
+        tried : set of str
+            Agents that have refused the flow.
+        is_long : bool
+            Whether several requests are expected on the flow.
+        """
         pool = self._pools.get(service)
-        hint = pool.choose(now, tried) if pool is not None else None
+        hint = pool.choose(now, tried, is_long) if pool is not None else None
         return hint.record.name if hint is not None else ""
 
     def least_wait(self, now: float, service: str, max_wait: float) -> str:
@@ -139,10 +151,7 @@
     def record_verdict(self, now: float, name: str, message: verdict.Verdict) -> None:
         """Record the load that an agent reported with its verdict."""
         hint = self._hints[name]
-        hint.record_load(now, message)
-        pool = self._pools.get(hint.record.service)
-        if pool is not None:
-            pool.record_load(message)
+        hint.record_load(now, message, self._pools[hint.record.service].means)
         if message.outcome in (outcome.Outcome.BUSY, outcome.Outcome.QUEUED):
             hint.record_busy(now)
         elif message.outcome in (outcome.Outcome.CLOSED, outcome.Outcome.UNRESPONSIVE):
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -12,7 +12,7 @@
     send_node,
 )
 from limpetreel.streams.messages import offer, outcome, stream_codec
-from limpetreel.streams.placement import line_sample, pending_offer
+from limpetreel.streams.placement import line_sample, long_routes, pending_offer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +43,10 @@
 MAX_OFFERS = 8
 """Offers of a flow in all. Answers that say nothing about load, such as those of cold
 or draining upstreams, allow more than four."""
+WITHOUT_ROUTE = frozenset(
+    (outcome.Outcome.NO_ROUTE, outcome.Outcome.STALE, outcome.Outcome.STARTING)
+)
+"""Answers of agents that know nothing about the route."""
 SLOW_SECONDS = 0.05
 """Duration of a placement from which it is always logged. An offer is answered within
 some milliseconds, so the flow waited for a slot or an agent did not answer."""
@@ -81,14 +85,21 @@
         self._record_owner = record_owner
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
+        self._long_routes = long_routes.LongRoutes()
         self._sample = line_sample.LineSample()
-        self.routes: route_table.RouteTable | None = None
+        self._routes: route_table.RouteTable | None = None
         self.outcomes: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of flows that are being placed."""
         return len(self._pending)
 
+    def configure(self, routes: route_table.RouteTable) -> None:
+        """Apply a configuration."""
+        self._routes = routes
+        # Routes may have gone; each is learned again with the next answer.
+        self._long_routes = long_routes.LongRoutes()
+
     def open(self, now: float, segment: segment.Segment, owner: str) -> Actions:
         """Find an upstream for the flow of an opening packet.
 
@@ -101,14 +112,19 @@
         owner : str
             Agent that accepted an earlier copy of the packet, empty if none did.
         """
-        matched_route = self.routes.find(segment.flow) if self.routes else None
+        matched_route = self._routes.find(segment.flow) if self._routes else None
         if matched_route is None:
             return self._reject(segment.flow, {"reason": "no route"})
         if segment.flow in self._by_flow:
             return []
         service = route_table.choose_service(matched_route, segment.flow)
         pending = pending_offer.PendingOffer(
-            now, segment.flow, segment.data, service, matched_route.answer_ms / 1000
+            now,
+            segment.flow,
+            segment.data,
+            matched_route.name,
+            service,
+            matched_route.answer_ms / 1000,
         )
         self._next_id += 1
         pending.offer_id = self._next_id
@@ -134,7 +150,8 @@
         if pending.may_wait or pending.offers >= MAX_OFFERS:
             return ""
         if pending.busy_answers < MAX_BUSY_ANSWERS:
-            name = self._candidates.choose(now, pending.service, pending.tried)
+            is_long = self._long_routes.is_long(pending.route)
+            name = self._candidates.choose(now, pending.service, pending.tried, is_long)
             if name:
                 return name
         pending.may_wait = True
@@ -164,7 +181,7 @@
         pending.offers += 1
         self._candidates.record_offer(name)
         self._pending[pending.offer_id] = pending
-        version = self.routes.version if self.routes is not None else 0
+        version = self._routes.version if self._routes is not None else 0
         message = offer.Offer(
             pending.offer_id, version, pending.may_wait, pending.packet
         )
@@ -184,6 +201,8 @@
         self._end_offer(pending)
         result = outcome.Outcome(message.outcome)
         self._count(result.name)
+        if result not in WITHOUT_ROUTE:
+            self._long_routes.record(pending.route, message.is_long)
         if result is outcome.Outcome.QUEUED:
             pending.is_queued = True
             return []
@@ -235,7 +254,7 @@
             "tried": len(pending.tried),
             "offers": pending.offers,
             "held_ms": int((now - pending.started_at) * 1000),
-            "version": self.routes.version if self.routes is not None else 0,
+            "version": self._routes.version if self._routes is not None else 0,
             **{f"said_{k.lower()}": v for k, v in pending.reasons.items()},
         }
 
--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -14,6 +14,8 @@
         Key of the flow.
     packet : bytes
         The opening packet.
+    route : str
+        Route of the flow.
     service : str
         Service of the flow.
     target_seconds : float
@@ -31,6 +33,7 @@
         "packet",
         "reasons",
         "retry_at",
+        "route",
         "service",
         "started_at",
         "target",
@@ -43,11 +46,13 @@
         now: float,
         flow: bytes,
         packet: bytes,
+        route: str,
         service: str,
         target_seconds: float,
     ) -> None:
         self.flow = flow
         self.packet = packet
+        self.route = route
         self.service = service
         self.target_seconds = target_seconds
         self.started_at = now
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -114,7 +114,7 @@
         is_new = view.configuration is not None and view.configuration.version > version
         if view.configuration is not None and is_new:
             self._routes = route_table.RouteTable(view.configuration)
-            self._placement.routes = self._routes
+            self._placement.configure(self._routes)
         self._services.update(now, view, is_new)
         return []
 
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -10,6 +10,7 @@
 _PLACEMENT = _SOURCE + "placement/"
 _OFFERS = "tests.streams.placement.test_offers."
 _READINESS = "tests.streams.placement.test_readiness."
+_LONG = "tests.streams.placement.test_long_flows."
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
 _ENDED = "tests.streams.test_ended_flows."
@@ -209,6 +210,34 @@
         "        if False:\n",
         _READINESS + "test_flow_that_cannot_be_held_longer_is_not_refused",
     ),
+    (
+        "long flows are placed by wait",
+        _PLACEMENT + "service_pool.py",
+        "self._long_cost if is_long else self._short_cost\n",
+        "self._short_cost\n",
+        _LONG + "test_uneven_upstreams_get_long_flows_by_their_speed",
+    ),
+    (
+        "reported utilisation is ignored",
+        _PLACEMENT + "agent_hint.py",
+        "max(by_flows, with_flow)\n",
+        "by_flows\n",
+        _LONG + "test_long_flows_go_to_upstreams_with_low_utilisation",
+    ),
+    (
+        "hints about long flows are forgotten at once",
+        _PLACEMENT + "agent_hint.py",
+        "FLOWS_MAX_AGE_SECONDS = 8.0\n",
+        "FLOWS_MAX_AGE_SECONDS = 0.25\n",
+        _LONG + "test_long_flows_go_to_upstreams_with_low_utilisation",
+    ),
+    (
+        "number of flows does not count",
+        _PLACEMENT + "service_pool.py",
+        "BALANCE_SECONDS = 0.004\n",
+        "BALANCE_SECONDS = 0.0\n",
+        _LONG + "test_flows_are_spread_by_number_while_nothing_else_is_known",
+    ),
     (
         "all placements of a burst are logged",
         _PLACEMENT + "line_sample.py",
