--- a/src/limpetreel/streams/transfers/transfer_admission.py
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -83,8 +83,7 @@
 
     def _new_upload(self, flow: bytes, owner: str) -> route.Route | None:
         """Return the route of a flow that will carry a large request, else None."""
-        routes = self._placement.routes
-        matched_route = routes.find(flow) if routes is not None else None
+        matched_route = self._placement.find_route(flow)
         if matched_route is None or owner or flow in self._placement:
             return None
         is_upload = matched_route.kind is request_kind.RequestKind.UPLOAD
