Skip the queue while neither a slot is free nor an opening waits

Cause: while requests are held, each packet of any flow ranked all lanes although nothing could be served. Change: the scheduler looks at the queue only if a slot is free or an opening waits. The effect on processor time is within the noise of the machine (36.7 and 35.2 us an event in the pattern of 180 flows). 75 tests of tests.streams pass.

--- a/src/limpetreel/streams/serving/slot_scheduler.py
+++ b/src/limpetreel/streams/serving/slot_scheduler.py
@@ -56,7 +56,7 @@
     def serve(self, now: float) -> Actions:
         """Serve what waits while slots are free."""
         actions: Actions = []
-        while len(self._queue):
+        while self._admission.has_free_slot() or self._queue.has_openings:
             item = self._queue.pop(
                 now, self._capacity.response_seconds(), self._may_serve
             )
--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -50,6 +50,11 @@
         """Return whether the opening of a flow waits."""
         return flow in self._openings
 
+    @property
+    def has_openings(self) -> bool:
+        """Return whether openings wait."""
+        return bool(self._openings)
+
     @property
     def is_full(self) -> bool:
         """Return whether no further opening may wait."""
