--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -9,6 +9,7 @@
     cluster_state,
     node_session,
     pending_call,
+    published_state,
     upstream_directory,
 )
 from limpetreel.cluster.actions import (
@@ -74,9 +75,6 @@
 """Interval at which agents' reports are sent again to the other control instances."""
 SEED_SECONDS = 2.0
 """Interval at which the seed addresses are read again from the settings file."""
-UNCONFIRMED_SECONDS = 5.0
-"""Time after a start without a lease until nodes get the state from the files. It may
-lack the last changes, but a site without a quorum would otherwise serve nobody."""
 MAX_CALLS = 256
 
 
@@ -107,9 +105,7 @@
         self._read_seeds_at = 0.0
         self._address = address
         self._state = cluster_state.ClusterState(parser)
-        self._empty_state = cluster_state.ClusterState(parser)
-        self._started_at: float | None = None
-        self._is_confirmed = False
+        self._published = published_state.PublishedState(self._state, parser)
         self._snapshot_at = raft.snapshot.index
         if raft.snapshot.data:
             self._state.restore(raft.snapshot.index, raft.snapshot.data)
@@ -120,7 +116,6 @@
         self._calls: list[pending_call.PendingCall] = []
         self._next_number = 0
         self._is_leaving = False
-        self._checked_version = 0
 
     @property
     def state(self) -> cluster_state.ClusterState:
@@ -173,8 +168,8 @@
             self._relay_at = now + RELAY_SECONDS
             actions += self._relay(self._direct_reports.values())
         actions += self._snapshot(now)
-        actions += self._check_document()
-        self._confirm_state(now)
+        actions += self._published.check_document()
+        self._published.record_lease(now, self._raft.lease_remaining(now))
         return actions + self._update_nodes(now)
 
     # Nodes
@@ -226,23 +221,12 @@
         if self._is_leaving:
             lease_ms = 0
         controls = tuple(sorted(m.address for m in self._raft.members))
-        state = self._state if self._is_confirmed else self._empty_state
+        state = self._published.current
         message = session.next_update(now, state, self._directory, lease_ms, controls)
         if message is None:
             return []
         return [send_session.SendSession(session_id, message)]
 
-    def _confirm_state(self, now: float) -> None:
-        """Let nodes have the state once it is known to hold what was acknowledged.
-
-        After a start it is that of the last snapshot, until a leader tells more.
-        """
-        if self._started_at is None:
-            self._started_at = now
-        is_alone = now - self._started_at >= UNCONFIRMED_SECONDS
-        if is_alone or self._raft.lease_remaining(now) > 0:
-            self._is_confirmed = True
-
     # Operators
 
     def _call(
@@ -382,31 +366,6 @@
         }
         return [log_line.LogLine("info", "state.applied", fields)]
 
-    def _check_document(self) -> Actions:
-        """Return log lines for what is not known in a document, once per version."""
-        version = self._state.version
-        if version == self._checked_version:
-            return []
-        self._checked_version = version
-        config = self._state.configuration
-        if config is None:
-            unread: Fields = {"version": version, "detail": self._state.unreadable}
-            return [log_line.LogLine("error", "configuration.unreadable", unread)]
-        return [
-            log_line.LogLine(
-                "warning",
-                "configuration.unknown_kind",
-                {
-                    "version": version,
-                    "route": route.name,
-                    "kind": route.unknown_kind,
-                    "treated_as": str(route.kind),
-                },
-            )
-            for route in config.routes
-            if route.unknown_kind is not None
-        ]
-
     def _snapshot(self, now: float) -> Actions:
         applied = self._state.applied
         if applied - self._snapshot_at < SNAPSHOT_ENTRIES:
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -134,7 +134,7 @@
     ),
     (
         "state of the last snapshot is given to nodes at once",
-        _CLUSTER + "cluster_core.py",
+        _CLUSTER + "published_state.py",
         "        self._is_confirmed = False\n",
         "        self._is_confirmed = True\n",
         "tests.cluster.test_restart_state."
--- a/tests/cluster/test_restart_state.py
+++ b/tests/cluster/test_restart_state.py
@@ -4,7 +4,7 @@
 
 from unittest import mock
 
-from limpetreel.cluster import cluster_core
+from limpetreel.cluster import cluster_core, published_state
 from limpetreel.cluster.commands import set_zone
 from limpetreel.cluster.events import node_connected
 from tests import fixtures
@@ -65,6 +65,6 @@
 def test_instance_without_a_quorum_gives_its_last_document_after_a_while():
     """Guards against entries that serve nobody while control has no quorum."""
     group, (instance,) = restarted_group(2, 1)
-    group.run(cluster_core.UNCONFIRMED_SECONDS + 0.5)
+    group.run(published_state.UNCONFIRMED_SECONDS + 0.5)
     assert instance.updates[-1].lease_ms == 0
     assert any(u.configuration is not None for u in instance.updates)
