Add deliberate faults for the guards of flow ownership

17 faults, each found by its test; five tests are new: a late owner is awaited before probes, probes of an entry's earlier process count, an owner outside the list limits them, a hanging upstream's flow is not reset, and questions of two starts of an entry have different numbers. The fault "sign-off of an earlier start is applied" has not applied since its text occurs twice; it has more context now and is found again.

--- a/tests/streams/faulty_site.py
+++ b/tests/streams/faulty_site.py
@@ -29,6 +29,7 @@
         self.arrivals = []
         self.started_at = {}
         self.data_centres = {}
+        self.unlisted = set()
         self.created_at = {}
         self.delay = lambda source, target, message: stream_site.LINK_SECONDS
         super().__init__(*args, **kwargs)
@@ -41,6 +42,7 @@
                 record, data_centre=self.data_centres.get(record.name, "zone-a")
             )
             for record in event.view.upstreams
+            if record.name not in self.unlisted
         )
         view = stream_site.replace(event.view, upstreams=records)
         return stream_site.replace(event, view=view)
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -11,6 +11,9 @@
 _OWNERSHIP = "tests.streams.test_flow_ownership."
 _ENDED = "tests.streams.test_ended_flows."
 _UPSTREAM = "tests.streams.test_upstream_state."
+_PROBES = "tests.streams.test_probes."
+_START = "tests.streams.ownership.test_upstream_start."
+_OWNER = _SOURCE + "ownership/"
 
 MUTANTS = [
     (
@@ -96,8 +99,11 @@
     (
         "sign-off of an earlier start is applied",
         _SOURCE + "upstream_state.py",
-        "        if self.status is None or self.status.instance_id != instance_id:\n",
-        "        if self.status is None:\n",
+        "        if self.status is None or self.status.instance_id != instance_id:\n"
+        "            return False\n"
+        "        self._has_departed = True\n"
+        "        return True\n",
+        "        self._has_departed = True\n        return True\n",
         _UPSTREAM + "test_sign_off_of_another_start_is_ignored",
     ),
     (
@@ -150,4 +156,126 @@
         _ENDED
         + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
     ),
+    (
+        "unsure agent tries each packet",
+        _OWNER + "held_flows.py",
+        "        if self.current_probe(now, segment.flow) is not None:\n",
+        "        if False:\n",
+        _PROBES + "test_unsure_agent_tries_one_packet_and_then_tells_the_result",
+    ),
+    (
+        "offered flow counts as owned",
+        _OWNER + "held_flows.py",
+        "        return flow.first_sequence is not None and flow.has_sent(ack)\n",
+        "        return flow.has_sent(ack)\n",
+        _PROBES + "test_offered_flow_without_an_answer_is_not_owned",
+    ),
+    (
+        "all packets from a wrong entry are tried",
+        _OWNER + "held_flows.py",
+        "        if probed is None or now - probed.sent_at >= RETURN_SECONDS:\n",
+        "        if True:\n",
+        _PROBES + "test_packets_for_the_owner_follow_the_first_unless_it_is_returned",
+    ),
+    (
+        "all unsure agents are probed while another one is silent",
+        _OWNER + "owner_search.py",
+        "            del targets[self._budget.left(now, flow.flow) :]\n",
+        "",
+        _PROBES + "test_few_of_many_unsure_agents_are_probed_while_one_is_silent",
+    ),
+    (
+        "unsure agents are probed before the others have answered",
+        _OWNER + "owner_search.py",
+        "        if not has_owner and now - flow.began_at < PROBE_DELAY_SECONDS:\n",
+        "        if False:\n",
+        _PROBES + "test_late_owner_is_awaited_before_unsure_agents_are_probed",
+    ),
+    (
+        "probes of other entries are not counted",
+        _OWNER + "owner_search.py",
+        "                self._budget.record_report(now, key, source)\n",
+        "                pass\n",
+        _PROBES + "test_probes_of_an_earlier_process_of_the_entry_count",
+    ),
+    (
+        "all unsure agents are probed while the list may be incomplete",
+        _OWNER + "owner_search.py",
+        "        has_owner = self.is_list_current and not flow.awaits_sure_agent\n",
+        "        has_owner = not flow.awaits_sure_agent\n",
+        _PROBES + "test_owner_that_is_not_in_the_list_limits_the_probes",
+    ),
+    (
+        "flow whose probe is unanswered counts as missing",
+        _OWNER + "owner_search.py",
+        "        named = {*message.owned, *message.unsure, *message.pending}\n",
+        "        named = {*message.owned, *message.unsure}\n",
+        _PROBES + "test_flow_at_an_upstream_that_hangs_is_not_reset",
+    ),
+    (
+        "questions of each start have the same numbers",
+        _SOURCE + "stream_entry_core.py",
+        "random.Random(seed).getrandbits(FIRST_NUMBER_BITS)",
+        "0",
+        _PROBES + "test_numbers_of_questions_differ_between_starts_of_an_entry",
+    ),
+    (
+        "search is forgotten while the list may be incomplete",
+        _OWNER + "owner_search.py",
+        "                flow.await_list()\n",
+        "                pass\n",
+        _ENDED + "test_callers_are_reset_once_the_list_of_agents_is_complete",
+    ),
+    (
+        "all agents are asked at once",
+        _OWNER + "known_agents.py",
+        "[near, far] if len(records) >= MIN_AGENTS else [records]",
+        "[records]",
+        "tests.streams.ownership.test_known_agents."
+        "test_agents_of_the_local_data_centre_are_asked_first",
+    ),
+    (
+        "agents of other data centres are never asked",
+        _OWNER + "known_agents.py",
+        "        parts = [near, far] if",
+        "        parts = [near] if",
+        "tests.streams.ownership.test_known_agents."
+        "test_flows_of_other_data_centres_are_found_as_well",
+    ),
+    (
+        "start of the upstream is not compared with the agent's",
+        _OWNER + "upstream_start.py",
+        "        is_started_within = -TOLERANCE_SECONDS <= started <= age\n",
+        "        is_started_within = True\n",
+        _START + "test_missing_or_contradicting_values_stay_unsure",
+    ),
+    (
+        "start of the upstream may be in the future",
+        _OWNER + "upstream_start.py",
+        "-TOLERANCE_SECONDS <= started <= age",
+        "-TOLERANCE_SECONDS <= started",
+        _START + "test_missing_or_contradicting_values_stay_unsure",
+    ),
+    (
+        "cold time of the upstream is not compared with the agent's age",
+        _OWNER + "upstream_start.py",
+        "        is_cold_for_less = cold_seconds - left <= age\n",
+        "        is_cold_for_less = True\n",
+        _START + "test_clock_that_was_set_back_does_not_make_an_old_upstream_young",
+    ),
+    (
+        "warm upstream counts as started",
+        _OWNER + "upstream_start.py",
+        "        if not 0 < left <= cold_seconds:\n",
+        "        if left > cold_seconds:\n",
+        _START + "test_warm_return_stays_unsure",
+    ),
+    (
+        "number of announcements is not compared with the agent's age",
+        _OWNER + "upstream_start.py",
+        "        has_announced_for_less = (status.sequence - 1)"
+        " * self._interval_seconds <= age\n",
+        "        has_announced_for_less = True\n",
+        _START + "test_missing_or_contradicting_values_stay_unsure",
+    ),
 ]
--- a/tests/streams/ownership/test_upstream_start.py
+++ b/tests/streams/ownership/test_upstream_start.py
@@ -71,6 +71,7 @@
     """Guards against a start that seems to follow since the clock was ahead then."""
     for error in (0.5, 1.0, 5.0, 60.0, 3600.0):
         assert not is_later(50.5, 48.9, 0.4, 2, clock_error=error)
+        assert not is_later(50.5, 48.9, 0.4, 1, clock_error=error)
         assert not is_later(50.5, 40.0, 0.0, 9, clock_error=error)
         assert not is_later(50.5, 40.0, 1.9, 9, clock_error=error)
 
--- a/tests/streams/test_probes.py
+++ b/tests/streams/test_probes.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from limpetreel.streams import stream_entry_core
 from limpetreel.streams.actions import send_node, send_upstream
-from limpetreel.streams.events import node_datagram
+from limpetreel.streams.events import caller_packet, node_datagram
 from limpetreel.streams.messages import (
     carry,
     holdings,
@@ -92,6 +93,77 @@
     assert not site.misdirected(flows)
 
 
+def test_late_owner_is_awaited_before_unsure_agents_are_probed():
+    """Guards against probes that the answer of an agent that is sure makes needless."""
+    site = faulty_site.make_site(47)
+    callers = test_ended_flows.open_flows(site, 20)
+    flows = faulty_site.owners(site, callers, "agent-0")
+    faulty_site.restart_agents(site, [n for n in site.agents if n != "agent-0"])
+    faulty_site.restart_entries(site)
+    site.delay = lambda source, target, message: 0.1 * (source == "agent-0")
+    test_ended_flows.send_again(site, callers)
+    assert flows
+    assert all(name == flows[f] for _, name, f in site.arrivals if f in flows)
+
+
+def test_probes_of_an_earlier_process_of_the_entry_count():
+    """Guards against two more packets after each restart of an entry."""
+    site = faulty_site.make_site(48)
+    callers = test_ended_flows.open_flows(site, 20)
+    flows = faulty_site.owners(site, callers, "agent-0")
+    faulty_site.restart_agents(site, [n for n in site.agents if n != "agent-0"])
+    site.delay = lambda source, target, message: (
+        None if source == "agent-0" else stream_site.LINK_SECONDS
+    )
+    for _ in range(3):
+        faulty_site.restart_entries(site)
+        test_ended_flows.send_again(site, callers, 0.7)
+    assert flows
+    assert not site.misdirected(flows)
+
+
+def test_owner_that_is_not_in_the_list_limits_the_probes():
+    """Guards against a probe to each unsure agent while the list may be incomplete."""
+    site = faulty_site.make_site(49)
+    callers = test_ended_flows.open_flows(site, 20)
+    flows = faulty_site.owners(site, callers, "agent-0")
+    faulty_site.restart_agents(site, site.names)
+    site.unlisted.add("agent-0")
+    site.is_list_current = False
+    faulty_site.restart_entries(site)
+    test_ended_flows.send_again(site, callers, 4.0)
+    assert flows
+    assert not site.misdirected(flows)
+    assert not any(c.request.refused for c in callers if c.flow in flows)
+
+
+def test_flow_at_an_upstream_that_hangs_is_not_reset():
+    """Guards against a reset while an unsure agent awaits its upstream's reaction."""
+    site = faulty_site.make_site(50)
+    callers = test_ended_flows.open_flows(site, 20)
+    flows = faulty_site.owners(site, callers, "agent-0")
+    faulty_site.restart_agents(site, ["agent-0"])
+    faulty_site.restart_entries(site)
+    site.upstreams["agent-0"].is_up = False
+    test_ended_flows.send_again(site, callers, 4.0)
+    assert flows
+    assert not any(c.request.refused for c in callers)
+
+
+def test_numbers_of_questions_differ_between_starts_of_an_entry():
+    """Guards against late answers that match a question of the next process."""
+    numbers = []
+    site = faulty_site.make_site(51)
+    flow = stream_site.Caller(site, stream_site.Request(0.0), 0).flow
+    packet = stream_site.make_packet(flow, stream_site.ACK, 2, 7, b"?")
+    for seed in (1, 2):
+        entry = stream_entry_core.StreamEntryCore(stream_site.CODEC, "zone-a", seed)
+        entry.handle(0.0, site.fleet_update())
+        action = entry.handle(0.0, caller_packet.CallerPacket(packet))[0]
+        numbers.append(stream_codec.decode(action.data).number)
+    assert abs(numbers[0] - numbers[1]) > 1_000_000
+
+
 def tell(site, name, message, source="entry-9"):
     """Pass a message to an agent; return its answers and packets to the upstream."""
     event = node_datagram.NodeDatagram(source, 1, stream_codec.encode(message))
