Keep the names of agents in the log, so that lists are complete sooner and safer

Cause: an entry resets a flow that no agent holds only if its list of upstreams is complete. After a common restart it took the list for complete 2 s after its control instance had a lease: too late for callers whose upstreams are back after 0.5 s, too early for an agent that starts later than that and whose upstream still holds flows. Change: the leader registers agents in the replicated log (cluster.agent_registry): when a report changes, at most every 0.2 s, all changes in one entry; removed are those that signed off 10 s ago and those silent for 75 s, when control forgets them today. An instance with a lease tells entries whether all registered agents have reported since its start (last field of Update); the list is complete once they have, without a wait. A new agent is published once it is registered (at most 0.5 s later), so no agent has flows that is not waited for. While no agent is registered, and with control of earlier versions, the 2 s stay; the first registration waits for them too. The first lease and a change of completeness are sent to nodes at once. Entries of the log are configurations of version 0 with two more fields, which earlier versions take for an old document. If a machine never returns, entries reset no flow for 75 s after a common restart; their callers run into one time limit of an attempt, as they do today when control stays up. Tests: tests/cluster/test_list_return.py, four deliberate faults that it finds.

--- /dev/null
+++ b/src/limpetreel/cluster/agent_registry.py
@@ -0,0 +1,134 @@
+"""Agents that control keeps in its log, to know after a restart who has to report."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from limpetreel.cluster import upstream_directory
+from limpetreel.cluster.commands import set_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from limpetreel.cluster.messages import report
+
+SETTLED_SECONDS = 2.0
+"""Time of a lease after which the leader takes its list for complete while no agent is
+registered; the same time for which entries wait then."""
+INTERVAL_SECONDS = 0.2
+"""Minimum interval between entries of the log for agents."""
+CHECK_SECONDS = 2.0
+"""Interval at which the leader looks for agents to remove while no report changes."""
+HOLD_SECONDS = 0.5
+"""Time after which an agent is published even if it is not registered: a leader of an
+earlier version registers none."""
+ENDED_SECONDS = 10.0
+"""Time after which an agent whose upstream has signed off is removed; one that is only
+restarted is back earlier."""
+MAX_AGENTS = 16_384
+"""Three times the design size; beyond it, entries wait as without a register."""
+
+
+class AgentRegistry:
+    """Decides which agents are registered, and whether all of them have reported.
+
+    Parameters
+    ----------
+    directory : UpstreamDirectory
+        Upstreams that have been reported since the start of this instance.
+    """
+
+    def __init__(self, directory: upstream_directory.UpstreamDirectory) -> None:
+        self._directory = directory
+        self._agents: frozenset[str] = frozenset()
+        self._missing: set[str] = set()
+        self._held: dict[str, tuple[float, report.Report]] = {}
+        self._led_since: float | None = None
+        self._next_at = self._check_at = float("-inf")
+        self._seen_change = -1
+
+    @property
+    def is_complete(self) -> bool | None:
+        """Return whether all registered agents have reported; None if unknown."""
+        if not self._agents or len(self._agents) >= MAX_AGENTS:
+            return None
+        return not self._missing
+
+    def replace(self, agents: frozenset[str]) -> list[report.Report]:
+        """Set the registered agents; return the reports that waited for it."""
+        added = agents - self._agents
+        self._missing = {n for n in self._missing if n in agents}
+        self._missing.update(n for n in added if n not in self._held)
+        self._missing -= {n for n in added if self._directory.knows(n)}
+        self._agents = agents
+        return [self._held.pop(n)[1] for n in added if n in self._held]
+
+    def admit(self, now: float, new_report: report.Report, has_lease: bool) -> bool:
+        """Return whether a report may be published; keep it otherwise.
+
+        An agent takes flows only once it is published. Whoever may have flows is
+        registered before, so no flow is taken for ended while its agent is away.
+        """
+        name = new_report.record.name
+        self._missing.discard(name)
+        must_wait = has_lease and self.is_complete is not None
+        is_known = name in self._agents or self._directory.is_active(name)
+        held_at = self._held[name][0] if name in self._held else now
+        if is_known or not must_wait or new_report.record.has_ended:
+            self._held.pop(name, None)
+            return True
+        if now - held_at >= HOLD_SECONDS:
+            del self._held[name]
+            return True
+        self._held[name] = (held_at, new_report)
+        return False
+
+    def is_held(self, name: str) -> bool:
+        """Return whether the report of an agent waits for its registration."""
+        return name in self._held
+
+    def next_change(
+        self, now: float, leads: bool
+    ) -> set_configuration.SetConfiguration | None:
+        """Return the next entry for the log, None if none is due.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        leads : bool
+            Whether this instance is the leader and has a lease.
+        """
+        if not leads:
+            self._led_since = None
+            return None
+        if self._led_since is None:
+            self._led_since = now
+        led_seconds = now - self._led_since
+        if not self._is_due(now) or (
+            not self._agents and led_seconds < SETTLED_SECONDS
+        ):
+            return None
+        self._next_at = now + INTERVAL_SECONDS
+        self._check_at = now + CHECK_SECONDS
+        self._seen_change = self._directory.change
+        ended = self._directory.ended_before(now - ENDED_SECONDS)
+        removed = ended & self._agents
+        if led_seconds >= upstream_directory.REMOVAL_SECONDS:
+            removed |= {n for n in self._agents if not self._directory.knows(n)}
+        reported = {*self._directory.names(), *self._held}
+        added = reported - self._agents - self._directory.ended_before(now)
+        return _change(added, removed, MAX_AGENTS - len(self._agents))
+
+    def _is_due(self, now: float) -> bool:
+        has_news = self._held or self._directory.change != self._seen_change
+        return now >= self._check_at or bool(has_news and now >= self._next_at)
+
+
+def _change(
+    added: Iterable[str], removed: Iterable[str], room: int
+) -> set_configuration.SetConfiguration | None:
+    first, last = tuple(sorted(added)[: max(0, room)]), tuple(sorted(removed))
+    if not first and not last:
+        return None
+    return set_configuration.SetConfiguration(0, b"", first, last)
--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.cluster import (
+    agent_registry,
     call_status,
     cluster_state,
     node_session,
@@ -108,6 +109,9 @@
         if raft.snapshot.data:
             self._state.restore(raft.snapshot.index, raft.snapshot.data)
         self._directory = upstream_directory.UpstreamDirectory()
+        self._registry = agent_registry.AgentRegistry(self._directory)
+        self._registry.replace(self._state.agents)
+        self._registration = 0
         self._sessions: dict[int, node_session.NodeSession] = {}
         self._direct_reports: dict[str, report.Report] = {}
         self._relay_at = 0.0
@@ -165,6 +169,7 @@
         if now >= self._relay_at:
             self._relay_at = now + RELAY_SECONDS
             actions += self._relay(self._direct_reports.values())
+        actions += self._register_agents(now)
         actions += self._snapshot(now)
         return actions + self._update_nodes(now)
 
@@ -183,14 +188,38 @@
         return []
 
     def _report(self, now: float, event: report_arrived.ReportArrived) -> Actions:
-        is_new = self._directory.record_report(now, event.report)
+        name = event.report.record.name
+        was_held = self._registry.is_held(name)
+        has_lease = self._raft.lease_remaining(now) > 0
+        if self._registry.admit(now, event.report, has_lease):
+            is_new = self._directory.record_report(now, event.report)
+        else:
+            is_new = not was_held
         if not event.is_direct:
             return self._update_nodes(now) if is_new else []
-        self._direct_reports[event.report.record.name] = event.report
+        self._direct_reports[name] = event.report
         if not is_new:
             return []
         return self._relay([event.report]) + self._update_nodes(now)
 
+    def _register_agents(self, now: float) -> Actions:
+        """Propose a change of the registered agents, one at a time."""
+        leads = self._raft.role is role.Role.LEADER
+        leads = leads and self._raft.lease_remaining(now) > 0
+        command = self._registry.next_change(now, leads)
+        if command is None or self._registration:
+            return []
+        self._next_number += 1
+        self._registration = self._next_number
+        data = cluster_state.encode(command)
+        new_proposal = proposal.Proposal(self._registration, data)
+        return self._run_raft(now, propose.Propose((new_proposal,)))
+
+    def _use_registered(self, now: float) -> Actions:
+        for waiting in self._registry.replace(self._state.agents):
+            self._directory.record_report(now, waiting)
+        return self._update_nodes(now)
+
     def _relay(self, reports: Iterable[report.Report]) -> Actions:
         messages = tuple(cluster_codec.encode(r) for r in reports)
         if not messages:
@@ -218,7 +247,12 @@
             lease_ms = 0
         controls = tuple(sorted(m.address for m in self._raft.members))
         message = session.next_update(
-            now, self._state, self._directory, lease_ms, controls
+            now,
+            self._state,
+            self._directory,
+            lease_ms,
+            controls,
+            self._registry.is_complete,
         )
         if message is None:
             return []
@@ -307,6 +341,7 @@
     def _run_raft(self, now: float, event: msgspec.Struct) -> Actions:
         actions: Actions = []
         before = self._state.version, self._state.zones_out
+        agents = self._state.agents
         for action in self._raft.handle(now, event):
             if isinstance(action, persist.Persist | save_snapshot.SaveSnapshot):
                 actions.append(action)
@@ -314,6 +349,8 @@
                 actions.append(self._send_consensus(action))
             else:
                 actions += self._handle_raft_action(action)
+        if self._state.agents is not agents:
+            actions += self._use_registered(now)
         if (self._state.version, self._state.zones_out) != before:
             actions += self._update_nodes(now)
         return actions
@@ -334,6 +371,8 @@
                 self._snapshot_at = action.index
             case proposal_result.ProposalResult():
                 is_done = not isinstance(action.result, failure.Failure)
+                if action.proposal_id == self._registration:
+                    self._registration = 0
                 return self._finish(action.proposal_id, _status(is_done))
             case read_result.ReadResult():
                 return self._finish(action.read_id, _status(action.current))
@@ -359,6 +398,7 @@
             "revision": action.index,
             "version": self._state.version,
             "zones_out": ",".join(sorted(self._state.zones_out)),
+            "agents": len(self._state.agents),
             "changed": int(has_changed),
         }
         return [log_line.LogLine("info", "state.applied", fields)]
--- a/src/limpetreel/cluster/cluster_state.py
+++ b/src/limpetreel/cluster/cluster_state.py
@@ -28,10 +28,11 @@
     version: int
     document: bytes
     zones_out: tuple[str, ...]
+    agents: tuple[str, ...] = ()
 
 
 class ClusterState:
-    """Configuration in force and data centres that are out of service.
+    """Configuration in force, data centres out of service, and registered agents.
 
     Parameters
     ----------
@@ -46,6 +47,7 @@
         self.version = 0
         self.configuration: configurations.Configuration | None = None
         self.zones_out: frozenset[str] = frozenset()
+        self.agents: frozenset[str] = frozenset()
 
     @property
     def document(self) -> bytes:
@@ -66,6 +68,10 @@
         command = _DECODER.decode(data)
         if isinstance(command, set_zone.SetZone):
             return self._set_zone(command)
+        if command.agents_added or command.agents_removed:
+            kept = self.agents.difference(command.agents_removed)
+            self.agents = kept.union(command.agents_added)
+            return True
         if command.version <= self.version:
             return False
         self._set_document(command.version, command.document)
@@ -74,7 +80,9 @@
     def snapshot(self) -> bytes:
         """Return the whole state."""
         zones = tuple(sorted(self.zones_out))
-        return _ENCODER.encode(_Image(self.version, self._compressed, zones))
+        return _ENCODER.encode(
+            _Image(self.version, self._compressed, zones, tuple(sorted(self.agents)))
+        )
 
     def restore(self, index: int, data: bytes) -> None:
         """Replace the state by that of a snapshot.
@@ -90,6 +98,7 @@
             raise exceptions.CorruptError("cluster.restore", str(exc)) from exc
         self.applied = index
         self.zones_out = frozenset(image.zones_out)
+        self.agents = frozenset(image.agents)
         if image.document:
             self._set_document(image.version, image.document)
 
--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from limpetreel.cluster import fleet_view
+from limpetreel.cluster import fleet_view, list_clock
 from limpetreel.cluster.messages import alive, cluster_codec, hello, report, update
 from limpetreel.runtime import frame_protocol
 
@@ -35,9 +35,6 @@
 UNLISTED_SECONDS = 5.0
 """Time to keep upstreams that a newly connected control instance does not list; one
 that has just started receives reports of all upstreams within a second."""
-SETTLED_SECONDS = 2.0
-"""Time after which a control instance with a lease has heard of all upstreams, even if
-it has just started: agents leave one without a lease within `UNCONFIRMED_SECONDS`."""
 REPORT_SECONDS = 0.4
 """Interval between reports; control drops a connection after about three are
 missing."""
@@ -85,7 +82,7 @@
         self._records: dict[str, upstream_record.UpstreamRecord] = {}
         self._unlisted_until: dict[str, float] = {}
         self._confirmed_at = 0.0
-        self._listed_at = float("inf")
+        self._list_clock = list_clock.ListClock()
         self._start = random.getrandbits(52)
         self._sequence = 0
         self._record: upstream_record.UpstreamRecord | None = None
@@ -182,7 +179,7 @@
             reason = self._disconnect_reason(link, loop.time())
         self._link = None
         self._left = address
-        self._listed_at = float("inf")
+        self._list_clock.reset()
         self._apply(msgspec.structs.replace(self.view, is_list_current=False))
         link.abort()
         self._telemetry.log("warning", "control.lost", peer=address, reason=reason)
@@ -215,9 +212,7 @@
         now = asyncio.get_running_loop().time()
         if message.lease_ms > 0:
             self._confirmed_at = now
-            self._listed_at = min(self._listed_at, now)
-        else:
-            self._listed_at = float("inf")
+        self._list_clock.record(now, message.lease_ms > 0, message.is_complete)
         if message.controls:
             self._known_controls = message.controls
         self._merge(message)
@@ -236,7 +231,7 @@
             configuration,
             zones_out,
             tuple(self._records.values()),
-            now - self._listed_at >= SETTLED_SECONDS,
+            self._list_clock.is_current(now),
         )
         self._apply(view)
 
--- a/src/limpetreel/cluster/messages/update.py
+++ b/src/limpetreel/cluster/messages/update.py
@@ -30,6 +30,9 @@
         Names of agents that were removed.
     controls : tuple of str
         Addresses of all control instances.
+    is_complete : bool or None
+        Whether the instance has heard all agents that are registered; None if it does
+        not know which agents there are.
     """
 
     revision: int
@@ -40,3 +43,4 @@
     upstreams: tuple[upstream_record.UpstreamRecord, ...]
     removed: tuple[str, ...]
     controls: tuple[str, ...]
+    is_complete: bool | None = None
--- a/src/limpetreel/cluster/node_session.py
+++ b/src/limpetreel/cluster/node_session.py
@@ -37,6 +37,7 @@
         self._zones_out: frozenset[str] = frozenset()
         self._change = -1
         self._had_lease = False
+        self._was_complete: bool | None = None
 
     def next_update(
         self,
@@ -45,11 +46,16 @@
         directory: upstream_directory.UpstreamDirectory,
         lease_ms: int,
         controls: tuple[str, ...],
+        is_complete: bool | None = None,
     ) -> update.Update | None:
         """Return an update if something has changed or a refresh is due."""
         has_changed = (
             state.version > self._version or state.zones_out != self._zones_out
         )
+        # A node waits for the first lease after a restart, and entries for the list.
+        has_changed = has_changed or (lease_ms > 0 and not self._had_lease)
+        if self._wants_upstreams and is_complete is not self._was_complete:
+            has_changed = True
         age = now - self._sent_at
         if self._wants_upstreams and directory.change > self._change:
             has_changed = has_changed or age >= UPSTREAMS_SECONDS
@@ -67,6 +73,8 @@
         self._version = state.version
         self._zones_out = state.zones_out
         self._change = directory.change
+        self._had_lease = lease_ms > 0
+        self._was_complete = is_complete
         return update.Update(
             state.applied,
             lease_ms,
@@ -76,4 +84,5 @@
             records,
             removed,
             controls,
+            is_complete,
         )
--- a/src/limpetreel/cluster/upstream_directory.py
+++ b/src/limpetreel/cluster/upstream_directory.py
@@ -8,6 +8,8 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from limpetreel.cluster import upstream_record
     from limpetreel.cluster.messages import report
 
@@ -71,6 +73,26 @@
         self._mark_changed(existing)
         return True
 
+    def names(self) -> Iterable[str]:
+        """Return the names of all agents."""
+        return self._upstreams.keys()
+
+    def knows(self, name: str) -> bool:
+        """Return whether an agent has reported and has not been removed."""
+        return name in self._upstreams
+
+    def is_active(self, name: str) -> bool:
+        """Return whether an agent has reported and its end is not known."""
+        return name in self._upstreams and not self._upstreams[name].record.has_ended
+
+    def ended_before(self, time: float) -> set[str]:
+        """Return the agents that reported their end before a time."""
+        return {
+            name
+            for name, upstream in self._upstreams.items()
+            if upstream.record.has_ended and upstream.reported_at <= time
+        }
+
     def expire(self, now: float) -> list[str]:
         """Mark overdue upstreams, remove old ones; return the names newly marked."""
         overdue = []
--- a/tests/cluster/control_group.py
+++ b/tests/cluster/control_group.py
@@ -9,14 +9,20 @@
 
 from limpetreel import exceptions
 from limpetreel.cluster import call_status, cluster_core, cluster_state
-from limpetreel.cluster.actions import answer_call, send_control
+from limpetreel.cluster.actions import (
+    answer_call,
+    send_control,
+    send_reports,
+    send_session,
+)
 from limpetreel.cluster.commands import set_configuration, set_zone
 from limpetreel.cluster.events import (
     change_requested,
     consensus_arrived,
     read_requested,
+    report_arrived,
 )
-from limpetreel.cluster.messages import cluster_codec
+from limpetreel.cluster.messages import cluster_codec, report
 from limpetreel.consensus import member, open_membership, raft_core, role
 from limpetreel.consensus.actions import persist, save_snapshot
 from limpetreel.node import tick
@@ -53,6 +59,13 @@
     return json.dumps({**document, **changes}).encode()
 
 
+def _event(message):
+    """Return the event of a message from another control instance."""
+    if isinstance(message, report.Report):
+        return report_arrived.ReportArrived(message, is_direct=False)
+    return consensus_arrived.ConsensusArrived(message.envelope)
+
+
 class Instance:
     """Control instance on a machine with a disk."""
 
@@ -121,6 +134,12 @@
                 self.store.save_snapshot(action)
             case send_control.SendControl():
                 self.group.post(self.address, action)
+            case send_reports.SendReports():
+                for data in action.messages:
+                    one = send_control.SendControl(action.address, data)
+                    self.group.post(self.address, one)
+            case send_session.SendSession():
+                self.group.updates.append(action)
             case answer_call.AnswerCall():
                 self.group.answers[action.call_id] = action
 
@@ -148,6 +167,7 @@
         self.incarnations = itertools.count(1000)
         self.calls = itertools.count(1)
         self.answers = {}
+        self.updates = []
         self.acked_version = 0
         self.acked_zones = {}
         names = [f"10.0.0.{i + 1}:7000" for i in range(size)]
@@ -180,8 +200,7 @@
                 self.now, _, target, data = heapq.heappop(self.queue)
                 message = cluster_codec.decode(data)
                 if target in self.instances:
-                    event = consensus_arrived.ConsensusArrived(message.envelope)
-                    self.instances[target].handle(event)
+                    self.instances[target].handle(_event(message))
             self.now = step_ends_at
             if self.now >= self.tick_at:
                 self.tick_at = self.now + STEP
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -12,10 +12,39 @@
 _GROUP = "tests.cluster.test_control_group."
 _SHELL = "tests.cluster.test_cluster_shell."
 _LINKS = "tests.cluster.test_control_links."
+_LIST = "tests.cluster.test_list_return."
 _RETURN = "tests.cluster.test_control_return."
 _STORE = "tests.storage.test_log_store."
 
 MUTANTS = [
+    (
+        "new agents are published before they are registered",
+        _CLUSTER + "agent_registry.py",
+        "        must_wait = has_lease and self.is_complete is not None\n",
+        "        must_wait = False\n",
+        _LIST + "test_new_agent_is_registered_before_entries_know_it",
+    ),
+    (
+        "list is complete while an agent is missing",
+        _CLUSTER + "agent_registry.py",
+        "        return not self._missing\n",
+        "        return True\n",
+        _LIST + "test_list_waits_for_an_agent_that_returns_late",
+    ),
+    (
+        "list waits for a fixed time",
+        _CLUSTER + "list_clock.py",
+        "        if self._is_complete is None:\n",
+        "        if self._is_complete is not False:\n",
+        _LIST + "test_list_is_complete_soon_after_a_common_restart",
+    ),
+    (
+        "agents that never return stay registered",
+        _CLUSTER + "agent_registry.py",
+        "        if led_seconds >= upstream_directory.REMOVAL_SECONDS:\n",
+        "        if led_seconds < 0:\n",
+        _LIST + "test_wait_for_an_agent_that_never_returns_ends",
+    ),
     (
         "lower version replaces the state",
         _CLUSTER + "cluster_state.py",
--- /dev/null
+++ b/tests/cluster/test_list_return.py
@@ -0,0 +1,141 @@
+"""The list of upstreams after a common restart, on a simulated network.
+
+Entries reset flows that no upstream in a complete list holds, so that their callers
+open new ones. A list that counts as complete too early resets flows that live; one that
+does so late lets callers wait.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from limpetreel.cluster import agent_registry, cluster_state, upstream_directory
+from limpetreel.cluster.commands import set_configuration
+from tests import fixtures
+from tests.cluster import control_group, node_fleet
+
+load_tests = fixtures.load_functions(globals())
+
+AGENTS, ENTRIES = 40, 4
+TARGET_SECONDS = 1.0
+"""From the start of all to a complete list; agents return within 0.5 s."""
+LATE_SECONDS = 5.0
+
+
+def running_fleet(seed):
+    """Return a fleet whose agents are registered."""
+    group = control_group.ControlGroup(seed)
+    fleet = node_fleet.NodeFleet(group, AGENTS, ENTRIES)
+    assert group.change_until_acked(group.replace(7))
+    fleet.run(4.0)
+    assert all(e.is_current() and len(e.names) == AGENTS for e in fleet.entries)
+    return fleet
+
+
+def restart(fleet, late=()):
+    """Restart all processes; agents return within 0.5 s, except the late ones."""
+    fleet.restart_all()
+    began_at = fleet.group.now
+    returning = [*fleet.entries, *(a for a in fleet.agents if a not in late)]
+    for seconds in sorted(fleet.random.uniform(0.0, 0.5) for _ in returning):
+        fleet.run(began_at + seconds - fleet.group.now)
+        returning.pop().start()
+
+
+def test_list_is_complete_soon_after_a_common_restart():
+    """Guards against a fixed wait after control is back, while callers wait."""
+    for seed in range(10):
+        fleet = running_fleet(seed)
+        restart(fleet)
+        seconds = fleet.seconds_until(
+            lambda f=fleet: all(e.is_current() for e in f.entries)
+        )
+        assert seconds + 0.5 <= TARGET_SECONDS, (seed, seconds)
+        assert all(len(e.names) == AGENTS for e in fleet.entries)
+
+
+def test_list_waits_for_an_agent_that_returns_late():
+    """Guards against a reset of the flows of an agent that starts after the others."""
+    for seed in range(5):
+        fleet = running_fleet(seed)
+        late = fleet.agents[0]
+        restart(fleet, late=[late])
+        for _ in range(int(LATE_SECONDS / 0.05)):
+            fleet.run(0.05)
+            assert not any(e.is_current() for e in fleet.entries), seed
+        late.start()
+        fleet.run(0.6)
+        assert all(e.is_current() and late.name in e.names for e in fleet.entries)
+
+
+def test_wait_for_an_agent_that_never_returns_ends():
+    """Guards against entries that never reset a flow after a machine was removed."""
+    fleet = running_fleet(1)
+    restart(fleet, late=fleet.agents[:1])
+    fleet.run(upstream_directory.REMOVAL_SECONDS - 2.0)
+    assert not any(e.is_current() for e in fleet.entries)
+    fleet.run(5.0)
+    assert all(e.is_current() for e in fleet.entries)
+    assert len(fleet.group.leader().core.state.agents) == AGENTS - 1
+
+
+def test_agent_that_signed_off_is_not_waited_for():
+    """Guards against a wait for a machine that was taken out of service."""
+    fleet = running_fleet(2)
+    gone = fleet.agents[0]
+    gone.has_ended = True
+    fleet.run(1.0)
+    gone.stop()
+    fleet.run(agent_registry.ENDED_SECONDS + 1.0)
+    restart(fleet, late=[gone])
+    fleet.run(TARGET_SECONDS)
+    assert all(e.is_current() for e in fleet.entries)
+
+
+def test_new_agent_is_registered_before_entries_know_it():
+    """Guards against flows of an agent that no later control instance waits for."""
+    for seed in range(10):
+        fleet = running_fleet(seed)
+        new = node_fleet.Node(fleet, "side-new", False)
+        fleet.agents.append(new)
+        new.start()
+        knows = lambda f=fleet, n=new: any(n.name in e.names for e in f.entries)  # noqa: E731
+        assert fleet.seconds_until(knows) <= agent_registry.HOLD_SECONDS
+        registered = [
+            i for i in fleet.group.instances.values() if new.name in i.core.state.agents
+        ]
+        assert len(registered) >= 2, seed
+
+
+def test_agents_are_written_only_when_they_change():
+    """Guards against a log that grows while nothing changes."""
+    fleet = running_fleet(3)
+    applied = fleet.group.leader().core.state.applied
+    fleet.run(20.0)
+    assert fleet.group.leader().core.state.applied == applied
+
+
+def test_earlier_versions_read_the_log_and_the_snapshot():
+    """Guards against control instances that end during a rolling upgrade."""
+
+    class Earlier(msgspec.Struct, frozen=True, tag="set_configuration"):
+        version: int
+        document: bytes
+
+    class EarlierImage(msgspec.Struct, frozen=True):
+        version: int
+        document: bytes
+        zones_out: tuple[str, ...]
+
+    state = cluster_state.ClusterState(control_group.PARSER)
+    command = set_configuration.SetConfiguration(0, b"", ("side-1",))
+    data = cluster_state.encode(command)
+    assert msgspec.msgpack.decode(data, type=Earlier) == Earlier(0, b"")
+    assert state.apply(1, data) and state.agents == {"side-1"}
+    image = msgspec.msgpack.decode(state.snapshot(), type=EarlierImage)
+    assert image == EarlierImage(0, b"", ())
+    restored = cluster_state.ClusterState(control_group.PARSER)
+    restored.restore(1, state.snapshot())
+    assert restored.agents == {"side-1"}
+    restored.restore(1, msgspec.msgpack.encode(image))
+    assert restored.agents == frozenset()
