Test the wake-ups and bytes of idle nodes

Cause: the scope bounds control traffic of a node to 4 KB a second and its processor time, and no test showed that an idle node stays far below. Change: tests only.

--- a/tests/cluster/test_node_session.py
+++ b/tests/cluster/test_node_session.py
@@ -10,7 +10,7 @@
     upstream_directory,
     upstream_record,
 )
-from limpetreel.cluster.messages import report
+from limpetreel.cluster.messages import cluster_codec, report
 from limpetreel.platform import configuration_format
 from tests import fixtures
 from tests.cluster import control_group
@@ -70,3 +70,26 @@
     change = control_group.ControlGroup(1).replace(4)
     feed.state.apply(1, cluster_state.encode(change))
     assert feed.next_update(0.001).configuration.version == 4
+
+
+def test_traffic_of_an_idle_node_is_bounded():
+    """Guards against updates that repeat the list of upstreams while nothing changes.
+
+    The bound for control traffic of a node is 4 KB a second.
+    """
+    feed = Feed()
+    for number in range(4400):
+        feed.add(0.0, number)
+    controls = tuple(f"10.0.0.{n}:7000" for n in range(9))
+    sent = []
+    for step in range(400):
+        sent.append(
+            feed.session.next_update(
+                step * 0.05, feed.state, feed.directory, 1000, controls, True
+            )
+        )
+    idle = [cluster_codec.encode(u) for u in sent[1:] if u is not None]
+    seconds = 0.05 * len(sent)
+    assert len(idle) / seconds <= 2.6
+    up = len(cluster_codec.encode(report.Report(1 << 51, 1 << 30, RECORD))) * 2.5
+    assert sum(map(len, idle)) / seconds + up <= 800
--- a/tests/streams/test_stream_shell.py
+++ b/tests/streams/test_stream_shell.py
@@ -59,6 +59,28 @@
     assert asyncio.run(_run_past_an_error()) >= 3
 
 
+class IdleShell(Shell):
+    """Shell whose core waits for nothing."""
+
+    def _needs_tick_soon(self):
+        return False
+
+
+async def _count_idle_ticks(seconds):
+    working = FailingCore()
+    working.ticks = 1
+    shell = IdleShell(working, telemetry.disabled())
+    shell._schedule(0.0)
+    await asyncio.sleep(seconds)
+    shell._tick_timer.cancel()
+    return working.ticks - 1
+
+
+def test_idle_node_rarely_wakes_up():
+    """Guards against ticks every 20 ms at nodes that wait for nothing."""
+    assert asyncio.run(_count_idle_ticks(1.1)) <= 5
+
+
 def test_holdings_with_keys_of_another_size_are_dropped():
     """Guards against an exception at a key that cannot be an address."""
     entry = stream_entry_core.StreamEntryCore(stream_site.CODEC, "zone-a", 1)
