--- a/tests/cluster/test_node_session.py
+++ b/tests/cluster/test_node_session.py
@@ -80,3 +80,26 @@
     message = cluster_codec.decode(data.replace(b"\xaaidempotent", b"\xaasubscribed"))
     assert isinstance(message, update.Update)
     assert not message.configuration.routes[0].kind.is_repeatable
+
+
+def test_traffic_of_an_idle_node_is_bounded():
+    """Guards against updates that repeat the list of upstreams while nothing changes.
+
+    The bound for control traffic of a node is 4 KB a second.
+    """
+    feed = Feed()
+    for number in range(4400):
+        feed.add(0.0, number)
+    controls = tuple(f"10.0.0.{n}:7000" for n in range(9))
+    sent = []
+    for step in range(400):
+        sent.append(
+            feed.session.next_update(
+                step * 0.05, feed.state, feed.directory, 1000, controls, True
+            )
+        )
+    idle = [cluster_codec.encode(u) for u in sent[1:] if u is not None]
+    seconds = 0.05 * len(sent)
+    assert len(idle) / seconds <= 2.6
+    up = len(cluster_codec.encode(report.Report(1 << 51, 1 << 30, RECORD))) * 2.5
+    assert sum(map(len, idle)) / seconds + up <= 800
