Avoid upstreams that accept openings and fail the requests

An entry saw only openings, so an upstream that resets all requests looked idle and got 2.4 to 3 times its share, and one that sheds them at once seemed the fastest. Each report is now compared with the service: a service time over four times the median (late), slots occupied at 90 % while the mean is below 75 % (stuck), five accepted flows while the utilisation is below an eighth of the mean (idle). Such an agent gets no flows for 1 to 4 s, then one flow as a trial (five if idle), and its reports decide again; agent.avoided is logged. Service times below 0.4 of the median count as 0.4 of it. Without a report for 8 s an agent counts as median again, and reports grow old towards equal waits, since one that was slow once was never asked again.

--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from limpetreel.streams.placement import upstream_health
+
 if TYPE_CHECKING:
     from limpetreel.cluster import upstream_record
     from limpetreel.streams.messages import verdict
@@ -21,7 +23,9 @@
 MAX_PAUSE_SECONDS = 4.0
 INITIAL_SERVICE_SECONDS = 0.05
 """Assumed service time until the agent has reported one."""
-MIN_SERVICE_SECONDS = 0.001
+MIN_SERVICE_SHARE = 0.4
+"""Least part of the median service time that counts. An upstream that sheds requests
+answers them at once, and must not get all flows for that."""
 
 
 class AgentHint:
@@ -50,6 +54,7 @@
         "_wait_seconds",
         "extra_cost",
         "flows",
+        "health",
         "is_open",
         "open_offers",
         "record",
@@ -63,6 +68,7 @@
         self.is_open = True
         self.open_offers = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
+        self.health = upstream_health.UpstreamHealth()
         self.flows = 0
         self.utilisation = 0.0
         self._reported_at = float("-inf")
@@ -98,7 +104,9 @@
         self._pause = INITIAL_PAUSE_SECONDS
         if message.service_ms:
             seconds = message.service_ms / 1000
-            self.service_seconds = max(MIN_SERVICE_SECONDS, seconds)
+            least = MIN_SERVICE_SHARE * means.median_service_seconds
+            is_known = least < float("inf")
+            self.service_seconds = max(least, seconds) if is_known else seconds
         means.record(message)
 
     def record_busy(self, now: float) -> None:
@@ -180,13 +188,13 @@
             As in `wait`.
         """
         age = now - self._reported_at
-        load, wait = means.load, 0.0
+        # The draw already prefers fast upstreams, so without a report all are equal.
+        wait = means.load * means.service_seconds
         if age < LOAD_MAX_AGE_SECONDS:
             freshness = 1.0 - age / LOAD_MAX_AGE_SECONDS
-            load += freshness * (self._load - means.load)
-            wait = freshness * self._wait_seconds
-        offered = self.open_offers / self.slots
-        return wait + (load + offered) * self.service_seconds + self.extra_cost
+            reported = self._wait_seconds + self._load * self.service_seconds
+            wait += freshness * (reported - wait)
+        return wait + self.open_offers / self.weight + self.extra_cost
 
     def long_cost(self, now: float, means: service_means.ServiceMeans) -> float:
         """Return the expected wait in seconds of the requests of a long flow.
--- a/src/limpetreel/streams/placement/candidates.py
+++ b/src/limpetreel/streams/placement/candidates.py
@@ -148,10 +148,10 @@
         if hint is not None and hint.open_offers:
             hint.open_offers -= 1
 
-    def record_verdict(self, now: float, name: str, message: verdict.Verdict) -> None:
-        """Record the load that an agent reported with its verdict."""
+    def record_verdict(self, now: float, name: str, message: verdict.Verdict) -> str:
+        """Record an agent's report and return why it is avoided, empty if it is not."""
         hint = self._hints[name]
-        hint.record_load(now, message, self._pools[hint.record.service].means)
+        reason = self._pools[hint.record.service].record(now, hint, message)
         if message.outcome in (outcome.Outcome.BUSY, outcome.Outcome.QUEUED):
             hint.record_busy(now)
         elif message.outcome in (outcome.Outcome.CLOSED, outcome.Outcome.UNRESPONSIVE):
@@ -160,6 +160,11 @@
             hint.record_starting(now, STARTING_SECONDS)
         elif message.outcome is outcome.Outcome.WARMING:
             hint.avoid(now, WARMING_SECONDS)
+        return reason
+
+    def pause(self, name: str) -> float:
+        """Return the seconds for which a failing agent gets no flows."""
+        return self._hints[name].health.pause
 
     def record_closed_queue(self, now: float, name: str, max_wait: float) -> None:
         """Record that an agent refused a flow that could wait for some seconds."""
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -193,8 +193,28 @@
     ) -> Actions:
         """Apply the answer to an offer."""
         name = self._candidates.name_at(source)
-        if name:
-            self._candidates.record_verdict(now, name, message)
+        actions = self._record_report(now, name, message) if name else []
+        return actions + self._apply_answer(now, source, message)
+
+    def _record_report(
+        self, now: float, name: str, message: verdict.Verdict
+    ) -> Actions:
+        reason = self._candidates.record_verdict(now, name, message)
+        if not reason:
+            return []
+        fields: Fields = {
+            "agent": name,
+            "reason": reason,
+            "seconds": self._candidates.pause(name),
+            "service_ms": message.service_ms,
+            "utilisation": message.utilisation,
+            "flows": message.flows,
+        }
+        return [log_line.LogLine("warning", "agent.avoided", fields)]
+
+    def _apply_answer(
+        self, now: float, source: Address, message: verdict.Verdict
+    ) -> Actions:
         pending = self._pending.get(message.offer_id)
         if pending is None:
             return []
--- a/src/limpetreel/streams/placement/service_pool.py
+++ b/src/limpetreel/streams/placement/service_pool.py
@@ -10,6 +10,7 @@
     import random
     from collections.abc import Sequence
 
+    from limpetreel.streams.messages import verdict
     from limpetreel.streams.placement import agent_hint
 
 CHOICES = 4
@@ -53,6 +54,7 @@
         self._groups = [
             weighted_draw.WeightedDraw(g, random) for g in (local, other) if g
         ]
+        self._failing = {h.record.name: h for h in hints if h.health.is_failing}
         self._reweighed_at = float("-inf")
         self.means = service_means.ServiceMeans()
 
@@ -60,6 +62,27 @@
         """Take the means over from the pool of an earlier list."""
         self.means = earlier.means
 
+    def record(
+        self, now: float, hint: agent_hint.AgentHint, message: verdict.Verdict
+    ) -> str:
+        """Record a report and return why the upstream is avoided, if it is."""
+        hint.record_load(now, message, self.means)
+        reason = hint.health.record(message, self.means)
+        if reason:
+            hint.avoid(now, hint.health.pause)
+            self._failing[hint.record.name] = hint
+        else:
+            self._failing.pop(hint.record.name, None)
+        return reason
+
+    def _trial(self, now: float, tried: set[str]) -> agent_hint.AgentHint | None:
+        """Return a failing agent that is due for one flow, None if there is none."""
+        for name, hint in self._failing.items():
+            if hint.is_usable(now) and name not in tried:
+                hint.avoid(now, hint.health.pause)
+                return hint
+        return None
+
     def choose(
         self, now: float, tried: set[str], is_long: bool
     ) -> agent_hint.AgentHint | None:
@@ -74,6 +97,9 @@
         is_long : bool
             Whether several requests are expected on the flow.
         """
+        trial = self._trial(now, tried) if self._failing else None
+        if trial is not None:
+            return trial
         cost = self._long_cost if is_long else self._short_cost
         for hints in (self._draw(now), self.hints):
             free = [
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -10,6 +10,7 @@
 _PLACEMENT = _SOURCE + "placement/"
 _OFFERS = "tests.streams.placement.test_offers."
 _READINESS = "tests.streams.placement.test_readiness."
+_FAILING = "tests.streams.placement.test_failing_upstreams."
 _LONG = "tests.streams.placement.test_long_flows."
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
@@ -238,6 +239,41 @@
         "BALANCE_SECONDS = 0.0\n",
         _LONG + "test_flows_are_spread_by_number_while_nothing_else_is_known",
     ),
+    (
+        "late upstream is not avoided",
+        _PLACEMENT + "upstream_health.py",
+        'return "late"\n',
+        'return ""\n',
+        _FAILING + "test_late_upstream_gets_only_trials",
+    ),
+    (
+        "stuck upstream is not avoided",
+        _PLACEMENT + "upstream_health.py",
+        'return "stuck"\n',
+        'return ""\n',
+        _FAILING + "test_stuck_upstream_gets_only_trials",
+    ),
+    (
+        "idle upstream is not avoided",
+        _PLACEMENT + "upstream_health.py",
+        'return "idle"\n',
+        'return ""\n',
+        _FAILING + "test_upstream_that_resets_requests_gets_few_flows",
+    ),
+    (
+        "uneven upstreams count as late",
+        _PLACEMENT + "upstream_health.py",
+        "LATE_FACTOR = 4.0\n",
+        "LATE_FACTOR = 2.0\n",
+        _FAILING + "test_slow_upstream_of_uneven_speed_does_not_count_as_failing",
+    ),
+    (
+        "failing upstream gets no trial",
+        _PLACEMENT + "service_pool.py",
+        "self._trial(now, tried) if self._failing else None\n",
+        "None\n",
+        _FAILING + "test_late_upstream_gets_only_trials",
+    ),
     (
         "all placements of a burst are logged",
         _PLACEMENT + "line_sample.py",
