Count refused flows by reason and service

Refusals were counted as one number among the outcomes of offers, and lines beyond 400 in 10 s are left out, so the cause of many refusals did not show. The new metric refusals_total{reason,service} has the most frequent answer of agents, known_busy or none_usable where none was asked, and no_route. Metrics that are read from objects may have several labels.

--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -58,6 +58,9 @@
     telemetry.add_metric(
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
+    telemetry.add_metric(
+        "refusals_total", "refused flows", "reason,service", lambda: core.refusals
+    )
     telemetry.add_metric("open_flows", "flows", "", lambda: {"": core.open_flows})
     telemetry.add_drop_counter("entry.core", lambda: core.dropped)
     api = http_ready_api.HttpReadyApi(ready, telemetry)
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -5,14 +5,9 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.streams import route_table, stream_key
-from limpetreel.streams.actions import (
-    histogram_sample,
-    log_line,
-    send_caller,
-    send_node,
-)
+from limpetreel.streams.actions import send_caller, send_node
 from limpetreel.streams.messages import offer, outcome, stream_codec
-from limpetreel.streams.placement import line_sample, long_routes, pending_offer
+from limpetreel.streams.placement import long_routes, pending_offer, placement_lines
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +20,6 @@
 
     Actions = list[msgspec.Struct]
     Address = tuple[str, int]
-    Fields = dict[str, str | int | float]
 
 OFFER_SECONDS = 0.08
 """Time limit for the answer to an offer: a round trip between data centres, the
@@ -47,9 +41,6 @@
     (outcome.Outcome.NO_ROUTE, outcome.Outcome.STALE, outcome.Outcome.STARTING)
 )
 """Answers of agents that know nothing about the route."""
-SLOW_SECONDS = 0.05
-"""Duration of a placement from which it is always logged. An offer is answered within
-some milliseconds, so the flow waited for a slot or an agent did not answer."""
 
 
 class FlowPlacement:
@@ -86,7 +77,7 @@
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
         self._long_routes = long_routes.LongRoutes()
-        self._sample = line_sample.LineSample()
+        self.lines = placement_lines.PlacementLines()
         self._routes: route_table.RouteTable | None = None
         self.outcomes: dict[str, int] = {}
 
@@ -97,6 +88,7 @@
     def configure(self, routes: route_table.RouteTable) -> None:
         """Apply a configuration."""
         self._routes = routes
+        self.lines.version = routes.version
         # Routes may have gone; each is learned again with the next answer.
         self._long_routes = long_routes.LongRoutes()
 
@@ -114,7 +106,8 @@
         """
         matched_route = self._routes.find(segment.flow) if self._routes else None
         if matched_route is None:
-            return self._reject(segment.flow, {"reason": "no route"})
+            line = self.lines.without_route(segment.flow)
+            return [self._reset(segment.flow), *line]
         if segment.flow in self._by_flow:
             return []
         service = route_table.choose_service(matched_route, segment.flow)
@@ -202,15 +195,8 @@
         reason = self._candidates.record_verdict(now, name, message)
         if not reason:
             return []
-        fields: Fields = {
-            "agent": name,
-            "reason": reason,
-            "seconds": self._candidates.pause(name),
-            "service_ms": message.service_ms,
-            "utilisation": message.utilisation,
-            "flows": message.flows,
-        }
-        return [log_line.LogLine("warning", "agent.avoided", fields)]
+        seconds = self._candidates.pause(name)
+        return self.lines.avoided(name, reason, seconds, message)
 
     def _apply_answer(
         self, now: float, source: Address, message: verdict.Verdict
@@ -250,42 +236,13 @@
     ) -> Actions:
         self._remove_pending(pending)
         self._record_owner(now, pending.flow, source)
-        held = now - pending.started_at
-        sample = histogram_sample.HistogramSample("placement_seconds", held)
-        ratio = self._sample.ratio(now)
-        if held >= SLOW_SECONDS:
-            ratio = 1
-        if not line_sample.is_chosen(pending.flow, ratio):
-            return [sample]
-        fields: Fields = {
-            **self._placement_fields(now, pending),
-            "flow": stream_key.text(pending.flow),
-            "agent": pending.target,
-            "one_in": ratio,
-        }
-        return [sample, log_line.LogLine("info", "flow.placed", fields)]
-
-    def _placement_fields(
-        self, now: float, pending: pending_offer.PendingOffer
-    ) -> Fields:
-        """Return the log fields common to placed and refused flows."""
-        return {
-            "service": pending.service,
-            "tried": len(pending.tried),
-            "offers": pending.offers,
-            "held_ms": int((now - pending.started_at) * 1000),
-            "version": self._routes.version if self._routes is not None else 0,
-            **{f"said_{k.lower()}": v for k, v in pending.reasons.items()},
-        }
+        return self.lines.placed(now, pending)
 
     def _refuse(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
         self._remove_pending(pending)
-        fields: Fields = {
-            "reason": "no upstream takes it",
-            **self._placement_fields(now, pending),
-            "known_busy": self._candidates.count_busy(now, pending.service),
-        }
-        return self._reject(pending.flow, fields)
+        known_busy = self._candidates.count_busy(now, pending.service)
+        line = self.lines.refused(now, pending, known_busy)
+        return [self._reset(pending.flow), *line]
 
     def _give_up(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
         """Forget a flow whose caller repeats its opening packet.
@@ -294,22 +251,13 @@
         """
         self._remove_pending(pending)
         self._count("UNKNOWN")
-        fields: Fields = {
-            "flow": stream_key.text(pending.flow),
-            "reason": "no upstream is known yet",
-            **self._placement_fields(now, pending),
-        }
-        return [log_line.LogLine("warning", "flow.not_placed", fields)]
-
-    def _reject(self, flow: bytes, fields: Fields) -> Actions:
-        """Reset a flow that has not opened, so no request of it has run."""
+        return self.lines.not_placed(now, pending)
+
+    def _reset(self, flow: bytes) -> msgspec.Struct:
+        """Return the reset of a flow that has not opened, so nothing of it has run."""
         self._count("REFUSED")
         host = stream_key.caller(flow)[0]
-        fields = {"flow": stream_key.text(flow), **fields}
-        return [
-            send_caller.SendCaller(host, self._codec.reset(flow, 0)),
-            log_line.LogLine("info", "flow.refused", fields),
-        ]
+        return send_caller.SendCaller(host, self._codec.reset(flow, 0))
 
     def _remove_pending(self, pending: pending_offer.PendingOffer) -> None:
         self._pending.pop(pending.offer_id, None)
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -78,6 +78,7 @@
         self._search = owner_search.OwnerSearch(self._candidates)
         self._swept_at = 0.0
         self.outcomes = self._placement.outcomes
+        self.refusals = self._placement.lines.refusals
         self.dropped: dict[str, int] = {}
 
     @property
--- a/src/limpetreel/telemetry/metrics.py
+++ b/src/limpetreel/telemetry/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from limpetreel.telemetry import metric_source
 
@@ -76,7 +76,7 @@
         name: str,
         description: str,
         label: str,
-        read: Callable[[], Mapping[str, float]],
+        read: Callable[[], Mapping[Any, float]],
     ) -> None:
         """Add a metric whose values are stored in another object.
 
@@ -96,7 +96,7 @@
         ]
         for source in self.sources:
             for label_value, value in source.read().items():
-                labels = {source.label: str(label_value)} if source.label else {}
+                labels = source.labels(label_value)
                 series.append((source.name, source.description, labels, value))
         return series
 
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -274,6 +274,13 @@
         "None\n",
         _FAILING + "test_late_upstream_gets_only_trials",
     ),
+    (
+        "refusals are not counted by service",
+        _PLACEMENT + "placement_lines.py",
+        "self.refusals.get(key, 0) + 1\n",
+        "0\n",
+        _OFFERS + "test_refusals_are_counted_by_reason_and_service",
+    ),
     (
         "all placements of a burst are logged",
         _PLACEMENT + "line_sample.py",
--- a/tests/streams/placement/test_offers.py
+++ b/tests/streams/placement/test_offers.py
@@ -112,3 +112,19 @@
         entry.open(1.0)
     counts = [sum(1 for n, _ in entry.offers if n == name) for name in names]
     assert counts == [10, 10, 10, 10], counts
+
+
+def test_refusals_are_counted_by_reason_and_service():
+    """Guards against refusals whose cause only single log lines show."""
+    entry = entry_driver.EntryDriver(["side-0"])
+    entry.answers = lambda message: verdict.Verdict(
+        message.offer_id, outcome.Outcome.CLOSED, 0, 50, 0
+    )
+    entry.open(1.0)
+    entry.open(1.1)
+    entry.open(1.2, ("198.18.0.9", 1))
+    assert entry.core.refusals == {
+        ("closed", stream_site.SERVICE): 1,
+        ("none_usable", stream_site.SERVICE): 1,
+        ("no_route", ""): 1,
+    }
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -198,6 +198,19 @@
         assert b'reason="y"' in refused and refused.endswith(b" 3")
 
 
+def test_metric_of_an_object_may_have_several_labels():
+    """Guards against refusals whose reason and service share one label."""
+    process_telemetry = telemetry.Telemetry("n1", "entry", clock=_Clock())
+    process_telemetry.add_metric(
+        "refusals_total", "refusals", "reason,service", lambda: {("busy", "s-1"): 2}
+    )
+    series = [
+        s for s in process_telemetry.metrics.collect() if s[0] == "refusals_total"
+    ]
+    labels = {"reason": "busy", "service": "s-1"}
+    assert series == [("refusals_total", "refusals", labels, 2)]
+
+
 async def _get(host, port, data):
     """Send data and return the response up to the end of the connection."""
     reader, writer = await asyncio.open_connection(host, port)
