--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -34,7 +34,9 @@
     Its attribute `extra_cost` holds the seconds of wait at another agent that are as
     bad as the location of this one, `is_open` whether it may get offers according to
     control, and `open_offers` the offers of this entry that it has not answered.
-    `flows` and `utilisation` (of 1) are as the agent reported them last.
+    `flows` and `utilisation` (of 1) are as the agent reported them last. `slots` and
+    `weight` are the requests that the upstream processes concurrently, and those that
+    it can answer per second.
 
     Parameters
     ----------
@@ -59,15 +61,17 @@
         "open_offers",
         "record",
         "service_seconds",
+        "slots",
         "utilisation",
+        "weight",
     )
 
     def __init__(self, record: upstream_record.UpstreamRecord) -> None:
-        self.record = record
         self.extra_cost = 0.0
         self.is_open = True
         self.open_offers = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
+        self.apply(record)
         self.health = upstream_health.UpstreamHealth()
         self.flows = 0
         self.utilisation = 0.0
@@ -81,15 +85,16 @@
         self._pause = INITIAL_PAUSE_SECONDS
         self._starting_until = float("-inf")
 
-    @property
-    def slots(self) -> int:
-        """Return the number of requests that the upstream processes concurrently."""
-        return max(1, self.record.slots)
+    def apply(self, record: upstream_record.UpstreamRecord) -> None:
+        """Apply a record from control."""
+        self.record = record
+        self.slots = max(1, record.slots)
+        self.set_service_seconds(self.service_seconds)
 
-    @property
-    def weight(self) -> float:
-        """Return the requests per second that the upstream can answer."""
-        return self.slots / self.service_seconds
+    def set_service_seconds(self, seconds: float) -> None:
+        """Set the time from a request to the start of its answer."""
+        self.service_seconds = seconds
+        self.weight = self.slots / seconds
 
     def record_load(
         self, now: float, message: verdict.Verdict, means: service_means.ServiceMeans
@@ -106,7 +111,7 @@
             seconds = message.service_ms / 1000
             least = MIN_SERVICE_SHARE * means.median_service_seconds
             is_known = least < float("inf")
-            self.service_seconds = max(least, seconds) if is_known else seconds
+            self.set_service_seconds(max(least, seconds) if is_known else seconds)
         means.record(message)
 
     def record_busy(self, now: float) -> None:
--- a/src/limpetreel/streams/placement/candidates.py
+++ b/src/limpetreel/streams/placement/candidates.py
@@ -61,7 +61,7 @@
         by_service: dict[str, list[agent_hint.AgentHint]] = {}
         for record in records:
             hint = earlier.get(record.name) or agent_hint.AgentHint(record)
-            hint.record = record
+            hint.apply(record)
             hint.is_open = record.is_accepting and record.data_centre not in zones_out
             hint.extra_cost = self._extra_cost(record)
             self._hints[record.name] = hint
--- a/src/limpetreel/streams/placement/service_means.py
+++ b/src/limpetreel/streams/placement/service_means.py
@@ -73,7 +73,7 @@
         self.median_service_seconds = times[(len(times) - 1) // 2]
         for hint in silent:
             # Otherwise one that was slow once would never be asked again.
-            hint.service_seconds = self.median_service_seconds
+            hint.set_service_seconds(self.median_service_seconds)
         self.service_seconds = slots / weight
         self.utilisation = requests / weight
         self.flows_per_weight = flows / weight
