--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -62,6 +62,9 @@
     telemetry.add_metric(
         "offers_total", "offers by outcome", "outcome", lambda: core.outcomes
     )
+    telemetry.add_metric(
+        "refusals_total", "refused flows", "reason,service", lambda: core.refusals
+    )
     telemetry.add_metric("open_flows", "flows", "", lambda: {"": core.open_flows})
     telemetry.add_metric(
         "owner_searches_total", "searches by result", "result", lambda: core.searches
--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from limpetreel.streams.placement import upstream_health
+
 if TYPE_CHECKING:
     from limpetreel.cluster import upstream_record
     from limpetreel.streams.messages import verdict
@@ -21,7 +23,9 @@
 MAX_PAUSE_SECONDS = 4.0
 INITIAL_SERVICE_SECONDS = 0.05
 """Assumed service time until the agent has reported one."""
-MIN_SERVICE_SECONDS = 0.001
+MIN_SERVICE_SHARE = 0.4
+"""Least part of the median service time that counts. An upstream that sheds requests
+answers them at once, and must not get all flows for that."""
 
 
 class AgentHint:
@@ -30,7 +34,9 @@
     Its attribute `extra_cost` holds the seconds of wait at another agent that are as
     bad as the location of this one, `is_open` whether it may get offers according to
     control, and `open_offers` the offers of this entry that it has not answered.
-    `flows` and `utilisation` (of 1) are as the agent reported them last.
+    `flows` and `utilisation` (of 1) are as the agent reported them last. `slots` and
+    `weight` are the requests that the upstream processes concurrently, and those that
+    it can answer per second.
 
     Parameters
     ----------
@@ -50,19 +56,23 @@
         "_wait_seconds",
         "extra_cost",
         "flows",
+        "health",
         "is_open",
         "open_offers",
         "record",
         "service_seconds",
+        "slots",
         "utilisation",
+        "weight",
     )
 
     def __init__(self, record: upstream_record.UpstreamRecord) -> None:
-        self.record = record
         self.extra_cost = 0.0
         self.is_open = True
         self.open_offers = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
+        self.apply(record)
+        self.health = upstream_health.UpstreamHealth()
         self.flows = 0
         self.utilisation = 0.0
         self._reported_at = float("-inf")
@@ -75,15 +85,16 @@
         self._pause = INITIAL_PAUSE_SECONDS
         self._starting_until = float("-inf")
 
-    @property
-    def slots(self) -> int:
-        """Return the number of requests that the upstream processes concurrently."""
-        return max(1, self.record.slots)
+    def apply(self, record: upstream_record.UpstreamRecord) -> None:
+        """Apply a record from control."""
+        self.record = record
+        self.slots = max(1, record.slots)
+        self.set_service_seconds(self.service_seconds)
 
-    @property
-    def weight(self) -> float:
-        """Return the requests per second that the upstream can answer."""
-        return self.slots / self.service_seconds
+    def set_service_seconds(self, seconds: float) -> None:
+        """Set the time from a request to the start of its answer."""
+        self.service_seconds = seconds
+        self.weight = self.slots / seconds
 
     def record_load(
         self, now: float, message: verdict.Verdict, means: service_means.ServiceMeans
@@ -98,7 +109,9 @@
         self._pause = INITIAL_PAUSE_SECONDS
         if message.service_ms:
             seconds = message.service_ms / 1000
-            self.service_seconds = max(MIN_SERVICE_SECONDS, seconds)
+            least = MIN_SERVICE_SHARE * means.median_service_seconds
+            is_known = least < float("inf")
+            self.set_service_seconds(max(least, seconds) if is_known else seconds)
         means.record(message)
 
     def record_busy(self, now: float) -> None:
@@ -180,13 +193,13 @@
             As in `wait`.
         """
         age = now - self._reported_at
-        load, wait = means.load, 0.0
+        # The draw already prefers fast upstreams, so without a report all are equal.
+        wait = means.load * means.service_seconds
         if age < LOAD_MAX_AGE_SECONDS:
             freshness = 1.0 - age / LOAD_MAX_AGE_SECONDS
-            load += freshness * (self._load - means.load)
-            wait = freshness * self._wait_seconds
-        offered = self.open_offers / self.slots
-        return wait + (load + offered) * self.service_seconds + self.extra_cost
+            reported = self._wait_seconds + self._load * self.service_seconds
+            wait += freshness * (reported - wait)
+        return wait + self.open_offers / self.weight + self.extra_cost
 
     def long_cost(self, now: float, means: service_means.ServiceMeans) -> float:
         """Return the expected wait in seconds of the requests of a long flow.
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -83,6 +83,7 @@
             self._placement, transfer_limit.TransferLimit(bytes_per_second)
         )
         self.outcomes = self._placement.outcomes
+        self.refusals = self._placement.lines.refusals
         self.dropped: dict[str, int] = {}
 
     @property
--- a/src/limpetreel/streams/transfers/transfer_admission.py
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -92,10 +92,7 @@
     def _refuse(
         self, now: float, segment: segment.Segment, arrived_at: float
     ) -> Actions:
-        fields: dict[str, str | int | float] = {
-            "reason": "link is busy",
-            "held_ms": int((now - arrived_at) * 1000),
-            "active": self._limit.active,
-            "waiting": len(self._limit),
-        }
-        return self._placement.reject(segment.flow, fields)
+        line = self._placement.lines.link_busy(
+            segment.flow, now - arrived_at, self._limit.active, len(self._limit)
+        )
+        return [self._placement.reset(segment.flow), *line]
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -10,6 +10,7 @@
 _PLACEMENT = _SOURCE + "placement/"
 _OFFERS = "tests.streams.placement.test_offers."
 _READINESS = "tests.streams.placement.test_readiness."
+_FAILING = "tests.streams.placement.test_failing_upstreams."
 _LONG = "tests.streams.placement.test_long_flows."
 _LOAD = "tests.streams.test_load_patterns."
 _OWNERSHIP = "tests.streams.test_flow_ownership."
@@ -107,11 +108,6 @@
     (
         "sign-off of an earlier start is applied",
         _SOURCE + "upstream_state.py",
-        "instance_id != instance_id:\n            return False\n"
-        "        self._has_departed = True\n        return True\n",
-        "instance_id != instance_id:\n            pass\n",
-    ),
-    (
         "        if self.status is None or self.status.instance_id != instance_id:\n"
         "            return False\n"
         "        self._has_departed = True\n"
@@ -164,12 +160,8 @@
     (
         "flows of a running upstream are reset when its agent stops",
         _SOURCE + "stream_agent_core.py",
-        "(self._reset_flows() if self.upstream.has_departed else [])\n",
-        "self._reset_flows()\n",
-    ),
-    (
-        "            if not self.upstream.has_departed:\n",
-        "            if False:\n",
+        "        if self.upstream.has_departed:\n",
+        "        if True:\n",
         _ENDED
         + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
     ),
@@ -292,6 +284,48 @@
         "BALANCE_SECONDS = 0.0\n",
         _LONG + "test_flows_are_spread_by_number_while_nothing_else_is_known",
     ),
+    (
+        "late upstream is not avoided",
+        _PLACEMENT + "upstream_health.py",
+        'return "late"\n',
+        'return ""\n',
+        _FAILING + "test_late_upstream_gets_only_trials",
+    ),
+    (
+        "stuck upstream is not avoided",
+        _PLACEMENT + "upstream_health.py",
+        'return "stuck"\n',
+        'return ""\n',
+        _FAILING + "test_stuck_upstream_gets_only_trials",
+    ),
+    (
+        "idle upstream is not avoided",
+        _PLACEMENT + "upstream_health.py",
+        'return "idle"\n',
+        'return ""\n',
+        _FAILING + "test_upstream_that_resets_requests_gets_few_flows",
+    ),
+    (
+        "uneven upstreams count as late",
+        _PLACEMENT + "upstream_health.py",
+        "LATE_FACTOR = 4.0\n",
+        "LATE_FACTOR = 2.0\n",
+        _FAILING + "test_slow_upstream_of_uneven_speed_does_not_count_as_failing",
+    ),
+    (
+        "failing upstream gets no trial",
+        _PLACEMENT + "service_pool.py",
+        "self._trial(now, tried) if self._failing else None\n",
+        "None\n",
+        _FAILING + "test_late_upstream_gets_only_trials",
+    ),
+    (
+        "refusals are not counted by service",
+        _PLACEMENT + "placement_lines.py",
+        "self.refusals.get(key, 0) + 1\n",
+        "0\n",
+        _OFFERS + "test_refusals_are_counted_by_reason_and_service",
+    ),
     (
         "all placements of a burst are logged",
         _PLACEMENT + "line_sample.py",
@@ -448,7 +482,7 @@
     ),
     (
         "closed flow is taken for the next one of its address",
-        _SOURCE + "stream_agent_core.py",
+        _SOURCE + "serving/flow_opener.py",
         "        if flow is not None and not flow.is_closed:\n",
         "        if flow is not None:\n",
         _OWNERSHIP + "test_address_of_a_closed_flow_can_be_used_for_the_next_one",
