--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -18,11 +18,12 @@
     """State of one flow.
 
     Its attribute `is_established` tells whether the upstream has sent a packet after
-    the handshake, which shows that it took the caller's last packet of it. Of the
-    latest request, `data_at` is the time of its last data, `gaps` are its missing
-    packets and `has_last_packet` tells whether the packet that ends it has come.
-    `held` is a request that waits for a slot; `forced_priority` is the priority of one
-    whose wait expired without a free slot.
+    the handshake, which shows that it took the caller's last packet of it.
+
+    Of the latest request, `request_at` and `data_at` are the times of its first and
+    last data, `gaps` are its missing packets and `has_last_packet` tells whether the
+    packet that ends it has come. `held` is a request that waits for a slot,
+    `forced_priority` the priority of one whose wait expired without a free slot.
 
     Parameters
     ----------
@@ -53,6 +54,7 @@
         "offer_id",
         "phase",
         "phase_at",
+        "request_at",
         "requests",
         "upstream_end",
     )
@@ -69,6 +71,7 @@
         self.caller_end: int | None = None
         self.caller_ack = 0
         self.requests = 0
+        self.request_at = now
         self.data_at = now
         self.gaps: packet_gaps.PacketGaps | None = None
         self.has_last_packet = False
--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.streams import flow_phase
+from limpetreel.streams.actions import histogram_sample
 from limpetreel.streams.serving import packet_gaps
 
 if TYPE_CHECKING:
@@ -73,22 +74,30 @@
         if flow.is_closed:
             self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
 
-    def record_response(self, now: float, flow: owned_flow.OwnedFlow) -> float | None:
-        """Record data of the upstream; return the service time of a request in seconds.
+    def record_response(
+        self, now: float, flow: owned_flow.OwnedFlow
+    ) -> list[histogram_sample.HistogramSample]:
+        """Record data of the upstream; return the times of a request that it answers.
 
-        It is None if the data does not start the response to a request in service.
+        A response to a request that was not in service has no service time.
         """
         if flow.phase not in _REQUEST_PHASES:
-            return None
-        if flow.phase is flow_phase.FlowPhase.RECEIVING:
+            return []
+        if flow.phase is _RECEIVING:
             # The upstream knew the end of the request before the agent did.
-            seconds = None if flow.gaps else now - flow.data_at
+            started_at = None if flow.gaps else flow.data_at
         else:
-            seconds = self._slots.end(now, flow)
-        if seconds is not None:
-            self._capacity.record_service_time(seconds)
+            started_at = self._slots.end(now, flow)
         self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
-        return seconds
+        if started_at is None:
+            return []
+        self._capacity.record_service_time(now - started_at)
+        samples = [_sample("service_seconds", now - started_at)]
+        if started_at > flow.data_at:
+            samples.append(_sample("upstream_wait_seconds", started_at - flow.data_at))
+        if flow.data_at > flow.request_at:
+            samples.append(_sample("transfer_seconds", flow.data_at - flow.request_at))
+        return samples
 
     def record_removed(self, flows: Iterable[owned_flow.OwnedFlow]) -> None:
         """Record flows that have ended."""
@@ -117,7 +126,7 @@
         if flow.phase is flow_phase.FlowPhase.OPENING:
             self._capacity.record_opening_time(now - flow.phase_at)
         if flow.phase not in _REQUEST_PHASES:
-            self._record_start(flow)
+            self._record_start(now, flow)
         if flow.caller_end is not None and flow.caller_end != segment.sequence:
             self._record_gap(flow, flow.caller_end, segment.sequence)
         flow.caller_end = (segment.sequence + segment.size) & _SEQUENCE_MASK
@@ -125,8 +134,9 @@
         flow.data_at = now
         self._update_phase(now, flow)
 
-    def _record_start(self, flow: owned_flow.OwnedFlow) -> None:
+    def _record_start(self, now: float, flow: owned_flow.OwnedFlow) -> None:
         flow.gaps = None
+        flow.request_at = now
         flow.forced_priority = None
         flow.requests += 1
         if flow.requests == 2:  # each flow counts once
@@ -160,3 +170,7 @@
         return True
     ahead = (segment.sequence + segment.size - flow.caller_end) & _SEQUENCE_MASK
     return 0 < ahead < SEQUENCE_WINDOW
+
+
+def _sample(name: str, seconds: float) -> histogram_sample.HistogramSample:
+    return histogram_sample.HistogramSample(name, seconds)
--- a/src/limpetreel/streams/serving/slot_occupancy.py
+++ b/src/limpetreel/streams/serving/slot_occupancy.py
@@ -45,8 +45,8 @@
         Returns
         -------
         float or None
-            Service time in seconds; None if the request was not in service, as when
-            the upstream sheds it.
+            Time at which the request was taken into service; None if it was not, as
+            when the upstream sheds it.
         """
         started_at = self._serving.pop(flow, None)
         if started_at is None:
@@ -57,7 +57,7 @@
             del self._queued[following]
             self._serving[following] = now
         self._record(now)
-        return now - started_at
+        return started_at
 
     def forget(self, flow: owned_flow.OwnedFlow) -> None:
         """Remove a flow that the upstream does not hold any more."""
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -17,7 +17,6 @@
     upstream_state,
 )
 from limpetreel.streams.actions import (
-    histogram_sample,
     log_line,
     send_caller,
     send_node,
@@ -413,9 +412,8 @@
         if segment.is_fin or segment.is_reset:
             flow.has_upstream_fin = True
             flow.has_caller_fin = flow.has_caller_fin or segment.is_reset
-        seconds = self._requests.record_response(now, flow) if segment.size else None
-        if seconds is not None:
-            actions.append(histogram_sample.HistogramSample("service_seconds", seconds))
+        if segment.size:
+            actions += self._requests.record_response(now, flow)
         if flow.is_closed:
             self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
         return actions + self._serve_waiting(now) if len(self._queue) else actions
--- a/tests/streams/serving/test_request_tracker.py
+++ b/tests/streams/serving/test_request_tracker.py
@@ -47,6 +47,12 @@
     agent.tracker.record_caller_packet(now, flow, stream_site.CODEC.from_caller(packet))
 
 
+def respond(agent, now, flow):
+    """Let the upstream answer; return the measured times by name."""
+    samples = agent.tracker.record_response(now, flow)
+    return {s.name.removesuffix("_seconds"): s.seconds for s in samples}
+
+
 def test_request_ends_with_a_packet_that_is_not_full():
     """Guards against slots that uploads hold while they still arrive."""
     agent = make_agent()
@@ -56,7 +62,7 @@
         assert (flow.phase, agent.flows.occupied) == (RECEIVING, 0)
     send(agent, 0.3, flow, 3601, 10)
     assert (flow.phase, agent.flows.occupied) == (WORKING, 1)
-    assert abs(agent.tracker.record_response(0.34, flow) - 0.04) < 1e-9
+    assert abs(respond(agent, 0.34, flow)["service"] - 0.04) < 1e-9
     assert (flow.phase, flow.requests) == (IDLE, 1)
 
 
@@ -72,7 +78,7 @@
     assert flow.phase is RECEIVING
     agent.tracker.end_silent(0.031)
     assert flow.phase is WORKING
-    assert abs(agent.tracker.record_response(0.05, flow) - 0.05) < 1e-9
+    assert abs(respond(agent, 0.05, flow)["service"] - 0.05) < 1e-9
 
 
 def test_request_that_continues_after_a_silence_is_one_request():
@@ -100,7 +106,7 @@
         assert flow.phase is RECEIVING
         send(agent, 0.2, flow, first + 1200)
         assert flow.phase is WORKING
-        assert abs(agent.tracker.record_response(0.25, flow) - 0.05) < 1e-9
+        assert abs(respond(agent, 0.25, flow)["service"] - 0.05) < 1e-9
         send(agent, 0.3, flow, first + 1200)
         assert (flow.phase, flow.requests) == (IDLE, 1)
 
@@ -121,7 +127,19 @@
     first, second, shed = (add_flow(agent, n) for n in range(3))
     for flow in (first, second, shed):
         send(agent, 0.0, flow, 1, 10)
-    assert agent.tracker.record_response(0.001, shed) is None
-    assert abs(agent.tracker.record_response(0.04, first) - 0.04) < 1e-9
-    assert abs(agent.tracker.record_response(0.09, second) - 0.05) < 1e-9
+    assert agent.tracker.record_response(0.001, shed) == []
+    assert abs(respond(agent, 0.04, first)["service"] - 0.04) < 1e-9
+    assert abs(respond(agent, 0.09, second)["service"] - 0.05) < 1e-9
     assert agent.busy.utilisation(0.09) > 0
+
+
+def test_transfer_and_wait_are_measured_apart_from_service():
+    """Guards against a slow caller or a full upstream that looks like slow service."""
+    agent = make_agent(slots=1)
+    first, second = add_flow(agent, 1), add_flow(agent, 2)
+    send(agent, 0.0, first, 1, 10)
+    send(agent, 0.0, second, 1)
+    send(agent, 0.25, second, 1201, 10)
+    assert respond(agent, 0.5, first) == {"service": 0.5}
+    measured = respond(agent, 1.0, second)
+    assert measured == {"service": 0.5, "upstream_wait": 0.25, "transfer": 0.25}
