Report only open flows in verdicts

Cause: a closed flow is kept for 3 s for its last packets and was counted in Verdict.flows, so an upstream of short flows looked as if it held many long ones.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -44,12 +44,18 @@
         self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
         self._occupying: set[owned_flow.OwnedFlow] = set()
         self._receiving: set[owned_flow.OwnedFlow] = set()
+        self._closed: set[owned_flow.OwnedFlow] = set()
         self._swept_at = 0.0
 
     def __len__(self) -> int:
         """Return the number of flows."""
         return len(self._flows)
 
+    @property
+    def open_flows(self) -> int:
+        """Return the number of flows that are not closed at both ends."""
+        return len(self._flows) - len(self._closed)
+
     @property
     def occupied(self) -> int:
         """Return the number of flows that occupy a slot of the upstream."""
@@ -111,12 +117,18 @@
         flow.phase = phase
         flow.phase_at = now
 
+    def close(self, flow: owned_flow.OwnedFlow, now: float) -> None:
+        """Record that both ends have closed a flow; its last packets may follow."""
+        self.move(flow, flow_phase.FlowPhase.IDLE, now)
+        self._closed.add(flow)
+
     def remove(self, key: bytes) -> None:
         """Remove a flow."""
         flow = self._flows.pop(key, None)
         if flow is not None:
             self._occupying.discard(flow)
             self._receiving.discard(flow)
+            self._closed.discard(flow)
             self._slots.forget(flow)
         self._offered.pop(key, None)
 
@@ -127,6 +139,7 @@
         self._offered.clear()
         self._occupying.clear()
         self._receiving.clear()
+        self._closed.clear()
         self._slots.clear()
         return lost
 
--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -72,7 +72,7 @@
             else:
                 self._fill_gap(now, flow, segment)
         if flow.is_closed:
-            self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
+            self._flows.close(flow, now)
 
     def record_response(
         self, now: float, flow: owned_flow.OwnedFlow
--- a/src/limpetreel/streams/serving/verdict_writer.py
+++ b/src/limpetreel/streams/serving/verdict_writer.py
@@ -90,7 +90,7 @@
             int(wait * 1000),
             int(self._capacity.service_seconds * 1000),
             100 * occupied // limit,
-            len(self._flows),
+            self._flows.open_flows,
             self._slots.utilisation(now),
             self._lengths.is_long(flow[owned_flow.ROUTE_BYTES]),
         )
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -415,7 +415,7 @@
         if segment.size:
             actions += self._requests.record_response(now, flow)
         if flow.is_closed:
-            self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
+            self._flows.close(flow, now)
         return actions + self._serve_waiting(now) if len(self._queue) else actions
 
     def _handle_returned(self, now: float, segment: segment.Segment) -> Actions:
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -330,4 +330,11 @@
         "                True\n",
         _HELD + "test_openings_of_equal_priority_wait_as_long_as_requests_do",
     ),
+    (
+        "closed flows count as open",
+        _SOURCE + "flow_set.py",
+        "        self._closed.add(flow)\n",
+        "",
+        _TRACKER + "test_closed_flows_do_not_count_as_open",
+    ),
 ]
--- a/tests/streams/serving/test_request_tracker.py
+++ b/tests/streams/serving/test_request_tracker.py
@@ -143,3 +143,20 @@
     assert respond(agent, 0.5, first) == {"service": 0.5}
     measured = respond(agent, 1.0, second)
     assert measured == {"service": 0.5, "upstream_wait": 0.25, "transfer": 0.25}
+
+
+def test_closed_flows_do_not_count_as_open():
+    """Guards against an upstream of many short flows that looks full of long ones."""
+    agent = make_agent()
+    flow, other = add_flow(agent, 1), add_flow(agent, 2)
+    for key in (flow, other):
+        send(agent, 0.0, key, 1, 10)
+        respond(agent, 0.1, key)
+    reset = stream_site.make_packet(flow.key, stream_site.RST, 11)
+    for _ in range(2):
+        agent.tracker.record_caller_packet(
+            0.2, flow, stream_site.CODEC.from_caller(reset)
+        )
+    assert (len(agent.flows), agent.flows.open_flows) == (2, 1)
+    agent.flows.sweep(9.0, 15.0)
+    assert (len(agent.flows), agent.flows.open_flows) == (1, 1)
