--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -632,4 +632,11 @@
         "        has_announced_for_less = True\n",
         _START + "test_missing_or_contradicting_values_stay_unsure",
     ),
+    (
+        "closed flows count as open",
+        _SOURCE + "flow_set.py",
+        "        self._closed.add(flow)\n",
+        "",
+        _TRACKER + "test_closed_flows_do_not_count_as_open",
+    ),
 ]
