--- a/src/limpetreel/control/control_shell.py
+++ b/src/limpetreel/control/control_shell.py
@@ -71,11 +71,12 @@
         self._peer_codec = peer_codec
         self._operator_codec = operators
         self._telemetry = process_telemetry or telemetry.disabled()
+        self._error: Exception | None = None
+        self._has_failed = asyncio.Event()
 
     async def serve(self, stopped: asyncio.Event) -> None:
         """Answer nodes, operators and other instances until stopped."""
         await self._telemetry.start()
-        self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._nodes = udp_socket.UdpSocket(self._frame, *self._cfg.listen)
         self._peers = peer_links.PeerLinks(
             self._peer_codec, self._peer, self._cfg.peer_listen, self._telemetry.refuse
@@ -86,8 +87,8 @@
             self._cfg.operator_listen,
             self._telemetry.refuse,
         )
-        tasks: list[asyncio.Future[None]] = [
-            self._failed,
+        tasks = [
+            asyncio.create_task(self._raise_error()),
             asyncio.create_task(self._peers.receive()),
             asyncio.create_task(self._operators.serve()),
             asyncio.create_task(self._run_ticks(stopped)),
@@ -105,6 +106,12 @@
         for task in done:
             task.result()
 
+    async def _raise_error(self) -> None:
+        """Raise the error of an event, also of one in a callback of a socket."""
+        await self._has_failed.wait()
+        assert self._error is not None
+        raise self._error
+
     async def _run_ticks(self, stopped: asyncio.Event) -> None:
         while not stopped.is_set():
             self._handle(tick.Tick())
@@ -129,7 +136,7 @@
         self._handle(operator_call.OperatorCall(call_id, body))
 
     def _handle(self, event: msgspec.Struct) -> None:
-        if self._failed.done():
+        if self._error is not None:
             return
         now = time.monotonic()
         try:
@@ -139,7 +146,8 @@
                 self._execute(action)
         except Exception as exc:
             # The log in memory may be ahead of the files, whichever event it was.
-            self._failed.set_exception(exc)
+            self._error = exc
+            self._has_failed.set()
             event_name, detail = type(event).__name__, repr(exc)
             self._telemetry.log(
                 "error", "control.event_failed", event=event_name, detail=detail
