Look at all agents only every 2 s when agents are registered

Cause: the leader went through all agents up to five times a second while reports change, 1 ms each at 4,400 agents. Change: names that are not registered are collected from reports; agents that are gone are looked for every 2 s.

--- a/src/limpetreel/cluster/agent_registry.py
+++ b/src/limpetreel/cluster/agent_registry.py
@@ -45,7 +45,7 @@
         self._held: dict[str, tuple[float, report.Report]] = {}
         self._led_since: float | None = None
         self._next_at = self._check_at = float("-inf")
-        self._seen_change = -1
+        self._unregistered: set[str] = set()
 
     @property
     def is_complete(self) -> bool | None:
@@ -61,6 +61,7 @@
         self._missing.update(n for n in added if n not in self._held)
         self._missing -= {n for n in added if self._directory.knows(n)}
         self._agents = agents
+        self._unregistered -= agents
         return [self._held.pop(n)[1] for n in added if n in self._held]
 
     def admit(self, now: float, new_report: report.Report, has_lease: bool) -> bool:
@@ -71,6 +72,8 @@
         """
         name = new_report.record.name
         self._missing.discard(name)
+        if name not in self._agents:
+            self._unregistered.add(name)
         must_wait = has_lease and self.is_complete is not None
         is_known = name in self._agents or self._directory.is_active(name)
         held_at = self._held[name][0] if name in self._held else now
@@ -110,19 +113,27 @@
         ):
             return None
         self._next_at = now + INTERVAL_SECONDS
-        self._check_at = now + CHECK_SECONDS
-        self._seen_change = self._directory.change
-        ended = self._directory.ended_before(now - ENDED_SECONDS)
-        removed = ended & self._agents
-        if led_seconds >= upstream_directory.REMOVAL_SECONDS:
-            removed |= {n for n in self._agents if not self._directory.knows(n)}
-        reported = {*self._directory.names(), *self._held}
-        added = reported - self._agents - self._directory.ended_before(now)
-        return _change(added, removed, MAX_AGENTS - len(self._agents))
+        self._unregistered = {
+            name
+            for name in self._unregistered
+            if name in self._held or self._directory.is_active(name)
+        }
+        removed: set[str] = set()
+        if now >= self._check_at:
+            self._check_at = now + CHECK_SECONDS
+            removed = self._find_gone(now, led_seconds)
+        return _change(self._unregistered, removed, MAX_AGENTS - len(self._agents))
 
     def _is_due(self, now: float) -> bool:
-        has_news = self._held or self._directory.change != self._seen_change
-        return now >= self._check_at or bool(has_news and now >= self._next_at)
+        has_news = bool(self._unregistered) and now >= self._next_at
+        return has_news or now >= self._check_at
+
+    def _find_gone(self, now: float, led_seconds: float) -> set[str]:
+        """Return registered agents that have no flows any more."""
+        gone = self._directory.ended_before(now - ENDED_SECONDS) & self._agents
+        if led_seconds >= upstream_directory.REMOVAL_SECONDS:
+            gone |= {n for n in self._agents if not self._directory.knows(n)}
+        return gone
 
 
 def _change(
--- a/src/limpetreel/cluster/upstream_directory.py
+++ b/src/limpetreel/cluster/upstream_directory.py
@@ -8,8 +8,6 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from limpetreel.cluster import upstream_record
     from limpetreel.cluster.messages import report
 
@@ -73,10 +71,6 @@
         self._mark_changed(existing)
         return True
 
-    def names(self) -> Iterable[str]:
-        """Return the names of all agents."""
-        return self._upstreams.keys()
-
     def knows(self, name: str) -> bool:
         """Return whether an agent has reported and has not been removed."""
         return name in self._upstreams
