--- a/src/limpetreel/cluster/fleet_view.py
+++ b/src/limpetreel/cluster/fleet_view.py
@@ -22,8 +22,8 @@
     upstreams : tuple of UpstreamRecord
         Known upstreams.
     is_list_current : bool
-        Whether a control instance with a lease has sent the list for long enough that
-        it names every upstream that has flows.
+        Whether a control instance with a lease has sent the list, and it names every
+        upstream that has flows; see `list_clock`.
     """
 
     revision: int = 0
