Test the preference for local upstreams, and find the fault of long flows again

A new test bounds flows that leave a quiet data centre, and flows that are refused while another one has slots.

--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -216,7 +216,7 @@
         _PLACEMENT + "service_pool.py",
         "self._long_cost if is_long else self._short_cost\n",
         "self._short_cost\n",
-        _LONG + "test_uneven_upstreams_get_long_flows_by_their_speed",
+        _LONG + "test_long_flows_go_to_upstreams_with_low_utilisation",
     ),
     (
         "reported utilisation is ignored",
@@ -281,6 +281,20 @@
         "0\n",
         _OFFERS + "test_refusals_are_counted_by_reason_and_service",
     ),
+    (
+        "local upstreams are not preferred",
+        _PLACEMENT + "candidates.py",
+        "cost = OTHER_DATA_CENTRE_SECONDS if is_other else 0.0\n",
+        "cost = 0.0\n",
+        _OFFERS + "test_local_upstreams_are_preferred_until_they_are_busy",
+    ),
+    (
+        "capacity of upstreams counts neither in draws nor in costs",
+        _PLACEMENT + "agent_hint.py",
+        "        self.weight = self.slots / seconds\n",
+        "        self.weight = 20.0 * self.slots\n",
+        _LONG + "test_uneven_upstreams_get_long_flows_by_their_speed",
+    ),
     (
         "all placements of a burst are logged",
         _PLACEMENT + "line_sample.py",
--- a/tests/streams/placement/entry_driver.py
+++ b/tests/streams/placement/entry_driver.py
@@ -26,12 +26,15 @@
         Slots of each upstream.
     configuration : Configuration or None
         Configuration in force, that of `stream_site` by default.
+    zones : dict or None
+        Data centres of agents that are not in that of the entry, by name.
     """
 
-    def __init__(self, names=(), slots=2, configuration=None):
+    def __init__(self, names=(), slots=2, configuration=None, zones=None):
         self.core = stream_entry_core.StreamEntryCore(stream_site.CODEC, "zone-a", 1)
         self.cfg = configuration or stream_site.make_configuration()
         self.slots = slots
+        self.zones = zones or {}
         self.answers = lambda message: None
         self.offers = []
         self.lines = []
@@ -51,7 +54,7 @@
                 n,
                 n,
                 PORT,
-                "zone-a",
+                self.zones.get(n, "zone-a"),
                 next((s for s in services if n.startswith(s)), stream_site.SERVICE),
                 True,
                 self.slots,
--- a/tests/streams/placement/test_offers.py
+++ b/tests/streams/placement/test_offers.py
@@ -128,3 +128,33 @@
         ("none_usable", stream_site.SERVICE): 1,
         ("no_route", ""): 1,
     }
+
+
+def test_local_upstreams_are_preferred_until_they_are_busy():
+    """Guards against traffic between data centres that are both quiet.
+
+    Four of sixteen upstreams are local, so most random draws would miss them.
+    """
+    names = [f"side-{i}" for i in range(16)]
+    entry = entry_driver.EntryDriver(names, zones=dict.fromkeys(names[4:], "zone-b"))
+    entry.answers = lambda message: verdict.Verdict(
+        message.offer_id, outcome.Outcome.ACCEPTED, 0, 50, 10
+    )
+    for i in range(100):
+        entry.open(1.0 + i / 50)
+    local = [name for name, _ in entry.offers if name in names[:4]]
+    assert len(local) >= 95
+    entry.answers = lambda message: _busy_at_home(message, entry, names[:4])
+    before = len(entry.offers)
+    for i in range(100):
+        entry.open(3.0 + i / 50)
+    assert entry.resets == 0
+    away = [name for name, _ in entry.offers[before:] if name in names[4:]]
+    assert len(away) == 100
+
+
+def _busy_at_home(message, entry, local):
+    """Refuse flows at local agents and accept them at the others."""
+    if entry.offers[-1][0] in local:
+        return verdict.Verdict(message.offer_id, outcome.Outcome.BUSY, 80, 50, 120)
+    return verdict.Verdict(message.offer_id, outcome.Outcome.ACCEPTED, 0, 50, 20)
