--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -101,8 +101,9 @@
     (
         "sign-off of an earlier start is applied",
         _SOURCE + "upstream_state.py",
+        'belongs to the current start."""\n'
         "        if self.status is None or self.status.instance_id != instance_id:\n",
-        "        if self.status is None:\n",
+        'belongs to the current start."""\n        if self.status is None:\n',
         _UPSTREAM + "test_sign_off_of_another_start_is_ignored",
     ),
     (
