Keep flows that occupy slots in the order of their events

Cause: sets of flows are ordered by memory address, and the order in which stalled or silent flows are handled decides which request counts as in service, so equal events could lead to unequal decisions. Change: FlowSet keeps occupying and receiving flows in dictionaries. 78 tests of tests.streams pass.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -7,7 +7,7 @@
 from limpetreel.streams import flow_phase, owned_flow
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Set
+    from collections.abc import Iterator, Mapping
 
     from limpetreel.streams.serving import slot_occupancy
 
@@ -42,8 +42,9 @@
         self._slots = slots
         self._flows: dict[bytes, owned_flow.OwnedFlow] = {}
         self._offered: dict[bytes, owned_flow.OwnedFlow] = {}
-        self._occupying: set[owned_flow.OwnedFlow] = set()
-        self._receiving: set[owned_flow.OwnedFlow] = set()
+        # Ordered, so that the same events lead to the same decisions.
+        self._occupying: dict[owned_flow.OwnedFlow, None] = {}
+        self._receiving: dict[owned_flow.OwnedFlow, None] = {}
         self._closed: set[owned_flow.OwnedFlow] = set()
         self._swept_at = 0.0
 
@@ -71,7 +72,7 @@
         return (f for f in self._occupying if f.forced_priority is not None)
 
     @property
-    def receiving(self) -> Set[owned_flow.OwnedFlow]:
+    def receiving(self) -> Mapping[owned_flow.OwnedFlow, None]:
         """Return the flows whose request is still arriving."""
         return self._receiving
 
@@ -91,7 +92,7 @@
         flow = owned_flow.OwnedFlow(key, now, phase)
         self._flows[key] = flow
         if phase in _OCCUPYING:
-            self._occupying.add(flow)
+            self._occupying[flow] = None
         if phase is flow_phase.FlowPhase.OFFERED:
             self._offered[key] = flow
         return flow
@@ -107,13 +108,13 @@
         elif before is _WORKING:
             self._slots.end(now, flow)
         if phase in _OCCUPYING:
-            self._occupying.add(flow)
+            self._occupying[flow] = None
         else:
-            self._occupying.discard(flow)
+            self._occupying.pop(flow, None)
         if phase is _RECEIVING:
-            self._receiving.add(flow)
+            self._receiving[flow] = None
         elif before is _RECEIVING:
-            self._receiving.discard(flow)
+            self._receiving.pop(flow, None)
         flow.phase = phase
         flow.phase_at = now
 
@@ -126,8 +127,8 @@
         """Remove a flow."""
         flow = self._flows.pop(key, None)
         if flow is not None:
-            self._occupying.discard(flow)
-            self._receiving.discard(flow)
+            self._occupying.pop(flow, None)
+            self._receiving.pop(flow, None)
             self._closed.discard(flow)
             self._slots.forget(flow)
         self._offered.pop(key, None)
