Hold no request for longer than half a second

Cause: on routes whose latency target is several seconds, a quarter of it would leave packets of a caller unacknowledged for that long, with a copy after 0.2 and 0.6 s and then more. Change: the hold ends after 0.5 s at the latest.

--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -18,6 +18,9 @@
 """Time of a long request at the upstream as a multiple of the mean; few take longer."""
 HOLD_DIVISOR = 4
 """Part of the latency target for which a request may be held."""
+MAX_HOLD_SECONDS = 0.5
+"""Longest hold on routes whose latency target is seconds. Held packets are not
+acknowledged, and the caller's second copy follows after 0.6 s."""
 TICK_SECONDS = 0.02
 """Interval at which expired waits are found; a request is held for this much less."""
 QUEUED_PER_SLOT = 4
@@ -187,4 +190,5 @@
 
 def hold_seconds(matched_route: route.Route) -> float:
     """Return how long a request on an open flow may be held."""
-    return matched_route.answer_ms / 1000 / HOLD_DIVISOR - TICK_SECONDS
+    seconds = matched_route.answer_ms / 1000 / HOLD_DIVISOR - TICK_SECONDS
+    return min(MAX_HOLD_SECONDS, seconds)
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -330,6 +330,13 @@
         "                True\n",
         _HELD + "test_openings_of_equal_priority_wait_as_long_as_requests_do",
     ),
+    (
+        "requests are held for seconds on routes of slow requests",
+        _SOURCE + "serving/flow_admission.py",
+        "    return min(MAX_HOLD_SECONDS, seconds)\n",
+        "    return seconds\n",
+        _HELD + "test_requests_of_slow_routes_are_held_for_a_short_time",
+    ),
     (
         "closed flows count as open",
         _SOURCE + "flow_set.py",
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -211,6 +211,19 @@
     assert not agent.core.needs_tick_soon
 
 
+def test_requests_of_slow_routes_are_held_for_a_short_time():
+    """Guards against packets that stay unacknowledged for seconds."""
+    slow = dataclasses.replace(load_site.FEEDS, answer_ms=12_000, timeout_ms=16_000)
+    agent = Agent((slow,))
+    flow = agent.open(agent.flow(1))
+    make_busy(agent)
+    agent.send(flow, 101)
+    agent.wait(0.4)
+    assert agent.take() == []
+    agent.wait(0.14)
+    assert agent.take() == [(flow, 101)]
+
+
 def test_caller_that_leaves_discards_what_is_held():
     """Guards against requests that run although their caller has left."""
     for flags in (stream_site.FIN, stream_site.RST):
