Give up requests that stop halfway after the longest time limit

Cause: a caller that vanishes while a packet of its request is missing left the flow RECEIVING until the idle time-out, and for ever without one; 64 of these use up the bound.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -172,9 +172,10 @@
         opening_seconds : float
             Time after which a flow without a request no longer occupies a slot.
         working_seconds : float
-            Time after which an unanswered request no longer occupies a slot.
+            Time after which an unanswered request no longer occupies a slot, and after
+            which the rest of one that stopped halfway is no longer awaited.
         """
-        for flow in list(self._occupying):
+        for flow in [*self._occupying, *self._receiving]:
             if _is_stalled(flow, now, opening_seconds, working_seconds):
                 self.move(flow, flow_phase.FlowPhase.IDLE, now)
 
@@ -208,6 +209,8 @@
     opening_seconds: float,
     working_seconds: float,
 ) -> bool:
+    if flow.phase is _RECEIVING:
+        return now - flow.data_at > working_seconds
     if flow.phase is flow_phase.FlowPhase.OPENING:
         return now - flow.phase_at > opening_seconds
     is_working = flow.phase is flow_phase.FlowPhase.WORKING
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -337,6 +337,13 @@
         "    return seconds\n",
         _HELD + "test_requests_of_slow_routes_are_held_for_a_short_time",
     ),
+    (
+        "rest of a request is awaited for ever",
+        _SOURCE + "flow_set.py",
+        "[*self._occupying, *self._receiving]",
+        "list(self._occupying)",
+        _TRACKER + "test_request_that_stops_halfway_is_given_up",
+    ),
     (
         "closed flows count as open",
         _SOURCE + "flow_set.py",
--- a/tests/streams/serving/test_request_tracker.py
+++ b/tests/streams/serving/test_request_tracker.py
@@ -145,6 +145,18 @@
     assert measured == {"service": 0.5, "upstream_wait": 0.25, "transfer": 0.25}
 
 
+def test_request_that_stops_halfway_is_given_up():
+    """Guards against callers that vanish and use up the bound on receiving flows."""
+    agent = make_agent()
+    flow = add_flow(agent)
+    send(agent, 0.0, flow, 1)
+    send(agent, 0.1, flow, 2401)
+    for now, phase in ((8.0, RECEIVING), (8.7, IDLE)):
+        agent.tracker.end_silent(now)
+        agent.flows.release_stalled(now, 0.15, 8.5)
+        assert flow.phase is phase
+
+
 def test_closed_flows_do_not_count_as_open():
     """Guards against an upstream of many short flows that looks full of long ones."""
     agent = make_agent()
