--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -647,6 +647,20 @@
         "        has_announced_for_less = True\n",
         _START + "test_missing_or_contradicting_values_stay_unsure",
     ),
+    (
+        "requests are held for seconds on routes of slow requests",
+        _SOURCE + "serving/flow_admission.py",
+        "    return min(MAX_HOLD_SECONDS, seconds)\n",
+        "    return seconds\n",
+        _HELD + "test_requests_of_slow_routes_are_held_for_a_short_time",
+    ),
+    (
+        "rest of a request is awaited for ever",
+        _SOURCE + "flow_set.py",
+        "[*self._occupying, *self._receiving]",
+        "list(self._occupying)",
+        _TRACKER + "test_request_that_stops_halfway_is_given_up",
+    ),
     (
         "closed flows count as open",
         _SOURCE + "flow_set.py",
