Ask agents that become known during a search together

Cause: after a common restart each agent that became known formed a group of its own, asked 0.05 s after the one before, and a search ended after 2 s, before the list was complete. Its flow then waited for the caller's next packet.

Change: agents that become known later join the group that is asked next. A search whose agents are all unsure, or have denied the flow, goes on for up to 4 s while the list may be incomplete.

--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -189,9 +189,7 @@
             if flow.denied_at is None:
                 # An agent has become known meanwhile.
                 del self._denied[flow.flow]
-            elif not self.is_list_current:
-                flow.await_list()
-            elif now - flow.denied_at >= CONFIRM_SECONDS:
+            elif self.is_list_current and now - flow.denied_at >= CONFIRM_SECONDS:
                 self._remove(flow.flow)
                 denied.append(flow)
         return denied
@@ -203,6 +201,8 @@
         for asked in self._questions.take_unapplied():
             actions += self._apply_denials(now, asked)
         for flow in list(self._flows.values()):
+            if not self.is_list_current and not flow.awaits_sure_agent:
+                flow.await_list()
             if now > flow.ends_at:
                 self._remove(flow.flow)
                 expired.append(flow)
--- a/src/limpetreel/streams/ownership/sought_flow.py
+++ b/src/limpetreel/streams/ownership/sought_flow.py
@@ -129,6 +129,7 @@
     def add_agents(self, known: Iterable[tuple[Address, ...]]) -> bool:
         """Add groups of agents that may own the flow; return whether any is new."""
         is_changed = False
+        is_later = bool(self.seen)
         for group in known:
             if self.seen.issuperset(group):
                 continue
@@ -136,7 +137,11 @@
                 group = tuple(agent for agent in group if agent not in self.seen)
             self.seen.update(group)
             self.remaining.update(dict.fromkeys(group))
-            self.groups.append(group)
+            if is_later and self.groups:
+                # Agents that become known one by one are asked together.
+                self.groups[-1] += group
+            else:
+                self.groups.append(group)
             is_changed = True
         if is_changed:
             self.denied_at = None
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -123,8 +123,8 @@
     (
         "entry resets flows without a complete list of agents",
         _SOURCE + "ownership/owner_search.py",
-        "            elif not self.is_list_current:\n",
-        "            elif False:\n",
+        "            elif self.is_list_current and now - flow.denied_at",
+        "            elif now - flow.denied_at",
         _ENDED + "test_flow_is_not_reset_while_the_list_of_agents_may_be_incomplete",
     ),
     (
@@ -242,6 +242,14 @@
         "tests.streams.ownership.test_known_agents."
         "test_flows_of_other_data_centres_are_found_as_well",
     ),
+    (
+        "agents that become known one by one are asked one by one",
+        _OWNER + "sought_flow.py",
+        "            if is_later and self.groups:\n",
+        "            if False:\n",
+        "tests.streams.ownership.test_known_agents."
+        "test_flows_are_found_once_the_list_is_complete_after_a_common_restart",
+    ),
     (
         "start of the upstream is not compared with the agent's",
         _OWNER + "upstream_start.py",
--- a/tests/streams/ownership/test_known_agents.py
+++ b/tests/streams/ownership/test_known_agents.py
@@ -44,3 +44,33 @@
     test_ended_flows.send_again(site, callers, 0.5)
     assert all(c.request.answered_at is not None for c in callers)
     assert not any(c.request.refused for c in callers)
+
+
+def test_flows_are_found_once_the_list_is_complete_after_a_common_restart():
+    """Guards against agents that are asked one after another as they become known.
+
+    All processes have restarted while the upstreams run, so no agent is sure.
+    """
+    site = faulty_site.make_site(63, upstreams=UPSTREAMS, entries=4)
+    callers = test_ended_flows.open_flows(site, FLOWS)
+    owners = faulty_site.owners(site, callers)
+    site.is_list_current = False
+    site.unlisted = set(site.names)
+    faulty_site.restart_entries(site)
+    faulty_site.restart_agents(site, site.names)
+    for i, name in enumerate(site.names):
+        site.after(0.3 + 0.005 * i, lambda at, name=name: list_agent(site, name))
+    test_ended_flows.send_again(site, callers, 1.0)
+    test_ended_flows.listen(site, callers)
+    site.is_list_current = True
+    site.update_all()
+    site.run(site.now + 0.2)
+    assert all(c.request.answered_at is not None for c in callers)
+    assert not any(c.request.refused for c in callers)
+    assert not site.misdirected(owners)
+
+
+def list_agent(site, name):
+    """Let nodes know of an agent."""
+    site.unlisted.discard(name)
+    site.update_all()
