Ask agents of other services before a flow is reset

Cause: an entry searches for a flow at the services that its route names now.

Change: a flow that all agents of the route's services have denied is asked for at the agents of other services before it is reset, if there are at most 64. In the new test all flows are answered and none is reset. Sites with one service send no more messages.

--- a/src/limpetreel/streams/ownership/known_agents.py
+++ b/src/limpetreel/streams/ownership/known_agents.py
@@ -15,6 +15,9 @@
 MIN_AGENTS = 12
 """Agents from which on those of the local data centre are asked first. With fewer ones
 the messages that it saves are not worth the wait."""
+MAX_OTHER_AGENTS = 64
+"""Agents of other services that are asked before a flow is reset. On sites with more of
+them the messages would cost too much."""
 
 
 class KnownAgents:
@@ -33,11 +36,13 @@
         self._data_centre = data_centre
         self._by_service: dict[str, list[upstream_record.UpstreamRecord]] = {}
         self._groups: dict[tuple[str, ...], Groups] = {}
+        self._others: dict[tuple[str, ...], Groups] = {}
 
     def update(self, records: Iterable[upstream_record.UpstreamRecord]) -> None:
         """Replace the list of upstreams."""
         self._by_service = {}
         self._groups = {}
+        self._others = {}
         for record in records:
             if not record.has_ended:
                 self._by_service.setdefault(record.service, []).append(record)
@@ -49,6 +54,22 @@
             groups = self._groups[services] = self._divide(services)
         return groups
 
+    def others(self, services: tuple[str, ...]) -> Groups:
+        """Return agents of other services, which the route may have named before."""
+        groups = self._others.get(services)
+        if groups is None:
+            groups = self._others[services] = self._collect_others(services)
+        return groups
+
+    def _collect_others(self, services: tuple[str, ...]) -> Groups:
+        agents = [
+            (record.host, record.port)
+            for service, records in self._by_service.items()
+            if service not in services
+            for record in records
+        ]
+        return [tuple(agents)] if 0 < len(agents) <= MAX_OTHER_AGENTS else []
+
     def _divide(self, services: tuple[str, ...]) -> Groups:
         records = [r for s in services for r in self._by_service.get(s, ())]
         near = [r for r in records if r.data_centre == self._data_centre]
--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -173,6 +173,7 @@
                 continue
             flow.deny(now, agents)
             if flow.denied_at is not None:
+                self._add_others(flow)
                 self._denied[flow.flow] = flow
             elif flow.unsure:
                 actions += self._probe(now, flow)
@@ -189,6 +190,8 @@
             if flow.denied_at is None:
                 # An agent has become known meanwhile.
                 del self._denied[flow.flow]
+            elif self._add_others(flow):
+                continue
             elif self.is_list_current and now - flow.denied_at >= CONFIRM_SECONDS:
                 self._remove(flow.flow)
                 denied.append(flow)
@@ -215,6 +218,13 @@
         self._questions.sweep(now)
         return expired, actions + self._ask_due(now)
 
+    def _add_others(self, flow: sought_flow.SoughtFlow) -> bool:
+        """Ask agents of services that an earlier configuration may have routed to."""
+        is_changed = flow.add_agents(self._known.others(flow.services))
+        if is_changed:
+            self._due[flow.flow] = flow
+        return is_changed
+
     def _remove(self, key: bytes) -> sought_flow.SoughtFlow | None:
         self._due.pop(key, None)
         self._denied.pop(key, None)
--- a/tests/streams/faulty_site.py
+++ b/tests/streams/faulty_site.py
@@ -7,10 +7,11 @@
 from limpetreel.streams.events import node_datagram, upstream_announced
 from limpetreel.streams.messages import stream_codec
 from limpetreel.streams.ownership import process_start
-from tests.streams import stream_site, test_ended_flows
+from tests.streams import stream_site
 
 WINDOW_SECONDS = 2.0
 MAX_MISDIRECTED = 2
+SETTLED_SECONDS = 0.2
 COLD_SECONDS = 2.0
 """Time for which an upstream is cold in the configuration of the site."""
 UNIX_MS = 1_700_000_000_000
@@ -29,6 +30,7 @@
         self.arrivals = []
         self.started_at = {}
         self.data_centres = {}
+        self.services = {}
         self.unlisted = set()
         self.created_at = {}
         self.delay = lambda source, target, message: stream_site.LINK_SECONDS
@@ -39,7 +41,9 @@
         event = super().fleet_update()
         records = tuple(
             stream_site.replace(
-                record, data_centre=self.data_centres.get(record.name, "zone-a")
+                record,
+                data_centre=self.data_centres.get(record.name, "zone-a"),
+                service=self.services.get(record.name, record.service),
             )
             for record in event.view.upstreams
             if record.name not in self.unlisted
@@ -127,7 +131,7 @@
     site = FaultySite(seed, [0.005] * upstreams, slots=8, entries=entries)
     site.is_list_current = True
     site.update_all()
-    site.run(test_ended_flows.SETTLED_SECONDS)
+    site.run(SETTLED_SECONDS)
     return site
 
 
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -250,6 +250,13 @@
         "tests.streams.ownership.test_known_agents."
         "test_flows_are_found_once_the_list_is_complete_after_a_common_restart",
     ),
+    (
+        "agents of other services are not asked before a reset",
+        _OWNER + "known_agents.py",
+        "if 0 < len(agents) <= MAX_OTHER_AGENTS else []",
+        "if False else []",
+        _ENDED + "test_flow_of_a_service_that_its_route_has_lost_is_not_reset",
+    ),
     (
         "start of the upstream is not compared with the agent's",
         _OWNER + "upstream_start.py",
--- a/tests/streams/test_ended_flows.py
+++ b/tests/streams/test_ended_flows.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+from limpetreel.configuration import weighted_service
 from limpetreel.streams.actions import send_caller
 from limpetreel.streams.events import agent_leaving, upstream_departed, upstream_ended
 from tests import fixtures
-from tests.streams import stream_site
+from tests.streams import faulty_site, stream_site
 
 load_tests = fixtures.load_functions(globals())
 
@@ -185,6 +186,24 @@
     assert all(c.request.refused == 1 for c in callers)
 
 
+def test_flow_of_a_service_that_its_route_has_lost_is_not_reset():
+    """Guards against a reset for a flow that an earlier configuration placed.
+
+    The entries have restarted, and know the latest configuration only.
+    """
+    site = faulty_site.make_site(34)
+    callers = open_flows(site, 20)
+    weighted = weighted_service.WeightedService("other", 1)
+    route = stream_site.replace(site.cfg.routes[0], services=(weighted,))
+    site.cfg = stream_site.replace(site.cfg, version=2, routes=(route,))
+    site.services = {"agent-5": "other"}
+    site.update_all()
+    faulty_site.restart_entries(site)
+    send_again(site, callers)
+    assert not any(c.request.refused for c in callers)
+    assert all(c.request.answered_at is not None for c in callers)
+
+
 def test_restarted_agents_do_not_deny_flows_that_their_upstreams_hold():
     """Guards against agents that answer for an upstream that they have not asked."""
     site = make_site(27)
