Place the next upload as soon as the last one has left the link

Cause: an opening that waited was placed at the next tick, up to 20 ms after the link was free. Change: the last packet of a transfer places the next one.

--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -144,14 +144,15 @@
             return self._open(now, segment)
         if segment.is_open_reply:
             return self._drop("forged handshake")
+        actions: Actions = []
         if segment.size:
-            self._transfers.record_data(now, segment.flow, segment.size)
+            actions = self._transfers.record_data(now, segment.flow, segment.size)
         owner = self._owners.get(segment.flow)
         if owner is None:
-            return self._find_owner(now, segment)
+            return actions + self._find_owner(now, segment)
         owner.last_at = now
         message = stream_codec.encode(carry.Carry(data))
-        return [send_node.SendNode(owner.address, message)]
+        return [*actions, send_node.SendNode(owner.address, message)]
 
     def _drop(self, reason: str) -> Actions:
         self.dropped[reason] = self.dropped.get(reason, 0) + 1
--- a/src/limpetreel/streams/transfers/transfer_admission.py
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -64,15 +64,23 @@
         self._limit.wait(now, segment, answer_seconds)
         return []
 
-    def record_data(self, now: float, flow: bytes, size: int) -> None:
-        """Record a packet with data of a caller."""
-        self._limit.record_data(now, flow, size)
+    def record_data(self, now: float, flow: bytes, size: int) -> Actions:
+        """Record a packet with data; place the next flow if it is the last of its request.
+
+        The link would be idle until the next tick otherwise.
+        """
+        has_ended = self._limit.record_data(now, flow, size)
+        return self._start_waiting(now) if has_ended and len(self._limit) else []
 
     def tick(self, now: float) -> Actions:
         """Place the flows for which there is room, and refuse those that came late."""
         actions: Actions = []
         for waiting in self._limit.take_expired(now):
             actions += self._refuse(now, waiting.segment, waiting.arrived_at)
+        return actions + self._start_waiting(now)
+
+    def _start_waiting(self, now: float) -> Actions:
+        actions: Actions = []
         for waiting in self._limit.take_startable(now):
             seconds = now - waiting.arrived_at
             actions.append(
--- a/src/limpetreel/streams/transfers/transfer_limit.py
+++ b/src/limpetreel/streams/transfers/transfer_limit.py
@@ -88,8 +88,8 @@
             now, expires_at, packet
         )
 
-    def record_data(self, now: float, flow: bytes, size: int) -> None:
-        """Record a packet with data of a caller.
+    def record_data(self, now: float, flow: bytes, size: int) -> bool:
+        """Record a packet with data of a caller; return whether it ends a transfer.
 
         A full packet shows a transfer, also of a flow that was opened through another
         entry; a packet that is not full ends it.
@@ -97,10 +97,13 @@
         if size >= FULL_PACKET_BYTES:
             self._active_until[flow] = now + ACTIVE_SECONDS
             self._began_at.setdefault(flow, now)
-        elif flow in self._active_until:
-            seconds = now - self._began_at.get(flow, now)
-            self._mean_seconds += WEIGHT * (seconds - self._mean_seconds)
-            self.end(flow)
+            return False
+        if flow not in self._active_until:
+            return False
+        seconds = now - self._began_at.get(flow, now)
+        self._mean_seconds += WEIGHT * (seconds - self._mean_seconds)
+        self.end(flow)
+        return True
 
     def end(self, flow: bytes) -> None:
         """Stop counting a transfer, for example since its flow was refused."""
