--- a/src/limpetreel/streams/transfers/transfer_admission.py
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -65,7 +65,7 @@
         return []
 
     def record_data(self, now: float, flow: bytes, size: int) -> Actions:
-        """Record a packet with data; place the next flow if it is the last of its request.
+        """Record a packet with data; place the next flow if it ends a transfer.
 
         The link would be idle until the next tick otherwise.
         """
