Count both ways of a transfer on a link, and each transfer once

Cause: packets of an upload arrive and leave on one link of 2.2 Mbit/s; transfers took 0.3 to 0.5 s there, twice what one direction takes. Change: a window counts twice; full packets within 2 s of an end are copies.

--- a/src/limpetreel/streams/transfers/transfer_limit.py
+++ b/src/limpetreel/streams/transfers/transfer_limit.py
@@ -11,14 +11,18 @@
 
 FULL_PACKET_BYTES = 1200
 """Most data in one packet; a request goes on after a packet with as much."""
-WINDOW_BYTES = 16 * 1260
-"""Bytes on the link that one caller sends before it awaits an acknowledgement."""
+WINDOW_BYTES = 2 * 16 * 1260
+"""Bytes on the link for what one caller sends before it awaits an acknowledgement; each
+packet arrives and is forwarded on the same link."""
 MAX_QUEUE_SECONDS = 0.1
 """Longest queue on the link that full windows may cause. Callers retransmit after
 0.2 s, and with a longer queue their copies fill the link in place of new data."""
 ACTIVE_SECONDS = 0.25
 """Time after the last packet of a transfer, or after its opening, for which it counts
 as active; somewhat longer than a caller waits before its first retransmission."""
+ENDED_SECONDS = 2.0
+"""Time after the end of a transfer in which full packets of its flow count as copies;
+the interval of retransmission grows up to 1.6 s."""
 INITIAL_TRANSFER_SECONDS = 0.2
 """Assumed duration of a transfer until the first one has ended."""
 WEIGHT = 0.1
@@ -43,6 +47,7 @@
         self._mean_seconds = INITIAL_TRANSFER_SECONDS
         self._active_until: dict[bytes, float] = {}
         self._began_at: dict[bytes, float] = {}
+        self._ended_at: dict[bytes, float] = {}
         self._waiting: dict[bytes, waiting_opening.WaitingOpening] = {}
 
     def __len__(self) -> int:
@@ -95,13 +100,16 @@
         entry; a packet that is not full ends it.
         """
         if size >= FULL_PACKET_BYTES:
-            self._active_until[flow] = now + ACTIVE_SECONDS
-            self._began_at.setdefault(flow, now)
+            if now - self._ended_at.get(flow, float("-inf")) > ENDED_SECONDS:
+                self._active_until[flow] = now + ACTIVE_SECONDS
+                self._began_at.setdefault(flow, now)
             return False
         if flow not in self._active_until:
             return False
         seconds = now - self._began_at.get(flow, now)
         self._mean_seconds += WEIGHT * (seconds - self._mean_seconds)
+        self._forget_ended(now)
+        self._ended_at[flow] = now
         self.end(flow)
         return True
 
@@ -131,6 +139,13 @@
         for flow in [k for k, until in self._active_until.items() if until <= now]:
             self.end(flow)
 
+    def _forget_ended(self, now: float) -> None:
+        while self._ended_at:
+            flow, at = next(iter(self._ended_at.items()))
+            if now - at <= ENDED_SECONDS:
+                return
+            del self._ended_at[flow]
+
     def _start(self, now: float, flow: bytes) -> None:
         self._active_until[flow] = now + ACTIVE_SECONDS
 
