--- a/src/limpetreel/cluster/list_clock.py
+++ b/src/limpetreel/cluster/list_clock.py
@@ -6,10 +6,10 @@
 """Time after which a control instance with a lease has heard of all upstreams, even if
 it has just started: agents leave one without a lease within 1.5 s. Applies where the
 instance does not know which agents have to report."""
-MISSING_SECONDS = 8.0
-"""Time after which a registered agent that has not reported is no longer waited for. A
-machine takes a second to start a process, and callers of an agent that stays away are
-better reset than left to their time limits."""
+MISSING_SECONDS = 2.0
+"""Time after which a registered agent that has not reported is no longer waited for. With
+8 s, callers of long flows that had ended ran into their time limits for 8 s after a loss
+of power, since an upstream had been lost for good shortly before."""
 
 
 class ListClock:
