Place a flow whose acceptance arrives late

After 80 ms without an answer the entry offers a flow elsewhere, and ignored the answer to the earlier offer. If the first agent had opened the flow by then, the entry went on to offer it and could refuse it: a reset of an open flow. Packets of the caller went to the wrong owner first.

Unanswered offers are remembered while the flow is being placed, and an ACCEPTED to one of them places it. A held flow gets a new identifier, so that a copy of an answer is not taken for a second one.

--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -77,6 +77,7 @@
         self._record_owner = record_owner
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
+        self._unanswered: dict[int, pending_offer.PendingOffer] = {}
         self._long_routes = long_routes.LongRoutes()
         self.lines = placement_lines.PlacementLines()
         self._routes: route_table.RouteTable | None = None
@@ -128,8 +129,7 @@
             service,
             matched_route.answer_ms / 1000,
         )
-        self._next_id += 1
-        pending.offer_id = self._next_id
+        self._renumber(pending)
         self._by_flow[segment.flow] = pending
         if owner:
             return self._offer(now, pending, owner)
@@ -140,6 +140,7 @@
         if name:
             return self._offer(now, pending, name)
         if self._may_hold(now, pending):
+            self._renumber(pending)
             self._pending[pending.offer_id] = pending
             pending.retry_at = now + HOLD_STEP_SECONDS
             return []
@@ -173,9 +174,7 @@
     def _offer(
         self, now: float, pending: pending_offer.PendingOffer, name: str
     ) -> Actions:
-        self._pending.pop(pending.offer_id, None)
-        self._next_id += 1
-        pending.offer_id = self._next_id
+        self._renumber(pending)
         pending.asked_at = now
         pending.target = name
         pending.is_queued = False
@@ -190,6 +189,12 @@
         address = self._candidates.address(name)
         return [send_node.SendNode(address, stream_codec.encode(message))]
 
+    def _renumber(self, pending: pending_offer.PendingOffer) -> None:
+        """Give a flow a new identifier, which answers to earlier offers lack."""
+        self._pending.pop(pending.offer_id, None)
+        self._next_id += 1
+        pending.offer_id = self._next_id
+
     def handle_verdict(
         self, now: float, source: Address, message: verdict.Verdict
     ) -> Actions:
@@ -212,7 +217,7 @@
     ) -> Actions:
         pending = self._pending.get(message.offer_id)
         if pending is None:
-            return []
+            return self._apply_late_answer(now, source, message)
         self._end_offer(pending)
         result = outcome.Outcome(message.outcome)
         self._count(result.name)
@@ -228,6 +233,22 @@
             self._record_busy(now, pending)
         return self._offer_next(now, pending)
 
+    def _apply_late_answer(
+        self, now: float, source: Address, message: verdict.Verdict
+    ) -> Actions:
+        """Place a flow that an agent accepted after it was offered elsewhere.
+
+        The caller may have completed the handshake, so a reset would be wrong.
+        """
+        pending = self._unanswered.get(message.offer_id)
+        if pending is None or message.outcome is not outcome.Outcome.ACCEPTED:
+            return []
+        if not pending.retry_at:
+            self._end_offer(pending)
+        self._count("LATE")
+        pending.target = self._candidates.name_at(source)
+        return self._place(now, pending, source)
+
     def _end_offer(self, pending: pending_offer.PendingOffer) -> None:
         """Count the offer as answered; a queued one is part of the agent's report."""
         if not pending.is_queued:
@@ -271,6 +292,8 @@
     def _remove_pending(self, pending: pending_offer.PendingOffer) -> None:
         self._pending.pop(pending.offer_id, None)
         self._by_flow.pop(pending.flow, None)
+        for offer_id in pending.unanswered:
+            self._unanswered.pop(offer_id, None)
 
     def _count(self, name: str) -> None:
         self.outcomes[name] = self.outcomes.get(name, 0) + 1
@@ -287,6 +310,8 @@
             if unanswered < (QUEUED_SECONDS if pending.is_queued else OFFER_SECONDS):
                 continue
             self._end_offer(pending)
+            self._unanswered[pending.offer_id] = pending
+            pending.unanswered.append(pending.offer_id)
             self._candidates.record_timeout(now, pending.target)
             pending.reasons["SILENT"] = pending.reasons.get("SILENT", 0) + 1
             if now - pending.started_at > QUEUED_SECONDS:
--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -39,6 +39,7 @@
         "target",
         "target_seconds",
         "tried",
+        "unanswered",
     )
 
     def __init__(
@@ -60,6 +61,7 @@
         self.offer_id = 0
         self.target = ""
         self.tried: set[str] = set()
+        self.unanswered: list[int] = []
         self.reasons: dict[str, int] = {}
         self.offers = 0
         self.busy_answers = 0
