Stop offering a flow whose caller has completed the handshake

If the acceptance of a flow was lost, its caller sent its request while the entry still offered the flow: a second agent opened it without need, or the entry reset a flow that was open at its upstream.

A packet of the caller after the opening packet ends the placement at the next step, without a reset. The offer that is out may still be accepted, and the owner is searched for as before (flow.opened_unseen).

--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -135,7 +135,19 @@
             return self._offer(now, pending, owner)
         return self._offer_next(now, pending)
 
+    def record_caller_packet(self, segment: segment.Segment) -> None:
+        """Record a packet of a caller that ends or has completed the handshake.
+
+        An agent has opened the flow although its answer has not arrived, or the caller
+        has given up: further offers would open it twice, and a reset would be wrong.
+        """
+        pending = self._by_flow.get(segment.flow)
+        if pending is not None:
+            pending.is_decided = True
+
     def _offer_next(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        if pending.is_decided:
+            return self._forget(now, pending)
         name = self._next_agent(now, pending)
         if name:
             return self._offer(now, pending, name)
@@ -283,6 +295,12 @@
         self._count("UNKNOWN")
         return self.lines.not_placed(now, pending)
 
+    def _forget(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        """Forget a flow that is open or given up; its owner is searched for."""
+        self._remove_pending(pending)
+        self._count("UNSEEN")
+        return self.lines.opened_unseen(now, pending)
+
     def reset(self, flow: bytes) -> msgspec.Struct:
         """Return the reset of a flow that has not opened, so nothing of it has run."""
         self._count("REFUSED")
@@ -314,7 +332,8 @@
             pending.unanswered.append(pending.offer_id)
             self._candidates.record_timeout(now, pending.target)
             pending.reasons["SILENT"] = pending.reasons.get("SILENT", 0) + 1
-            if now - pending.started_at > QUEUED_SECONDS:
+            is_late = now - pending.started_at > QUEUED_SECONDS
+            if is_late and not pending.is_decided:
                 actions += self._refuse(now, pending)
             else:
                 actions += self._offer_next(now, pending)
--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -26,6 +26,7 @@
         "asked_at",
         "busy_answers",
         "flow",
+        "is_decided",
         "is_queued",
         "may_wait",
         "offer_id",
@@ -67,6 +68,7 @@
         self.busy_answers = 0
         self.may_wait = False
         self.is_queued = False
+        self.is_decided = False
         self.retry_at = 0.0
 
     def restart(self) -> None:
--- a/src/limpetreel/streams/placement/placement_lines.py
+++ b/src/limpetreel/streams/placement/placement_lines.py
@@ -106,6 +106,11 @@
         fields["reason"] = "no upstream is known yet"
         return [log_line.LogLine("warning", "flow.not_placed", fields)]
 
+    def opened_unseen(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        """Return the line of a flow that is open although no agent said so."""
+        fields = self._fields(now, pending)
+        return [log_line.LogLine("info", "flow.opened_unseen", fields)]
+
     def avoided(
         self, name: str, reason: str, seconds: float, message: verdict.Verdict
     ) -> Actions:
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -149,6 +149,7 @@
             actions = self._transfers.record_data(now, segment.flow, segment.size)
         owner = self._owners.get(segment.flow)
         if owner is None:
+            self._placement.record_caller_packet(segment)
             return actions + self._find_owner(now, segment)
         owner.last_at = now
         message = stream_codec.encode(carry.Carry(data))
--- a/tests/streams/placement/test_late_answers.py
+++ b/tests/streams/placement/test_late_answers.py
@@ -64,3 +64,29 @@
     _answer(entry, 1.11, first, outcome.Outcome.ACCEPTED)
     entry.open_again(1.2, flow)
     assert entry.offers[-1][0] == second[0]
+
+
+def test_flow_whose_caller_sends_data_is_neither_offered_again_nor_reset():
+    """Guards against a reset of an open flow whose acceptance was lost."""
+    for last_result in (None, outcome.Outcome.BUSY):
+        entry = entry_driver.EntryDriver(["side-0", "side-1"])
+        flow = entry.open(1.0)
+        entry.tick(1.09)
+        offers = 2
+        _send(entry, 1.1, flow)
+        if last_result is not None:
+            _answer(entry, 1.11, entry.offers[-1], last_result)
+        for step in range(70):
+            entry.tick(1.12 + step / 50)
+        assert len(entry.offers) == offers, last_result
+        assert entry.resets == 0
+        assert [x.step for x in entry.lines].count("flow.opened_unseen") == 1
+
+
+def test_flow_whose_caller_sends_data_is_placed_by_its_acceptance():
+    """Guards against a search for an owner whose answer was under way."""
+    entry = entry_driver.EntryDriver(["side-0", "side-1"])
+    flow = entry.open(1.0)
+    _send(entry, 1.01, flow)
+    _answer(entry, 1.02, entry.offers[-1], outcome.Outcome.ACCEPTED)
+    assert entry.core.open_flows == 1
