--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -26,6 +26,7 @@
         "asked_at",
         "busy_answers",
         "flow",
+        "is_decided",
         "is_queued",
         "may_wait",
         "offer_id",
@@ -39,6 +40,7 @@
         "target",
         "target_seconds",
         "tried",
+        "unanswered",
     )
 
     def __init__(
@@ -60,11 +62,13 @@
         self.offer_id = 0
         self.target = ""
         self.tried: set[str] = set()
+        self.unanswered: list[int] = []
         self.reasons: dict[str, int] = {}
         self.offers = 0
         self.busy_answers = 0
         self.may_wait = False
         self.is_queued = False
+        self.is_decided = False
         self.retry_at = 0.0
 
     def restart(self) -> None:
