--- a/src/limpetreel/cluster/list_clock.py
+++ b/src/limpetreel/cluster/list_clock.py
@@ -8,8 +8,8 @@
 instance does not know which agents have to report."""
 MISSING_SECONDS = 2.0
 """Time after which a registered agent that has not reported is no longer waited for.
-With 8 s, callers of flows that had ended ran into their time limits for that long after a
-loss of power, since an upstream had been lost for good shortly before."""
+With 8 s, callers of flows that had ended ran into their time limits for that long
+after a loss of power, since an upstream had been lost for good shortly before."""
 
 
 class ListClock:
