Refuse waiting openings while the upstream does not respond

New offers are refused for 0.5 s after an opening packet was not answered. Openings that had been queued before were not: each took the slot of the one that had timed out, reached an upstream that hangs, and was refused 60 ms later in its turn. They are refused at the tick that finds the first one unanswered, so that entries can offer them elsewhere.

--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -329,6 +329,8 @@
             actions.append(self._answer(flow, outcome.Outcome.UNRESPONSIVE))
             fields: Fields = {"flow": stream_key.text(key)}
             actions.append(log_line.LogLine("warning", "upstream.unresponsive", fields))
+        if self.upstream.is_blocked(now):
+            actions += self._refuse_waiting(outcome.Outcome.UNRESPONSIVE)
         actions += self._scheduler.expire(now)
         idle = self._routes.idle_seconds if self._routes is not None else 0.0
         self._requests.record_removed(self._flows.sweep(now, idle))
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -315,6 +315,23 @@
     assert agent.core._flows.occupied == 0
 
 
+def test_waiting_openings_are_refused_once_the_upstream_does_not_respond():
+    """Guards against openings that are sent one by one to an upstream that hangs.
+
+    New offers are refused then, while each that waited took the place of the last.
+    """
+    agent = Agent()
+    make_busy(agent, 1)
+    agent.offer(agent.flow(1, load_site.LOOKUPS))
+    for number in range(2, 5):
+        agent.offer(agent.flow(number, load_site.LOOKUPS))
+    assert len(agent.take()) == 1
+    agent.wait(0.1)
+    assert agent.take() == []
+    outcomes = agent.core.outcomes
+    assert (outcomes["QUEUED"], outcomes["UNRESPONSIVE"]) == (3, 4)
+
+
 def test_priority_decides_before_arrival():
     """Guards against lookups that wait behind feeds that asked before."""
     agent = Agent()
