Answer each entry that has offered a waiting flow

Copies of an opening packet may reach several entries. While the opening waited at the agent, the second entry was told that it is queued, and the final answer went to the first one only. The second one refused the flow after 1.25 s without an answer, also if it was open by then; if the first one had ended, nobody had the answer. The waiting opening keeps the latest offer of each entry, and all get the answer.

--- a/src/limpetreel/streams/serving/flow_opener.py
+++ b/src/limpetreel/streams/serving/flow_opener.py
@@ -10,6 +10,8 @@
 from limpetreel.streams.serving import waiting_opening
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     import msgspec
 
     from limpetreel.streams import flow_set, owned_flow
@@ -83,7 +85,11 @@
         if flow is not None and not flow.is_closed:
             return self._repeat(now, source, message, flow)
         result = outcome.Outcome.QUEUED
-        if key not in self._queue:
+        waiting = self._queue.get_opening(key)
+        if waiting is not None:
+            # Another entry may have got a copy of the opening packet.
+            waiting.offers[source] = message.offer_id
+        else:
             refusal = self._admission.refusal(now, key, message.version, is_accepting)
             if refusal is None:
                 self._queue.record_opened(now, key)
@@ -97,8 +103,10 @@
         self, now: float, waiting: waiting_opening.WaitingOpening
     ) -> Actions:
         """Open a flow that has been taken out of the queue."""
-        return self._open(
-            now, waiting.entry, waiting.offer_id, waiting.key, waiting.packet
+        *earlier, (entry, offer_id) = waiting.offers.items()
+        actions = self._open(now, entry, offer_id, waiting.key, waiting.packet)
+        return actions + self._write_all(
+            now, waiting.key, earlier, outcome.Outcome.ACCEPTED
         )
 
     def refuse(
@@ -106,11 +114,9 @@
         now: float,
         waiting: waiting_opening.WaitingOpening,
         reason: outcome.Outcome,
-    ) -> msgspec.Struct:
-        """Return the refusal of a flow that has been taken out of the queue."""
-        return self._verdicts.write(
-            now, waiting.entry, waiting.offer_id, waiting.key, reason
-        )
+    ) -> Actions:
+        """Return the refusals of a flow that has been taken out of the queue."""
+        return self._write_all(now, waiting.key, waiting.offers.items(), reason)
 
     def answer(
         self, now: float, flow: owned_flow.OwnedFlow, result: outcome.Outcome
@@ -135,6 +141,18 @@
             return [accepted]
         return [send_upstream.SendUpstream(message.packet), accepted]
 
+    def _write_all(
+        self,
+        now: float,
+        key: bytes,
+        offers: Iterable[tuple[Address, int]],
+        result: outcome.Outcome,
+    ) -> Actions:
+        return [
+            self._verdicts.write(now, entry, offer_id, key, result)
+            for entry, offer_id in offers
+        ]
+
     def _open(
         self, now: float, source: Address, offer_id: int, key: bytes, packet: bytes
     ) -> Actions:
--- a/src/limpetreel/streams/serving/slot_scheduler.py
+++ b/src/limpetreel/streams/serving/slot_scheduler.py
@@ -75,17 +75,17 @@
         actions: Actions = []
         for item in self._queue.take_expired(now):
             if isinstance(item, waiting_opening.WaitingOpening):
-                actions.append(self._opener.refuse(now, item, outcome.Outcome.BUSY))
+                actions += self._opener.refuse(now, item, outcome.Outcome.BUSY)
             else:
                 actions += self._serve(now, item, is_forced=True)
         return actions
 
     def refuse_openings(self, now: float, reason: outcome.Outcome) -> Actions:
         """Refuse all waiting openings."""
-        return [
-            self._opener.refuse(now, item, reason)
-            for item in self._queue.take_openings()
-        ]
+        actions: Actions = []
+        for item in self._queue.take_openings():
+            actions += self._opener.refuse(now, item, reason)
+        return actions
 
     def _serve(self, now: float, item: waiting.Waiting, is_forced: bool) -> Actions:
         if isinstance(item, held_request.HeldRequest):
--- a/src/limpetreel/streams/serving/waiting_opening.py
+++ b/src/limpetreel/streams/serving/waiting_opening.py
@@ -13,6 +13,9 @@
 class WaitingOpening(waiting.Waiting):
     """Opening packet of a flow, which is refused if its wait expires.
 
+    Its attribute `offers` holds the identifier of the latest offer of each entry, as
+    each awaits an answer.
+
     Parameters
     ----------
     key : bytes
@@ -29,7 +32,7 @@
         The opening packet.
     """
 
-    __slots__ = ("entry", "offer_id", "packet")
+    __slots__ = ("offers", "packet")
 
     def __init__(
         self,
@@ -42,6 +45,5 @@
         packet: bytes,
     ) -> None:
         super().__init__(key, route, arrived_at, expires_at)
-        self.offer_id = offer_id
-        self.entry = entry
+        self.offers = {entry: offer_id}
         self.packet = packet
--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -46,9 +46,9 @@
         """Return the number of waiting openings and requests."""
         return len(self._openings) + len(self._requests)
 
-    def __contains__(self, flow: bytes) -> bool:
-        """Return whether the opening of a flow waits."""
-        return flow in self._openings
+    def get_opening(self, flow: bytes) -> waiting_opening.WaitingOpening | None:
+        """Return the opening of a flow, None if it does not wait."""
+        return self._openings.get(flow)
 
     @property
     def has_openings(self) -> bool:
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -8,7 +8,7 @@
 from limpetreel.cluster import fleet_view
 from limpetreel.node import tick
 from limpetreel.streams import stream_agent_core, upstream_status
-from limpetreel.streams.actions import log_line, send_upstream
+from limpetreel.streams.actions import log_line, send_node, send_upstream
 from limpetreel.streams.events import (
     fleet_changed,
     node_datagram,
@@ -37,6 +37,7 @@
         self.loads = loads
         self.sent = []
         self.lines = []
+        self.answers = []
         self.start()
 
     def start(self, instance="i-1"):
@@ -63,6 +64,8 @@
                 self.sent.append(stream_site.CODEC.from_caller(action.data))
             elif isinstance(action, log_line.LogLine):
                 self.lines.append(action)
+            elif isinstance(action, send_node.SendNode):
+                self.answers.append(action.address[0])
 
     def flow(self, number, load=load_site.FEEDS, host="100.64.0.1"):
         """Return the key of a flow."""
@@ -77,13 +80,11 @@
         self.reply(flow)
         return flow
 
-    def offer(self, flow, may_wait=True):
+    def offer(self, flow, may_wait=True, entry="entry"):
         """Offer a flow."""
         packet = stream_site.make_packet(flow, stream_site.SYN)
         message = offer.Offer(hash(flow) & 0xFFFF, 1, may_wait, packet)
-        self.handle(
-            node_datagram.NodeDatagram("entry", 1, stream_codec.encode(message))
-        )
+        self.handle(node_datagram.NodeDatagram(entry, 1, stream_codec.encode(message)))
 
     def send(self, flow, sequence, size=100, flags=stream_site.ACK, ack=1):
         """Carry a packet of the caller."""
@@ -332,6 +333,27 @@
     assert (outcomes["QUEUED"], outcomes["UNRESPONSIVE"]) == (3, 4)
 
 
+def test_each_entry_that_offers_a_waiting_flow_gets_an_answer():
+    """Guards against an entry that resets an open flow, as it got no answer for it.
+
+    The caller's copies of its opening packet may reach several entries, and the first
+    one may have ended since.
+    """
+    agent = Agent()
+    first, _ = make_busy(agent)
+    lookups = [agent.flow(i, load_site.LOOKUPS) for i in (1, 2)]
+    for lookup in lookups:
+        agent.offer(lookup)
+        agent.offer(lookup, entry="entry-2")
+    agent.answers.clear()
+    agent.reply(first)
+    agent.reply(lookups[0], stream_site.SYN_ACK)
+    assert sorted(agent.answers) == ["entry", "entry-2"]
+    agent.answers.clear()
+    agent.wait(1.0)
+    assert agent.answers == ["entry", "entry-2"]
+
+
 def test_priority_decides_before_arrival():
     """Guards against lookups that wait behind feeds that asked before."""
     agent = Agent()
