Bound the gaps that are kept of a request

Each packet that skips data added a range, for as long as the request went on. A caller that sends one byte of two left 199,999 ranges after 200,000 packets, and a packet sent again then took 0.25 s of the agent (one run on a shared machine). 64 ranges are kept, which is more than the 16 packets in flight can leave.

--- a/src/limpetreel/streams/serving/packet_gaps.py
+++ b/src/limpetreel/streams/serving/packet_gaps.py
@@ -4,6 +4,9 @@
 
 _SEQUENCE_MASK = 0xFFFFFFFF
 _HALF = 1 << 31
+MAX_RANGES = 64
+"""Bounds the memory and the time for each packet. Callers have at most 16 packets in
+flight, which leave fewer ranges."""
 
 
 class PacketGaps:
@@ -14,13 +17,17 @@
     def __init__(self) -> None:
         self._ranges: list[tuple[int, int]] = []
 
-    def __bool__(self) -> bool:
-        """Return whether data is missing."""
-        return bool(self._ranges)
+    def __len__(self) -> int:
+        """Return the number of ranges that are missing."""
+        return len(self._ranges)
 
     def add(self, start: int, end: int) -> None:
-        """Record that data from one number up to another one was skipped."""
+        """Record that data from one number up to another one was skipped.
+
+        Beyond the bound the oldest range is forgotten.
+        """
         self._ranges.append((start, end))
+        del self._ranges[:-MAX_RANGES]
 
     def fill(self, sequence: int, size: int) -> bool:
         """Record data that has arrived; return whether some of it was missing."""
@@ -32,7 +39,7 @@
             if _is_before(end, last):
                 remaining.append((_later(first, end), last))
         has_changed = remaining != self._ranges
-        self._ranges = remaining
+        self._ranges = remaining[-MAX_RANGES:]
         return has_changed
 
 
--- a/tests/streams/serving/test_request_tracker.py
+++ b/tests/streams/serving/test_request_tracker.py
@@ -8,6 +8,7 @@
 from limpetreel.streams.serving import (
     capacity,
     flow_lengths,
+    packet_gaps,
     request_tracker,
     slot_occupancy,
 )
@@ -111,6 +112,16 @@
         assert (flow.phase, flow.requests) == (IDLE, 1)
 
 
+def test_gaps_of_a_request_are_bounded():
+    """Guards against a caller whose packets leave any number of gaps in the memory."""
+    agent = make_agent()
+    flow = add_flow(agent)
+    for i in range(1000):
+        send(agent, 0.001 * i, flow, 1 + 2 * i, 1)
+    assert len(flow.gaps) == packet_gaps.MAX_RANGES
+    assert flow.phase is RECEIVING
+
+
 def test_flows_that_send_a_request_are_bounded():
     """Guards against any number of slow callers, which fill the upstream's memory."""
     agent = make_agent()
