Drop the held request of an ended flow when its key is used again

The queue finds expired requests by the key of their flow. If the upstream lost a flow while a request of it was held, and the caller opened the flow again and sent two requests, the new entry replaced the old one there but not in its lane. The old request then never expired and counted as waiting until a slot was free, and taking it out removed the new one from those that expire.

--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -97,6 +97,9 @@
         self, item: held_request.HeldRequest, packet: segment.Segment, running: int
     ) -> bool:
         """Add a request with its first packet; return whether there was room."""
+        earlier = self._requests.get(item.key)
+        if earlier is not None:  # of a flow that has ended
+            self.remove(earlier)
         if len(self._requests) >= MAX_REQUESTS or not self.hold(item, packet):
             return False
         self._requests[item.key] = item
--- a/tests/streams/serving/test_waiting_queue.py
+++ b/tests/streams/serving/test_waiting_queue.py
@@ -101,3 +101,17 @@
     assert queue.pop(0.0, 0.05, requests_only) is request
     assert queue.pop(0.0, 0.05, requests_only) is None
     assert queue.pop(0.0, 0.05, anything) is opening
+
+
+def test_request_of_a_reopened_flow_expires():
+    """Guards against requests that wait without a limit, and count as waiting.
+
+    The upstream lost the flow of an earlier request, and its caller opened it again.
+    """
+    queue = waiting_queue.WaitingQueue()
+    matched_route = make_route(1, 0)
+    put_request(queue, 0.0, matched_route, 1)
+    later = put_request(queue, 0.1, matched_route, 1)
+    assert queue.count_ahead(0) == len(queue) == 1
+    assert queue.take_expired(10.2) == [later]
+    assert (len(queue), queue.pop(10.3, 0.05, anything)) == (0, None)
