Count requests that find a free slot as service to their route

A route goes first once it got nothing for a quarter of its time limit. Openings that need not wait ended that time; requests on open flows did not. After one wait that expired, feeds went before lookups of higher priority although all feeds between had found a free slot.

--- a/src/limpetreel/streams/serving/flow_opener.py
+++ b/src/limpetreel/streams/serving/flow_opener.py
@@ -92,7 +92,7 @@
         else:
             refusal = self._admission.refusal(now, key, message.version, is_accepting)
             if refusal is None:
-                self._queue.record_opened(now, key)
+                self._queue.record_served(now, key, is_opening=True)
                 return self._open(now, source, message.offer_id, key, message.packet)
             result = refusal
             if refusal is outcome.Outcome.BUSY and message.may_wait:
--- a/src/limpetreel/streams/serving/request_gate.py
+++ b/src/limpetreel/streams/serving/request_gate.py
@@ -56,10 +56,11 @@
         """Forward or hold a packet of the caller."""
         if flow.held is not None:
             return self._continue(now, flow, flow.held, packet)
-        if packet.size and flow.phase is flow_phase.FlowPhase.IDLE:
-            if self._admission.has_free_slot() or not _may_hold(flow, packet):
-                return self._send(now, flow, packet)
-            return self._hold(now, flow, packet)
+        is_idle = flow.phase is flow_phase.FlowPhase.IDLE
+        if packet.size and is_idle and _may_hold(flow, packet):
+            if not self._admission.has_free_slot():
+                return self._hold(now, flow, packet)
+            self._queue.record_served(now, flow.key, is_opening=False)
         return self._send(now, flow, packet)
 
     def release(
--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -82,9 +82,9 @@
         """Record that an opening asked for a slot, whether it waits or not."""
         self._lane(flow, route, is_opening=True).record_demand(now)
 
-    def record_opened(self, now: float, flow: bytes) -> None:
-        """Record that an opening has got a slot without a wait."""
-        lane = self._lanes.get((flow[owned_flow.ROUTE_BYTES], True))
+    def record_served(self, now: float, flow: bytes, is_opening: bool) -> None:
+        """Record that an opening or a request has got a slot without a wait."""
+        lane = self._lanes.get((flow[owned_flow.ROUTE_BYTES], is_opening))
         if lane is not None:
             lane.record_served(now)
 
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -448,6 +448,32 @@
     assert agent.take() == [(other, 101)]
 
 
+def test_route_whose_requests_find_free_slots_is_not_starved():
+    """Guards against feeds that go before lookups although they are served.
+
+    A feed whose wait expired began a time without service, which those that found a
+    free slot did not end.
+    """
+    agent = Agent()
+    starvation = load_site.FEEDS.timeout_ms / 4000
+    feeds = [agent.open(agent.flow(i, host=f"100.64.1.{i}")) for i in range(3)]
+    busy = make_busy(agent)
+    agent.send(feeds[0], 101)
+    agent.wait(HELD_SECONDS)
+    for flow in (*busy, feeds[0]):
+        agent.reply(flow)
+    agent.wait(starvation - HELD_SECONDS - 0.02)
+    agent.send(feeds[1], 101)
+    agent.send(busy[0], 201)
+    agent.take()
+    agent.send(feeds[2], 101)
+    agent.now += 0.04
+    lookup = agent.flow(9, load_site.LOOKUPS)
+    agent.offer(lookup)
+    agent.reply(busy[0])
+    assert agent.take() == [(lookup, 0)]
+
+
 def test_idle_slots_do_not_hold_requests():
     """Guards against a delay of callers while the upstream is not busy."""
     agent = Agent()
--- a/tests/streams/serving/test_waiting_queue.py
+++ b/tests/streams/serving/test_waiting_queue.py
@@ -115,3 +115,18 @@
     assert queue.count_ahead(0) == len(queue) == 1
     assert queue.take_expired(10.2) == [later]
     assert (len(queue), queue.pop(10.3, 0.05, anything)) == (0, None)
+
+
+def test_requests_that_need_not_wait_count_as_served():
+    """Guards against a route that goes first as starved though it is served.
+
+    Its waits expire at times, and most of its requests find a free slot.
+    """
+    queue = waiting_queue.WaitingQueue()
+    high, low = make_route(1, 0), make_route(2, 2)
+    queue.remove(put_request(queue, 0.0, low, 1))
+    queue.record_served(0.3, make_key(1, low.port), is_opening=False)
+    request = put_request(queue, 0.4, low, 2)
+    opening = put(queue, 0.55, high, 3)
+    assert queue.pop(0.55, 0.05, anything) is opening
+    assert queue.pop(0.9, 0.05, anything) is request
