--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -46,9 +46,9 @@
         """Return the number of waiting openings and requests."""
         return len(self._openings) + len(self._requests)
 
-    def __contains__(self, flow: bytes) -> bool:
-        """Return whether the opening of a flow waits."""
-        return flow in self._openings
+    def get_opening(self, flow: bytes) -> waiting_opening.WaitingOpening | None:
+        """Return the opening of a flow, None if it does not wait."""
+        return self._openings.get(flow)
 
     @property
     def has_openings(self) -> bool:
@@ -82,9 +82,9 @@
         """Record that an opening asked for a slot, whether it waits or not."""
         self._lane(flow, route, is_opening=True).record_demand(now)
 
-    def record_opened(self, now: float, flow: bytes) -> None:
-        """Record that an opening has got a slot without a wait."""
-        lane = self._lanes.get((flow[owned_flow.ROUTE_BYTES], True))
+    def record_served(self, now: float, flow: bytes, is_opening: bool) -> None:
+        """Record that an opening or a request has got a slot without a wait."""
+        lane = self._lanes.get((flow[owned_flow.ROUTE_BYTES], is_opening))
         if lane is not None:
             lane.record_served(now)
 
@@ -97,6 +97,9 @@
         self, item: held_request.HeldRequest, packet: segment.Segment, running: int
     ) -> bool:
         """Add a request with its first packet; return whether there was room."""
+        earlier = self._requests.get(item.key)
+        if earlier is not None:  # of a flow that has ended
+            self.remove(earlier)
         if len(self._requests) >= MAX_REQUESTS or not self.hold(item, packet):
             return False
         self._requests[item.key] = item
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -8,7 +8,7 @@
 from limpetreel.cluster import fleet_view
 from limpetreel.node import tick
 from limpetreel.streams import stream_agent_core, upstream_status
-from limpetreel.streams.actions import log_line, send_upstream
+from limpetreel.streams.actions import log_line, send_node, send_upstream
 from limpetreel.streams.events import (
     fleet_changed,
     node_datagram,
@@ -37,6 +37,7 @@
         self.loads = loads
         self.sent = []
         self.lines = []
+        self.answers = []
         self.start()
 
     def start(self, instance="i-1"):
@@ -63,6 +64,8 @@
                 self.sent.append(stream_site.CODEC.from_caller(action.data))
             elif isinstance(action, log_line.LogLine):
                 self.lines.append(action)
+            elif isinstance(action, send_node.SendNode):
+                self.answers.append(action.address[0])
 
     def flow(self, number, load=load_site.FEEDS, host="100.64.0.1"):
         """Return the key of a flow."""
@@ -77,13 +80,11 @@
         self.reply(flow)
         return flow
 
-    def offer(self, flow, may_wait=True):
+    def offer(self, flow, may_wait=True, entry="entry"):
         """Offer a flow."""
         packet = stream_site.make_packet(flow, stream_site.SYN)
         message = offer.Offer(hash(flow) & 0xFFFF, 1, may_wait, packet)
-        self.handle(
-            node_datagram.NodeDatagram("entry", 1, stream_codec.encode(message))
-        )
+        self.handle(node_datagram.NodeDatagram(entry, 1, stream_codec.encode(message)))
 
     def send(self, flow, sequence, size=100, flags=stream_site.ACK, ack=1):
         """Carry a packet of the caller."""
@@ -315,6 +316,44 @@
     assert agent.core._flows.occupied == 0
 
 
+def test_waiting_openings_are_refused_once_the_upstream_does_not_respond():
+    """Guards against openings that are sent one by one to an upstream that hangs.
+
+    New offers are refused then, while each that waited took the place of the last.
+    """
+    agent = Agent()
+    make_busy(agent, 1)
+    agent.offer(agent.flow(1, load_site.LOOKUPS))
+    for number in range(2, 5):
+        agent.offer(agent.flow(number, load_site.LOOKUPS))
+    assert len(agent.take()) == 1
+    agent.wait(0.1)
+    assert agent.take() == []
+    outcomes = agent.core.outcomes
+    assert (outcomes["QUEUED"], outcomes["UNRESPONSIVE"]) == (3, 4)
+
+
+def test_each_entry_that_offers_a_waiting_flow_gets_an_answer():
+    """Guards against an entry that resets an open flow, as it got no answer for it.
+
+    The caller's copies of its opening packet may reach several entries, and the first
+    one may have ended since.
+    """
+    agent = Agent()
+    first, _ = make_busy(agent)
+    lookups = [agent.flow(i, load_site.LOOKUPS) for i in (1, 2)]
+    for lookup in lookups:
+        agent.offer(lookup)
+        agent.offer(lookup, entry="entry-2")
+    agent.answers.clear()
+    agent.reply(first)
+    agent.reply(lookups[0], stream_site.SYN_ACK)
+    assert sorted(agent.answers) == ["entry", "entry-2"]
+    agent.answers.clear()
+    agent.wait(1.0)
+    assert agent.answers == ["entry", "entry-2"]
+
+
 def test_priority_decides_before_arrival():
     """Guards against lookups that wait behind feeds that asked before."""
     agent = Agent()
@@ -409,6 +448,32 @@
     assert agent.take() == [(other, 101)]
 
 
+def test_route_whose_requests_find_free_slots_is_not_starved():
+    """Guards against feeds that go before lookups although they are served.
+
+    A feed whose wait expired began a time without service, which those that found a
+    free slot did not end.
+    """
+    agent = Agent()
+    starvation = load_site.FEEDS.timeout_ms / 4000
+    feeds = [agent.open(agent.flow(i, host=f"100.64.1.{i}")) for i in range(3)]
+    busy = make_busy(agent)
+    agent.send(feeds[0], 101)
+    agent.wait(HELD_SECONDS)
+    for flow in (*busy, feeds[0]):
+        agent.reply(flow)
+    agent.wait(starvation - HELD_SECONDS - 0.02)
+    agent.send(feeds[1], 101)
+    agent.send(busy[0], 201)
+    agent.take()
+    agent.send(feeds[2], 101)
+    agent.now += 0.04
+    lookup = agent.flow(9, load_site.LOOKUPS)
+    agent.offer(lookup)
+    agent.reply(busy[0])
+    assert agent.take() == [(lookup, 0)]
+
+
 def test_idle_slots_do_not_hold_requests():
     """Guards against a delay of callers while the upstream is not busy."""
     agent = Agent()
