Offer flows to paused upstreams while no other may get them

An upstream that counted as late, stuck or idle was paused even if it was the only one that was left. A service with one upstream that became slow, or whose sound upstream left the list, refused all its flows for 1 to 4 s at a time (78 resets in 5 s at 40 flows a second).

The pause of a failing upstream is now kept apart from the pauses after timeouts and refusals, and applies only while another agent may get offers.

--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -34,9 +34,10 @@
     Its attribute `extra_cost` holds the seconds of wait at another agent that are as
     bad as the location of this one, `is_open` whether it may get offers according to
     control, and `open_offers` the offers of this entry that it has not answered.
-    `flows` and `utilisation` (of 1) are as the agent reported them last. `slots` and
-    `weight` are the requests that the upstream processes concurrently, and those that
-    it can answer per second.
+    Before `suspended_until`, a time in seconds, it gets offers only if no other agent
+    may. `flows` and `utilisation` (of 1) are as the agent reported them last. `slots`
+    and `weight` are the requests that the upstream processes concurrently, and those
+    that it can answer per second.
 
     Parameters
     ----------
@@ -62,6 +63,7 @@
         "record",
         "service_seconds",
         "slots",
+        "suspended_until",
         "utilisation",
         "weight",
     )
@@ -84,6 +86,7 @@
         self._avoid_until = float("-inf")
         self._pause = INITIAL_PAUSE_SECONDS
         self._starting_until = float("-inf")
+        self.suspended_until = float("-inf")
 
     def apply(self, record: upstream_record.UpstreamRecord) -> None:
         """Apply a record from control."""
@@ -155,6 +158,10 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the agent may get offers."""
+        return self.is_reachable(now) and now >= self.suspended_until
+
+    def is_reachable(self, now: float) -> bool:
+        """Return whether the agent may get offers if no other agent may."""
         return self.is_open and now >= self._avoid_until
 
     def is_busy(self, now: float) -> bool:
--- a/src/limpetreel/streams/placement/service_pool.py
+++ b/src/limpetreel/streams/placement/service_pool.py
@@ -55,6 +55,7 @@
             weighted_draw.WeightedDraw(g, random) for g in (local, other) if g
         ]
         self._failing = {h.record.name: h for h in hints if h.health.is_failing}
+        self._suspended_until = max(h.suspended_until for h in hints)
         self._reweighed_at = float("-inf")
         self.means = service_means.ServiceMeans()
 
@@ -69,7 +70,7 @@
         hint.record_load(now, message, self.means)
         reason = hint.health.record(message, self.means)
         if reason:
-            hint.avoid(now, hint.health.pause)
+            self._suspend(now, hint)
             self._failing[hint.record.name] = hint
         else:
             self._failing.pop(hint.record.name, None)
@@ -79,7 +80,7 @@
         """Return a failing agent that is due for one flow, None if there is none."""
         for name, hint in self._failing.items():
             if hint.is_usable(now) and name not in tried:
-                hint.avoid(now, hint.health.pause)
+                self._suspend(now, hint)
                 return hint
         return None
 
@@ -111,7 +112,23 @@
             ]
             if free:
                 return min(free, key=lambda h: cost(now, h) + self._spread())
-        return None
+        left = [
+            h
+            for h in self._last_resort(now)
+            if not h.is_busy(now) and h.record.name not in tried
+        ]
+        return min(left, key=lambda h: cost(now, h), default=None)
+
+    def _suspend(self, now: float, hint: agent_hint.AgentHint) -> None:
+        hint.suspended_until = now + hint.health.pause
+        self._suspended_until = max(self._suspended_until, hint.suspended_until)
+
+    def _last_resort(self, now: float) -> list[agent_hint.AgentHint]:
+        """Return the suspended agents if no other may get offers."""
+        is_any_suspended = now < self._suspended_until
+        if not is_any_suspended or any(h.is_usable(now) for h in self.hints):
+            return []
+        return [h for h in self.hints if h.is_reachable(now)]
 
     def least_wait(self, now: float, max_wait: float) -> agent_hint.AgentHint | None:
         """Return the agent that answers soonest, None if a flow can wait at none."""
@@ -123,7 +140,10 @@
             ]
             if waiting:
                 return min(waiting, key=lambda h: self._answer_cost(now, h))
-        return None
+        left = [
+            h for h in self._last_resort(now) if not h.has_closed_queue(now, max_wait)
+        ]
+        return min(left, key=lambda h: self._answer_cost(now, h), default=None)
 
     def _draw(self, now: float) -> list[agent_hint.AgentHint]:
         if now - self._reweighed_at >= REWEIGH_SECONDS:
--- a/tests/streams/placement/test_failing_upstreams.py
+++ b/tests/streams/placement/test_failing_upstreams.py
@@ -117,3 +117,50 @@
     assert flows_per_s <= 4
     site.run(11)
     assert site.in_time(4.5, 8) >= 0.99
+
+
+def test_service_whose_only_upstream_is_late_is_served():
+    """Guards against refusals while the only upstream that is left is paused.
+
+    A pause helps only while flows can go elsewhere.
+    """
+    for others in ([], NAMES[1:2]):
+        entry = entry_driver.EntryDriver(NAMES[:1] + others)
+        service_ms = [30]
+
+        def answer(message, entry=entry, service_ms=service_ms):
+            is_late = entry.offers[-1][0] == NAMES[0]
+            service = service_ms[0] if is_late else 30
+            accepted = outcome.Outcome.ACCEPTED
+            return verdict.Verdict(message.offer_id, accepted, 0, service, 40, 10, 40)
+
+        entry.answers = answer
+        _open(entry, 1.0, 2.0)
+        service_ms[0] = 300
+        _open(entry, 3.0, 2.0)
+        assert [x for x in entry.lines if x.step == "agent.avoided"]
+        entry.update(5.0, NAMES[:1])
+        _open(entry, 5.0, 2.0)
+        assert entry.resets == 0, others
+
+
+def test_flow_may_wait_at_the_only_upstream_that_is_late():
+    """Guards against a refusal while the queue of a paused upstream is open."""
+    entry = entry_driver.EntryDriver(NAMES[:1])
+    figures = [outcome.Outcome.ACCEPTED, 30]
+    entry.answers = lambda message: verdict.Verdict(
+        message.offer_id,
+        outcome.Outcome.QUEUED if message.may_wait else figures[0],
+        0,
+        figures[1],
+        40,
+        10,
+        40,
+    )
+    _open(entry, 1.0, 2.0)
+    figures[:] = [outcome.Outcome.BUSY, 300]
+    entry.open(3.0)
+    entry.open(3.05)
+    assert [x for x in entry.lines if x.step == "agent.avoided"]
+    assert entry.offers[-1][1].may_wait
+    assert entry.resets == 0
