Forget transfers of callers that have gone on a link with room

A full packet of any flow counts as a transfer until a packet that is not full.

They are swept once a second while full packets arrive.

--- a/src/limpetreel/streams/transfers/transfer_limit.py
+++ b/src/limpetreel/streams/transfers/transfer_limit.py
@@ -23,6 +23,8 @@
 """Assumed duration of a transfer until the first one has ended."""
 WEIGHT = 0.1
 """Weight of a new sample in the moving average of durations."""
+SWEEP_SECONDS = 1.0
+"""Interval at which transfers without packets are forgotten on a link with room."""
 MAX_WAIT_SECONDS = 1.0
 """Longest wait of an opening. Callers end an attempt 1.4 s after its first packet; the
 difference is for the handshake."""
@@ -40,6 +42,7 @@
     def __init__(self, bytes_per_second: float) -> None:
         windows = bytes_per_second * MAX_QUEUE_SECONDS / WINDOW_BYTES
         self.limit = max(1, int(windows))
+        self._swept_at = 0.0
         self._mean_seconds = INITIAL_TRANSFER_SECONDS
         self._active_until: dict[bytes, float] = {}
         self._began_at: dict[bytes, float] = {}
@@ -95,6 +98,8 @@
         entry; a packet that is not full ends it.
         """
         if size >= FULL_PACKET_BYTES:
+            if now - self._swept_at >= SWEEP_SECONDS:
+                self.sweep(now)
             self._active_until[flow] = now + ACTIVE_SECONDS
             self._began_at.setdefault(flow, now)
             return False
@@ -128,6 +133,7 @@
 
     def sweep(self, now: float) -> None:
         """Stop counting transfers without packets."""
+        self._swept_at = now
         for flow in [k for k, until in self._active_until.items() if until <= now]:
             self.end(flow)
 
--- a/tests/streams/transfers/test_transfer_limit.py
+++ b/tests/streams/transfers/test_transfer_limit.py
@@ -167,3 +167,15 @@
     limit = transfer_limit.TransferLimit(LINK_BYTES_PER_SECOND)
     limit.record_data(0.0, make_opening(1024).flow, 1200)
     assert not limit.try_start(0.1, make_opening(1025).flow)
+
+
+def test_transfers_of_callers_that_have_gone_are_forgotten():
+    """Guards against memory that grows with each caller that stops in mid-request.
+
+    A link with room for more transfers never looked for those that had stopped.
+    """
+    limit = transfer_limit.TransferLimit(125_000_000.0)
+    for number in range(1024, 1024 + 1000):
+        now = number / 100
+        limit.record_data(now, make_opening(number).flow, 1200)
+        assert limit.active <= 200
