Leave uploads of one packet out of the mean transfer time

An upload whose only packet is not full has no beginning that was recorded, and counted as a transfer of 0 s. After 100 of them the mean was 5 us, so any number of openings was let wait for the link and most were refused only after up to 1 s, instead of at once.

Only transfers with a recorded beginning enter the mean.

--- a/src/limpetreel/streams/transfers/transfer_limit.py
+++ b/src/limpetreel/streams/transfers/transfer_limit.py
@@ -105,8 +105,10 @@
             return False
         if flow not in self._active_until:
             return False
-        seconds = now - self._began_at.get(flow, now)
-        self._mean_seconds += WEIGHT * (seconds - self._mean_seconds)
+        began_at = self._began_at.get(flow)
+        if began_at is not None:
+            # A request of one packet says nothing about the time of a large one.
+            self._mean_seconds += WEIGHT * (now - began_at - self._mean_seconds)
         self.end(flow)
         return True
 
--- a/tests/streams/transfers/test_transfer_limit.py
+++ b/tests/streams/transfers/test_transfer_limit.py
@@ -179,3 +179,20 @@
         now = number / 100
         limit.record_data(now, make_opening(number).flow, 1200)
         assert limit.active <= 200
+
+
+def test_small_uploads_do_not_count_as_transfers_without_duration():
+    """Guards against a queue without bound after uploads of one packet.
+
+    The mean duration fell to 0, so any number of openings was let wait.
+    """
+    limit = transfer_limit.TransferLimit(LINK_BYTES_PER_SECOND)
+    for number in range(1024, 1024 + 100):
+        assert limit.try_start(float(number), make_opening(number).flow)
+        limit.record_data(number + 0.05, make_opening(number).flow, 300)
+    assert limit.try_start(2000.0, make_opening(2000).flow)
+    waiting = 0
+    while waiting < 100 and limit.can_wait(ANSWER_SECONDS):
+        waiting += 1
+        limit.wait(2000.0, make_opening(2000 + waiting), ANSWER_SECONDS)
+    assert waiting <= 10
