--- a/src/limpetreel/streams/placement/agent_hint.py
+++ b/src/limpetreel/streams/placement/agent_hint.py
@@ -34,9 +34,10 @@
     Its attribute `extra_cost` holds the seconds of wait at another agent that are as
     bad as the location of this one, `is_open` whether it may get offers according to
     control, and `open_offers` the offers of this entry that it has not answered.
-    `flows` and `utilisation` (of 1) are as the agent reported them last. `slots` and
-    `weight` are the requests that the upstream processes concurrently, and those that
-    it can answer per second.
+    Before `suspended_until`, a time in seconds, it gets offers only if no other agent
+    may. `flows` and `utilisation` (of 1) are as the agent reported them last. `slots`
+    and `weight` are the requests that the upstream processes concurrently, and those
+    that it can answer per second.
 
     Parameters
     ----------
@@ -52,7 +53,6 @@
         "_load",
         "_pause",
         "_reported_at",
-        "_starting_until",
         "_wait_seconds",
         "extra_cost",
         "flows",
@@ -62,6 +62,7 @@
         "record",
         "service_seconds",
         "slots",
+        "suspended_until",
         "utilisation",
         "weight",
     )
@@ -83,7 +84,7 @@
         self._closed_wait = 0.0
         self._avoid_until = float("-inf")
         self._pause = INITIAL_PAUSE_SECONDS
-        self._starting_until = float("-inf")
+        self.suspended_until = float("-inf")
 
     def apply(self, record: upstream_record.UpstreamRecord) -> None:
         """Apply a record from control."""
@@ -138,16 +139,6 @@
         """Exclude the agent from offers for some time."""
         self._avoid_until = now + seconds
 
-    def record_starting(self, now: float, seconds: float) -> None:
-        """Record that the agent still awaits an announcement of its upstream."""
-        self.avoid(now, seconds)
-        # It gets an offer after the pause, and counts as starting until it answers.
-        self._starting_until = now + 2 * seconds
-
-    def is_starting(self, now: float) -> bool:
-        """Return whether the agent recently answered that it is starting."""
-        return now < self._starting_until
-
     def record_timeout(self, now: float) -> None:
         """Record that the agent did not answer."""
         self.avoid(now, self._pause)
@@ -155,6 +146,10 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the agent may get offers."""
+        return self.is_reachable(now) and now >= self.suspended_until
+
+    def is_reachable(self, now: float) -> bool:
+        """Return whether the agent may get offers if no other agent may."""
         return self.is_open and now >= self._avoid_until
 
     def is_busy(self, now: float) -> bool:
--- a/src/limpetreel/streams/placement/service_pool.py
+++ b/src/limpetreel/streams/placement/service_pool.py
@@ -23,7 +23,12 @@
 SPREAD_SECONDS = 0.0005
 """Random part of the cost, so that entries do not all try the same agent first."""
 REWEIGH_SECONDS = 0.5
-"""Interval at which changed reports take effect in the draw and the means."""
+"""Least interval at which changed reports take effect in the draw and the means."""
+REWEIGH_SECONDS_PER_AGENT = 0.001
+"""Interval for each agent. The work takes about 1 us for each, so this is 0.1 % of a
+core; an entry hears from each agent of a large service rarely anyway."""
+COUNT_SECONDS = 0.25
+"""Age up to which a count of busy agents is used again, for log lines only."""
 LONG_SERVICE_FACTOR = 3
 """Service times for which agents keep room when they let a flow wait."""
 
@@ -55,12 +60,41 @@
             weighted_draw.WeightedDraw(g, random) for g in (local, other) if g
         ]
         self._failing = {h.record.name: h for h in hints if h.health.is_failing}
+        self._suspended_until = max(h.suspended_until for h in hints)
+        self._starting_until = float("-inf")
+        self._counted_at = float("-inf")
+        self._busy_count = 0
+        self._reweigh_seconds = max(
+            REWEIGH_SECONDS, REWEIGH_SECONDS_PER_AGENT * len(hints)
+        )
         self._reweighed_at = float("-inf")
         self.means = service_means.ServiceMeans()
 
     def inherit(self, earlier: ServicePool) -> None:
         """Take the means over from the pool of an earlier list."""
         self.means = earlier.means
+        self._starting_until = earlier._starting_until
+        # The draw of the new list has the present weights already.
+        self._reweighed_at = earlier._reweighed_at
+
+    def record_starting(
+        self, now: float, hint: agent_hint.AgentHint, seconds: float
+    ) -> None:
+        """Record that an agent still awaits an announcement of its upstream."""
+        hint.avoid(now, seconds)
+        # It gets an offer after the pause, and counts as starting until it answers.
+        self._starting_until = now + 2 * seconds
+
+    def has_starting(self, now: float) -> bool:
+        """Return whether an agent recently answered that it is starting."""
+        return now < self._starting_until
+
+    def count_busy(self, now: float) -> int:
+        """Return how many agents are known to have no free slot, some time ago."""
+        if not self._busy_count or now - self._counted_at >= COUNT_SECONDS:
+            self._counted_at = now
+            self._busy_count = sum(1 for h in self.hints if h.is_busy(now))
+        return self._busy_count
 
     def record(
         self, now: float, hint: agent_hint.AgentHint, message: verdict.Verdict
@@ -69,7 +103,7 @@
         hint.record_load(now, message, self.means)
         reason = hint.health.record(message, self.means)
         if reason:
-            hint.avoid(now, hint.health.pause)
+            self._suspend(now, hint)
             self._failing[hint.record.name] = hint
         else:
             self._failing.pop(hint.record.name, None)
@@ -79,7 +113,7 @@
         """Return a failing agent that is due for one flow, None if there is none."""
         for name, hint in self._failing.items():
             if hint.is_usable(now) and name not in tried:
-                hint.avoid(now, hint.health.pause)
+                self._suspend(now, hint)
                 return hint
         return None
 
@@ -111,7 +145,23 @@
             ]
             if free:
                 return min(free, key=lambda h: cost(now, h) + self._spread())
-        return None
+        left = [
+            h
+            for h in self._last_resort(now)
+            if not h.is_busy(now) and h.record.name not in tried
+        ]
+        return min(left, key=lambda h: cost(now, h), default=None)
+
+    def _suspend(self, now: float, hint: agent_hint.AgentHint) -> None:
+        hint.suspended_until = now + hint.health.pause
+        self._suspended_until = max(self._suspended_until, hint.suspended_until)
+
+    def _last_resort(self, now: float) -> list[agent_hint.AgentHint]:
+        """Return the suspended agents if no other may get offers."""
+        is_any_suspended = now < self._suspended_until
+        if not is_any_suspended or any(h.is_usable(now) for h in self.hints):
+            return []
+        return [h for h in self.hints if h.is_reachable(now)]
 
     def least_wait(self, now: float, max_wait: float) -> agent_hint.AgentHint | None:
         """Return the agent that answers soonest, None if a flow can wait at none."""
@@ -123,10 +173,13 @@
             ]
             if waiting:
                 return min(waiting, key=lambda h: self._answer_cost(now, h))
-        return None
+        left = [
+            h for h in self._last_resort(now) if not h.has_closed_queue(now, max_wait)
+        ]
+        return min(left, key=lambda h: self._answer_cost(now, h), default=None)
 
     def _draw(self, now: float) -> list[agent_hint.AgentHint]:
-        if now - self._reweighed_at >= REWEIGH_SECONDS:
+        if now - self._reweighed_at >= self._reweigh_seconds:
             self._reweighed_at = now
             self.means.update(now, self.hints)
             for group in self._groups:
--- a/src/limpetreel/streams/transfers/transfer_limit.py
+++ b/src/limpetreel/streams/transfers/transfer_limit.py
@@ -27,6 +27,8 @@
 """Assumed duration of a transfer until the first one has ended."""
 WEIGHT = 0.1
 """Weight of a new sample in the moving average of durations."""
+SWEEP_SECONDS = 1.0
+"""Interval at which transfers without packets are forgotten on a link with room."""
 MAX_WAIT_SECONDS = 1.0
 """Longest wait of an opening. Callers end an attempt 1.4 s after its first packet; the
 difference is for the handshake."""
@@ -44,6 +46,7 @@
     def __init__(self, bytes_per_second: float) -> None:
         windows = bytes_per_second * MAX_QUEUE_SECONDS / WINDOW_BYTES
         self.limit = max(1, int(windows))
+        self._swept_at = 0.0
         self._mean_seconds = INITIAL_TRANSFER_SECONDS
         self._active_until: dict[bytes, float] = {}
         self._began_at: dict[bytes, float] = {}
@@ -100,14 +103,18 @@
         entry; a packet that is not full ends it.
         """
         if size >= FULL_PACKET_BYTES:
+            if now - self._swept_at >= SWEEP_SECONDS:
+                self.sweep(now)
             if now - self._ended_at.get(flow, float("-inf")) > ENDED_SECONDS:
                 self._active_until[flow] = now + ACTIVE_SECONDS
                 self._began_at.setdefault(flow, now)
             return False
         if flow not in self._active_until:
             return False
-        seconds = now - self._began_at.get(flow, now)
-        self._mean_seconds += WEIGHT * (seconds - self._mean_seconds)
+        began_at = self._began_at.get(flow)
+        if began_at is not None:
+            # A request of one packet says nothing about the time of a large one.
+            self._mean_seconds += WEIGHT * (now - began_at - self._mean_seconds)
         self._forget_ended(now)
         self._ended_at[flow] = now
         self.end(flow)
@@ -136,6 +143,7 @@
 
     def sweep(self, now: float) -> None:
         """Stop counting transfers without packets."""
+        self._swept_at = now
         for flow in [k for k, until in self._active_until.items() if until <= now]:
             self.end(flow)
 
--- a/tests/streams/transfers/test_transfer_limit.py
+++ b/tests/streams/transfers/test_transfer_limit.py
@@ -213,3 +213,32 @@
     limit = transfer_limit.TransferLimit(LINK_BYTES_PER_SECOND)
     limit.record_data(0.0, make_opening(1024).flow, 1200)
     assert not limit.try_start(0.1, make_opening(1025).flow)
+
+
+def test_transfers_of_callers_that_have_gone_are_forgotten():
+    """Guards against memory that grows with each caller that stops in mid-request.
+
+    A link with room for more transfers never looked for those that had stopped.
+    """
+    limit = transfer_limit.TransferLimit(125_000_000.0)
+    for number in range(1024, 1024 + 1000):
+        now = number / 100
+        limit.record_data(now, make_opening(number).flow, 1200)
+        assert limit.active <= 200
+
+
+def test_small_uploads_do_not_count_as_transfers_without_duration():
+    """Guards against a queue without bound after uploads of one packet.
+
+    The mean duration fell to 0, so any number of openings was let wait.
+    """
+    limit = transfer_limit.TransferLimit(LINK_BYTES_PER_SECOND)
+    for number in range(1024, 1024 + 100):
+        assert limit.try_start(float(number), make_opening(number).flow)
+        limit.record_data(number + 0.05, make_opening(number).flow, 300)
+    assert limit.try_start(2000.0, make_opening(2000).flow)
+    waiting = 0
+    while waiting < 100 and limit.can_wait(ANSWER_SECONDS):
+        waiting += 1
+        limit.wait(2000.0, make_opening(2000 + waiting), ANSWER_SECONDS)
+    assert waiting <= 10
