Wait for an agent that was registered while its instance was up

Cause: the 8 s for which a missing agent is awaited were counted from the first lease alone. If the link between two control instances is down, an agent that is new at one of them is missing at the other, whose entries had a lease for longer than 8 s: they took the list for complete at once and could reset flows that this agent had got through other entries.

Change: the 8 s are counted from the last of both, the lease and the moment at which the list became incomplete.

--- a/src/limpetreel/cluster/list_clock.py
+++ b/src/limpetreel/cluster/list_clock.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self._confirmed_since: float | None = None
+        self._missing_since = float("-inf")
         self._is_complete: bool | None = None
 
     def record(self, now: float, has_lease: bool, is_complete: bool | None) -> None:
@@ -35,6 +36,8 @@
             self._confirmed_since = None
         elif self._confirmed_since is None:
             self._confirmed_since = now
+        if is_complete is False and self._is_complete is not False:
+            self._missing_since = now
         self._is_complete = is_complete
 
     def reset(self) -> None:
@@ -45,7 +48,8 @@
         """Return whether the list names every upstream that has flows."""
         if self._confirmed_since is None:
             return False
-        seconds = now - self._confirmed_since
         if self._is_complete is None:
-            return seconds >= SETTLED_SECONDS
-        return self._is_complete or seconds >= MISSING_SECONDS
+            return now - self._confirmed_since >= SETTLED_SECONDS
+        # An agent that was registered later may be heard by other instances only.
+        waits_since = max(self._confirmed_since, self._missing_since)
+        return self._is_complete or now - waits_since >= MISSING_SECONDS
--- a/tests/cluster/node_fleet.py
+++ b/tests/cluster/node_fleet.py
@@ -17,11 +17,15 @@
 
 
 class Node:
-    """Agent or entry that reports to one control instance at a time."""
+    """Agent or entry that reports to one control instance at a time.
+
+    Its attribute `home` is the only instance that it connects to, None for any.
+    """
 
     def __init__(self, fleet, name, wants_upstreams):
         self.fleet, self.name, self.wants_upstreams = fleet, name, wants_upstreams
         self.has_ended = False
+        self.home = None
         self.is_on, self.instance = False, None
 
     def stop(self):
@@ -52,8 +56,12 @@
             self.report()
 
     def connect(self, now):
-        """Connect to any instance that is running."""
-        running = [i for i in self.fleet.group.instances.values() if i.core is not None]
+        """Connect to any instance that is running, or to that of its home."""
+        running = [
+            i
+            for i in self.fleet.group.instances.values()
+            if i.core is not None and self.home in (None, i)
+        ]
         self.instance = self.fleet.random.choice(running) if running else None
         if self.instance is None:
             return
--- a/tests/cluster/test_list_return.py
+++ b/tests/cluster/test_list_return.py
@@ -113,6 +113,43 @@
         assert len(registered) >= 2, seed
 
 
+def divided_fleet(seed):
+    """Return a fleet, and an entry and an agent at instances without a link.
+
+    Both instances follow the third one.
+    """
+    group = control_group.ControlGroup(seed)
+    group.run(4.0)
+    first, second = (i for i in group.instances.values() if i is not group.leader())
+    fleet = node_fleet.NodeFleet(group, AGENTS, 1)
+    entry, agent = fleet.entries[0], fleet.agents[0]
+    entry.home, agent.home = first, second
+    fleet.run(4.0)
+    group.blocked_links.add(frozenset((first.address, second.address)))
+    return fleet, entry, agent
+
+
+def test_list_waits_for_a_new_agent_that_only_other_instances_hear():
+    """Guards against a reset of flows of an agent that the instance has not heard.
+
+    The entry has had a complete list for longer than a missing agent is awaited.
+    """
+    for seed in range(5):
+        fleet, entry, agent = divided_fleet(seed)
+        fleet.run(list_clock.MISSING_SECONDS)
+        assert entry.is_current(), seed
+        new = node_fleet.Node(fleet, "side-new", False)
+        new.home = agent.home
+        fleet.agents.append(new)
+        new.start()
+        fleet.run(1.0)
+        assert new.name in entry.instance.core.state.agents
+        assert new.name not in entry.names
+        assert not entry.is_current(), seed
+        fleet.run(list_clock.MISSING_SECONDS)
+        assert entry.is_current(), seed
+
+
 def test_agents_are_written_only_when_they_change():
     """Guards against a log that grows while nothing changes."""
     fleet = running_fleet(3)
