Keep registered agents in the list while only others hear them

Cause: a follower removed an agent from its directory after 75 s without reports, also when the link to the instance that hears the agent was down. The register still named the agent, but the list counted as complete, so entries of this instance could reset flows that live there.

Change: an agent stays in the directory of an instance as long as it is registered. The leader removes it from the register after 75 s without reports, as before, and the followers follow.

--- a/src/limpetreel/cluster/agent_registry.py
+++ b/src/limpetreel/cluster/agent_registry.py
@@ -54,6 +54,17 @@
             return None
         return not self._missing
 
+    def kept(self, now: float) -> frozenset[str]:
+        """Return agents that stay in the directory without reports.
+
+        The reports may reach other instances only. The leader removes an agent from
+        the register once it has not heard it for long.
+        """
+        if self._led_since is None:
+            return self._agents
+        has_led_long = now - self._led_since >= upstream_directory.REMOVAL_SECONDS
+        return frozenset() if has_led_long else self._agents
+
     def replace(self, agents: frozenset[str]) -> list[report.Report]:
         """Set the registered agents; return the reports that waited for it."""
         added = agents - self._agents
--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -164,7 +164,7 @@
             self._raft.change_seeds(self._seeds())
         actions = self._run_raft(now, raft_tick.Tick())
         actions += self._serve_calls(now)
-        for name in self._directory.expire(now):
+        for name in self._directory.expire(now, self._registry.kept(now)):
             actions.append(
                 log_line.LogLine("warning", "upstream.silent", {"agent": name})
             )
--- a/src/limpetreel/cluster/upstream_directory.py
+++ b/src/limpetreel/cluster/upstream_directory.py
@@ -8,6 +8,8 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
     from limpetreel.cluster import upstream_record
     from limpetreel.cluster.messages import report
 
@@ -87,12 +89,20 @@
             if upstream.record.has_ended and upstream.reported_at <= time
         }
 
-    def expire(self, now: float) -> list[str]:
-        """Mark overdue upstreams, remove old ones; return the names newly marked."""
+    def expire(self, now: float, kept: AbstractSet[str] = frozenset()) -> list[str]:
+        """Mark overdue upstreams, remove old ones; return the names newly marked.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        kept : set of str
+            Agents that are not removed.
+        """
         overdue = []
         for name, upstream in list(self._upstreams.items()):
             age = now - upstream.reported_at
-            if age > REMOVAL_SECONDS:
+            if age > REMOVAL_SECONDS and name not in kept:
                 del self._upstreams[name]
                 self.change += 1
                 self._removed[name] = _Removal(self.change, now)
--- a/tests/cluster/node_fleet.py
+++ b/tests/cluster/node_fleet.py
@@ -92,6 +92,7 @@
         self.clock.record(now, update.lease_ms > 0, update.is_complete)
         self.names = set() if update.is_full else self.names
         self.names |= {r.name for r in update.upstreams}
+        self.names -= set(update.removed)
         if update.configuration is not None:
             self.version = update.configuration.version
 
--- a/tests/cluster/test_list_return.py
+++ b/tests/cluster/test_list_return.py
@@ -150,6 +150,17 @@
         assert entry.is_current(), seed
 
 
+def test_agent_that_only_other_instances_hear_stays_in_the_list():
+    """Guards against a reset of flows of an agent whose reports are not relayed."""
+    fleet, entry, agent = divided_fleet(1)
+    fleet.run(upstream_directory.REMOVAL_SECONDS + 5.0)
+    assert agent.name in fleet.group.leader().core.state.agents
+    assert agent.name in entry.names
+    agent.stop()
+    fleet.run(upstream_directory.REMOVAL_SECONDS + 5.0)
+    assert agent.name not in entry.names
+
+
 def test_agents_are_written_only_when_they_change():
     """Guards against a log that grows while nothing changes."""
     fleet = running_fleet(3)
