Count only open flows against the limit of an upstream

Flows that both ends have closed are kept for 3 s, so that their last packets are forwarded. They counted against the maximum number of flows, and an upstream of many short flows was reported full while most of them had ended.

--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -95,7 +95,7 @@
         if self._upstream.is_blocked(now):
             return outcome.Outcome.UNRESPONSIVE
         limits = self.routes.service(self._service)
-        if limits is not None and len(self._flows) >= limits.max_connections:
+        if limits is not None and self._flows.open_flows >= limits.max_connections:
             return outcome.Outcome.FULL
         if not self._has_cold_start_capacity(now):
             return outcome.Outcome.WARMING
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -5,6 +5,8 @@
 import collections
 import dataclasses
 
+import msgspec
+
 from limpetreel.cluster import fleet_view
 from limpetreel.node import tick
 from limpetreel.streams import stream_agent_core, upstream_status
@@ -354,6 +356,26 @@
     assert agent.answers == ["entry", "entry-2"]
 
 
+def test_closed_flows_do_not_count_against_the_limit_of_an_upstream():
+    """Guards against refusals by an upstream whose short flows have just ended."""
+    agent = Agent()
+    cfg = load_site.make_site(1, [], 1, agent.loads, entries=0).cfg
+    services = tuple(
+        msgspec.structs.replace(s, max_connections=1) for s in cfg.services
+    )
+    cfg = msgspec.structs.replace(cfg, version=cfg.version + 1, services=services)
+    view = fleet_view.FleetView(2, cfg, frozenset(), (), True)
+    agent.handle(fleet_changed.FleetChanged(view))
+    flow = agent.open(agent.flow(1, load_site.LOOKUPS))
+    agent.take()
+    agent.offer(agent.flow(2, load_site.LOOKUPS))
+    assert (agent.take(), agent.core.outcomes["FULL"]) == ([], 1)
+    agent.send(flow, 101, 0, stream_site.RST)
+    agent.take()
+    agent.offer(agent.flow(3, load_site.LOOKUPS))
+    assert len(agent.take()) == 1
+
+
 def test_priority_decides_before_arrival():
     """Guards against lookups that wait behind feeds that asked before."""
     agent = Agent()
