Free the slot when the upstream closes a flow without a response

No response follows once the upstream has closed its side. The request counted as in service until its caller closed its own side, or for the longest time limit of all routes if the caller had gone.

--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -99,6 +99,11 @@
             samples.append(_sample("transfer_seconds", flow.data_at - flow.request_at))
         return samples
 
+    def record_upstream_end(self, now: float, flow: owned_flow.OwnedFlow) -> None:
+        """Record that the upstream has closed its side, so that no response follows."""
+        if flow.phase in _REQUEST_PHASES:
+            self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
+
     def record_removed(self, flows: Iterable[owned_flow.OwnedFlow]) -> None:
         """Record flows that have ended."""
         for flow in flows:
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -441,6 +441,8 @@
             flow.has_caller_fin = flow.has_caller_fin or segment.is_reset
         if segment.size:
             actions += self._requests.record_response(now, flow)
+        elif segment.is_fin:
+            self._requests.record_upstream_end(now, flow)
         if flow.is_closed:
             self._flows.close(flow, now)
         return actions + self._serve_waiting(now) if len(self._queue) else actions
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -376,6 +376,20 @@
     assert len(agent.take()) == 1
 
 
+def test_upstream_that_closes_without_a_response_frees_the_slot():
+    """Guards against a slot that is occupied until the longest time limit.
+
+    The upstream has closed its side, and the caller left without closing its own.
+    """
+    agent = Agent()
+    flow = agent.open(agent.flow(1))
+    make_busy(agent, 1)
+    agent.send(flow, 101)
+    assert agent.core._flows.occupied == 2
+    agent.reply(flow, stream_site.FIN)
+    assert agent.core._flows.occupied == 1
+
+
 def test_priority_decides_before_arrival():
     """Guards against lookups that wait behind feeds that asked before."""
     agent = Agent()
