Drop verdicts with negative figures

A negative service time gave an agent a negative weight, so that the sums of the draw were not in order; with one recent report it became the median and the service time of all silent agents.

No agent sends negative figures; a message that has one is now counted as malformed like any other that cannot be read.

--- a/src/limpetreel/streams/messages/verdict.py
+++ b/src/limpetreel/streams/messages/verdict.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from limpetreel.streams.messages import outcome
 
+_NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class Verdict(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Sent by an agent to the entry that offered a flow.
@@ -32,9 +36,9 @@
 
     offer_id: int
     outcome: outcome.Outcome
-    wait_ms: int
-    service_ms: int
-    load: int
-    flows: int = 0
-    utilisation: int = 0
+    wait_ms: _NotNegative
+    service_ms: _NotNegative
+    load: _NotNegative
+    flows: _NotNegative = 0
+    utilisation: _NotNegative = 0
     is_long: bool = False
--- a/tests/streams/test_bad_messages.py
+++ b/tests/streams/test_bad_messages.py
@@ -22,6 +22,7 @@
 )
 from tests import bad_input, fixtures
 from tests.streams import stream_site, test_flow_ownership
+from tests.streams.placement import entry_driver
 
 load_tests = fixtures.load_functions(globals())
 
@@ -63,3 +64,15 @@
         if number % 100 == 0:
             site.now += stream_site.TICK_SECONDS
             core.handle(site.now, tick.Tick())
+
+
+def test_verdict_with_a_negative_figure_is_dropped():
+    """Guards against negative weights, which upset the draw among all agents."""
+    for figures in ((-1, 50, 0), (0, -50, 0), (0, 50, -1), (0, 50, 0, -1)):
+        entry = entry_driver.EntryDriver(["side-0"])
+        entry.answers = lambda message, figures=figures: verdict.Verdict(
+            message.offer_id, outcome.Outcome.ACCEPTED, *figures
+        )
+        entry.open(1.0)
+        assert entry.core.open_flows == 0, figures
+        assert sum(entry.core.dropped.values()) == 1, figures
