Count only the head of a request against its bound

Cause: bytes were counted as headers until the body had begun, so the first part of a body that arrived after its head counted too. A document of more than 16 KiB whose client sends head and body apart got 431.

Change: bytes are counted until the head is complete.

--- a/src/limpetreel/runtime/request_reader.py
+++ b/src/limpetreel/runtime/request_reader.py
@@ -37,6 +37,7 @@
         )
         self._error: RequestError | None = None
         self._head_bytes = 0
+        self._is_in_head = False
         self._target = b""
         self._body = bytearray()
         self._has_host = False
@@ -52,7 +53,7 @@
         """Read received bytes; what follows a malformed request is ignored."""
         if self._error is not None or self.is_last:
             return
-        if self.is_in_progress and not self._body:
+        if self._is_in_head:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -64,7 +65,8 @@
                 self._error = cause
             else:
                 self._error = RequestError(400, str(exc))
-        if self._head_bytes > MAX_HEAD_BYTES and self._error is None:
+        is_too_large = self._is_in_head and self._head_bytes > MAX_HEAD_BYTES
+        if is_too_large and self._error is None:
             self._error = RequestError(431, "headers too large")
 
     def take(self) -> http_request.HttpRequest | None:
@@ -89,6 +91,7 @@
         self._target = b""
         self._body = bytearray()
         self._head_bytes = 0
+        self._is_in_head = True
         self._has_host = False
 
     def on_url(self, url: bytes) -> None:
@@ -101,6 +104,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head; HTTP/1.1 requires the header `Host`."""
+        self._is_in_head = False
         if self._parser.get_http_version() == "1.1" and not self._has_host:
             raise RequestError(400, "no Host header")
 
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -70,6 +70,36 @@
     assert received.startswith(b"HTTP/1.1 413")
 
 
+async def _exchange_parts(parts):
+    """Send a request in parts that the server reads one by one."""
+    server = http_server.HttpServer(answer, lambda *args: None)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.address)
+    for part in parts:
+        writer.write(part)
+        await asyncio.sleep(0.05)
+    async with asyncio.timeout(5):
+        received = await reader.read(65536)
+    writer.close()
+    await server.close()
+    return received
+
+
+def test_body_that_arrives_after_the_head_is_not_counted_as_headers():
+    """Guards against 431 for a document whose client sends head and body apart."""
+    size = request_reader.MAX_HEAD_BYTES + 1
+    head = f"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: {2 * size}\r\n\r\n"
+    parts = (head.encode(), b"x" * size, b"x" * size)
+    assert asyncio.run(_exchange_parts(parts)).startswith(b"HTTP/1.1 200")
+
+
+def test_head_in_many_parts_is_refused_once_it_is_too_large():
+    """Guards against unbounded memory for a head that never ends."""
+    line = b"a: " + b"b" * (request_reader.MAX_HEAD_BYTES // 2) + b"\r\n"
+    parts = (b"GET / HTTP/1.1\r\n", line, line, line)
+    assert asyncio.run(_exchange_parts(parts)).startswith(b"HTTP/1.1 431")
+
+
 async def _stop_during(handler_seconds):
     """Stop a server that has an idle connection and one with a request in progress."""
     loop_errors = []
