Bound the time in which an HTTP connection is closed

Cause: after a time-out the server waited until its response had left. A client that read nothing, or had vanished, kept one of the 128 connections until TCP gave up.

Change: a connection that is not closed within the time for writing is aborted.

--- a/src/limpetreel/runtime/http_server.py
+++ b/src/limpetreel/runtime/http_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -94,10 +93,7 @@
             self._refuse("http.request", peer, "not finished at the stop")
             writer.transport.abort()
         finally:
-            writer.close()
-            # At the end of the process, the task can be cancelled while it closes.
-            with contextlib.suppress(OSError, asyncio.CancelledError):
-                await writer.wait_closed()
+            await _close(writer)
             del self._connections[task]
 
     async def _serve_requests(
@@ -159,6 +155,17 @@
             return http_response.HttpResponse(500)
 
 
+async def _close(writer: asyncio.StreamWriter) -> None:
+    """Close a connection; what the client does not read in time is dropped."""
+    writer.close()
+    try:
+        async with asyncio.timeout(WRITE_SECONDS):
+            await writer.wait_closed()
+    except (OSError, asyncio.CancelledError):
+        # At the end of the process, the task can be cancelled while it closes.
+        writer.transport.abort()
+
+
 async def _write(
     writer: asyncio.StreamWriter, res: http_response.HttpResponse, is_last: bool
 ) -> None:
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from limpetreel.runtime import http_response, http_server, request_reader
 from tests import fixtures
@@ -100,6 +101,36 @@
     assert asyncio.run(_exchange_parts(parts)).startswith(b"HTTP/1.1 431")
 
 
+async def _receive_late(size, seconds):
+    """Return the size of a response that the client does not read for some time."""
+
+    async def answer_at_length(req):
+        return http_response.HttpResponse(200, b"x" * size)
+
+    server = http_server.HttpServer(answer_at_length, lambda *args: None)
+    await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.address)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    await asyncio.sleep(seconds)
+    received = 0
+    try:
+        async with asyncio.timeout(5):
+            while data := await reader.read(65536):
+                received += len(data)
+    except ConnectionResetError:
+        pass
+    writer.close()
+    await server.close()
+    return received
+
+
+def test_connection_of_a_client_that_does_not_read_is_aborted():
+    """Guards against connections that clients without a sign of life hold for good."""
+    size = 16 * 1024 * 1024
+    with mock.patch.object(http_server, "WRITE_SECONDS", 0.1):
+        assert asyncio.run(_receive_late(size, 0.5)) < size
+
+
 async def _stop_during(handler_seconds):
     """Stop a server that has an idle connection and one with a request in progress."""
     loop_errors = []
