Reset no flow that was opened anew during a search

Cause: a caller that gives up on an ended flow can open the next one from the same address while the search for the first goes on, for instance while the list of agents is incomplete. When all agents had denied the first flow the caller was reset, with the flow that it had just opened.

Change: no reset is sent if the entry has recorded an owner meanwhile.

--- a/src/limpetreel/streams/ownership/flow_owners.py
+++ b/src/limpetreel/streams/ownership/flow_owners.py
@@ -115,7 +115,9 @@
         """Continue searches; reset flows that no upstream holds."""
         actions: Actions = []
         for flow in self._search.take_denied(now):
-            actions += self._reset(now, flow)
+            # With a known owner it is the next flow from the address of the last one.
+            if flow.flow not in self._owners:
+                actions += self._reset(now, flow)
         expired, questions = self._search.tick(now)
         for flow in expired:
             actions.append(self._report_expired(flow))
--- a/tests/streams/test_ended_flows.py
+++ b/tests/streams/test_ended_flows.py
@@ -186,6 +186,42 @@
     assert all(c.request.refused == 1 for c in callers)
 
 
+def test_flow_that_was_opened_anew_during_a_search_is_not_reset():
+    """Guards against a reset of the next flow from the address of one that ended.
+
+    The caller gives up and opens the flow again while the list is incomplete.
+    """
+    site = make_site(34)
+    callers = open_flows(site, 20)
+    site.is_list_current = False
+    for upstream in site.upstreams.values():
+        upstream.restart()
+    for name in site.agents:
+        site.start_agent(name)
+        site.announce(name)
+    for name in list(site.entries):
+        site.start_entry(name)
+    send_again(site, callers, 0.1)
+    for caller in callers:
+        caller.is_over = True
+        caller.next = stream_site.Caller(site, stream_site.Request(site.now), 0)
+        caller.next.flow = caller.flow
+        caller.next.open()
+    site.run(site.now + 0.5)
+    assert all(c.next.request.answered_at is not None for c in callers)
+    resets = []
+    site.on_action = lambda name, action: (
+        resets.append(action)
+        if isinstance(action, send_caller.SendCaller) and name in site.entries
+        else None
+    )
+    site.is_list_current = True
+    site.update_all()
+    site.run(site.now + 0.5)
+    assert not resets
+    assert not any(entry.searches.get("ENDED") for entry in site.entries.values())
+
+
 def test_flow_of_a_service_that_its_route_has_lost_is_not_reset():
     """Guards against a reset for a flow that an earlier configuration placed.
 
