Join as a new instance after damage, also at the first start

Cause: a control instance whose files are damaged removes them and has to join under a new incarnation. While its settings still said that the whole system starts, it founded the group again, under incarnation 1, whose log it had lost.

Change: after damage the folder is always that of an instance which waits for the group to add it.

--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -261,7 +261,8 @@
         for name in files.list_files():
             files.remove(name)
         store = log_store.LogStore(files)
-        durable = None
+        _create_joining(cfg, store)
+        durable = store.recover()
     if durable is None:
         _create_store(cfg, port, store)
         durable = store.recover()
@@ -283,5 +284,10 @@
         )
         store.create(cfg.host, 1, founders)
         return
+    _create_joining(cfg, store)
+
+
+def _create_joining(cfg: Settings, store: log_store.LogStore) -> None:
+    """Create the folder of an instance that waits for the group to add it."""
     incarnation = time.time_ns() // 1_000_000
     store.create(cfg.host, incarnation, ())
