Bound the trailer of a request

Cause: the bytes after the last chunk of a body were not counted, and the parser keeps a header until it ends. A client could fill the memory of a role with one trailer that never ends; 18 MiB sent took 37 MiB.

Change: bytes are counted as headers until the head is complete, some of the body arrives, or the request ends, so the bound holds for the trailer.

--- a/src/limpetreel/runtime/request_reader.py
+++ b/src/limpetreel/runtime/request_reader.py
@@ -37,7 +37,6 @@
         )
         self._error: RequestError | None = None
         self._head_bytes = 0
-        self._is_in_head = False
         self._target = b""
         self._body = bytearray()
         self._has_host = False
@@ -53,7 +52,7 @@
         """Read received bytes; what follows a malformed request is ignored."""
         if self._error is not None or self.is_last:
             return
-        if self._is_in_head:
+        if self.is_in_progress:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -65,8 +64,7 @@
                 self._error = cause
             else:
                 self._error = RequestError(400, str(exc))
-        is_too_large = self._is_in_head and self._head_bytes > MAX_HEAD_BYTES
-        if is_too_large and self._error is None:
+        if self._head_bytes > MAX_HEAD_BYTES and self._error is None:
             self._error = RequestError(431, "headers too large")
 
     def take(self) -> http_request.HttpRequest | None:
@@ -91,7 +89,6 @@
         self._target = b""
         self._body = bytearray()
         self._head_bytes = 0
-        self._is_in_head = True
         self._has_host = False
 
     def on_url(self, url: bytes) -> None:
@@ -104,18 +101,20 @@
 
     def on_headers_complete(self) -> None:
         """Check the head; HTTP/1.1 requires the header `Host`."""
-        self._is_in_head = False
+        self._head_bytes = 0
         if self._parser.get_http_version() == "1.1" and not self._has_host:
             raise RequestError(400, "no Host header")
 
     def on_body(self, body: bytes) -> None:
-        """Add a part of the body."""
+        """Add a part of the body; bytes without any are those of head or trailer."""
+        self._head_bytes = 0
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
             raise RequestError(413, "body too large")
 
     def on_message_complete(self) -> None:
         """Add the complete request."""
+        self._head_bytes = 0
         self.is_in_progress = False
         self.is_last = not self._parser.should_keep_alive()
         method = self._parser.get_method().decode("ascii", "replace")
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -101,6 +101,14 @@
     assert asyncio.run(_exchange_parts(parts)).startswith(b"HTTP/1.1 431")
 
 
+def test_trailer_in_many_parts_is_refused_once_it_is_too_large():
+    """Guards against unbounded memory for what follows a body in chunks."""
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    part = b"x" * (request_reader.MAX_HEAD_BYTES // 2)
+    parts = (head + b"3\r\nabc\r\n0\r\nA: ", part, part, part)
+    assert asyncio.run(_exchange_parts(parts)).startswith(b"HTTP/1.1 431")
+
+
 async def _receive_late(size, seconds):
     """Return the size of a response that the client does not read for some time."""
 
