--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -147,8 +147,6 @@
         actions: Actions = []
         if segment.size:
             actions = self._transfers.record_data(now, segment.flow, segment.size)
-            if self._transfers.is_early_copy(now, segment):
-                return actions + self._drop("copy of a packet on the link")
         owner = self._owners.get(segment.flow)
         if owner is None:
             self._placement.record_caller_packet(segment)
--- a/src/limpetreel/streams/transfers/transfer_admission.py
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -72,10 +72,6 @@
         has_ended = self._limit.record_data(now, flow, size)
         return self._start_waiting(now) if has_ended and len(self._limit) else []
 
-    def is_early_copy(self, now: float, segment: segment.Segment) -> bool:
-        """Return whether a packet need not be forwarded; see `TransferLimit`."""
-        return self._limit.is_early_copy(now, segment)
-
     def tick(self, now: float) -> Actions:
         """Place the flows for which there is room, and refuse those that came late."""
         actions: Actions = []
--- a/src/limpetreel/streams/transfers/transfer_limit.py
+++ b/src/limpetreel/streams/transfers/transfer_limit.py
@@ -27,10 +27,6 @@
 """Assumed duration of a transfer until the first one has ended."""
 WEIGHT = 0.1
 """Weight of a new sample in the moving average of durations."""
-COPY_SECONDS = 0.35
-"""Time after a packet was forwarded in which a copy of it is not: the first copy comes
-after 0.2 s, also while the packet still waits on the link. The second one comes 0.4 s
-later, so a packet that was lost arrives then."""
 SWEEP_SECONDS = 1.0
 """Interval at which transfers without packets are forgotten on a link with room."""
 MAX_WAIT_SECONDS = 1.0
@@ -55,7 +51,6 @@
         self._active_until: dict[bytes, float] = {}
         self._began_at: dict[bytes, float] = {}
         self._ended_at: dict[bytes, float] = {}
-        self._forwarded_at: dict[bytes, dict[int, float]] = {}
         self._waiting: dict[bytes, waiting_opening.WaitingOpening] = {}
 
     def __len__(self) -> int:
@@ -125,29 +120,10 @@
         self.end(flow)
         return True
 
-    def is_early_copy(self, now: float, packet: segment.Segment) -> bool:
-        """Return whether a packet of a transfer was forwarded a moment ago.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds.
-        packet : Segment
-            Packet of a caller; it counts as forwarded if it is no early copy.
-        """
-        if packet.size < FULL_PACKET_BYTES or packet.flow not in self._active_until:
-            return False
-        times = self._forwarded_at.setdefault(packet.flow, {})
-        if now - times.get(packet.sequence, float("-inf")) < COPY_SECONDS:
-            return True
-        times[packet.sequence] = now
-        return False
-
     def end(self, flow: bytes) -> None:
         """Stop counting a transfer, for example since its flow was refused."""
         self._active_until.pop(flow, None)
         self._began_at.pop(flow, None)
-        self._forwarded_at.pop(flow, None)
 
     def take_startable(self, now: float) -> list[waiting_opening.WaitingOpening]:
         """Start the openings for which there is room, in the order of their arrival."""
