--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -71,8 +71,8 @@
     (
         "packets of unknown flows are dropped",
         _SOURCE + "stream_entry_core.py",
-        "            return self._find_owner(now, segment)\n        owner.last_at",
-        '            return self._drop("unknown flow")\n        owner.last_at',
+        "return actions + self._find_owner(now, segment)\n        owner.last_at",
+        'return self._drop("unknown flow")\n        owner.last_at',
         _OWNERSHIP + "test_flows_survive_the_restart_of_all_entries",
     ),
     (
@@ -348,8 +348,8 @@
     (
         "requests on open flows are not held",
         _SOURCE + "serving/request_gate.py",
-        "if self._admission.has_free_slot() or not _may_hold(flow, packet):",
-        "if True:",
+        "            if not self._admission.has_free_slot():\n",
+        "            if False:\n",
         _HELD + "test_lookups_on_fresh_flows_are_in_time_beside_long_flows",
     ),
     (
