--- a/src/limpetreel/streams/serving/waiting_lane.py
+++ b/src/limpetreel/streams/serving/waiting_lane.py
@@ -28,7 +28,7 @@
         return len(self._items)
 
     def set_time_limit(self, seconds: float) -> None:
-        """Set the time limit of the route."""
+        """Set the timeout of the route."""
         self._starvation_seconds = seconds / STARVATION_DIVISOR
 
     @property
