--- a/src/limpetreel/streams/serving/capacity.py
+++ b/src/limpetreel/streams/serving/capacity.py
@@ -8,6 +8,11 @@
 """Assumed service time until the first request is answered."""
 INITIAL_OPENING_SECONDS = 0.008
 """Round trip to a caller that is 3 ms away, and some processing."""
+OPENING_FACTOR = 4
+"""Multiple of the mean after which an opening without a request is taken for one whose
+caller has gone; the request of a live one follows within one round trip."""
+MIN_OPENING_SECONDS, MAX_OPENING_SECONDS = 0.03, 0.15
+"""Bounds of that time."""
 WEIGHT = 0.1
 """Weight of a new sample in the moving averages."""
 
@@ -45,6 +50,11 @@
         self._opening_seconds += WEIGHT * (seconds - self._opening_seconds)
         self._limit = self._compute_limit()
 
+    def max_opening_seconds(self) -> float:
+        """Return how long an open flow without a request occupies a slot."""
+        seconds = OPENING_FACTOR * self._opening_seconds
+        return min(MAX_OPENING_SECONDS, max(MIN_OPENING_SECONDS, seconds))
+
     def limit(self) -> int:
         """Return how many flows may be opening or working concurrently."""
         return self._limit
--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -6,6 +6,7 @@
 
 from limpetreel.streams import owned_flow
 from limpetreel.streams.messages import outcome
+from limpetreel.streams.serving import overload_detector
 
 if TYPE_CHECKING:
     from limpetreel.configuration import route
@@ -66,6 +67,7 @@
         self._capacity = capacity
         self._starts = starts
         self._upstream = upstream
+        self._overload = overload_detector.OverloadDetector()
         self.routes: route_table.RouteTable | None = None
 
     def refusal(
@@ -146,6 +148,41 @@
         limit = WAIT_SHARE * self.max_wait_seconds(matched_route)
         return self._wait_seconds(ahead - forced) <= limit and not self._queue.is_full
 
+    def record_refusal(self, now: float) -> None:
+        """Record a new flow that was refused for lack of a slot."""
+        self._overload.record_refusal(now)
+
+    def record_late_served(self, now: float) -> None:
+        """Record that a flow that waited past its latency target has got a slot."""
+        self._overload.record_late_served(now, not self._queue.has_late)
+
+    def is_overload_lasting(self, now: float) -> bool:
+        """Return whether no flow should wait that cannot be answered in time."""
+        if not self._queue.has_late:
+            self._overload.record_late_gone()
+        return self._overload.is_lasting(now)
+
+    def can_wait_late(self, now: float, item: waiting.Waiting) -> bool:
+        """Return whether an opening that misses its latency target should still wait.
+
+        Its caller is still served within its time limit, as long as the peak passes
+        before the caller gives the attempt up. A refused one returns at once, and uses
+        up its attempts before the peak has passed.
+        """
+        if self._overload.is_lasting(now) or self._queue.is_full:
+            return False
+        left = self.late_expires_at(item) - now
+        if self._wait_seconds(len(self._queue)) > left:
+            return False
+        self._overload.record_late(now)
+        return True
+
+    def late_expires_at(self, item: waiting.Waiting) -> float:
+        """Return the time until which an opening may wait to be answered at all."""
+        response = LONG_SERVICE_FACTOR * self._capacity.response_seconds()
+        spare = item.route.timeout_ms / 1000 - response - HANDSHAKE_SECONDS
+        return item.arrived_at + min(MAX_WAIT_SECONDS, spare)
+
     def _count_forced(
         self, key: bytes, matched_route: route.Route, has_waited: bool, is_starved: bool
     ) -> int:
--- a/src/limpetreel/streams/serving/flow_opener.py
+++ b/src/limpetreel/streams/serving/flow_opener.py
@@ -166,13 +166,11 @@
     def _wait(
         self, now: float, source: Address, message: offer.Offer, key: bytes
     ) -> outcome.Outcome:
-        """Queue a flow if it can be answered in time."""
+        """Queue a flow if it can be answered in time, or at all in a peak."""
         matched_route = self._admission.find_route(key)
         if matched_route is None:
             return outcome.Outcome.BUSY
         self._queue.record_demand(now, key, matched_route)
-        if not self._admission.can_wait(now, matched_route, key):
-            return outcome.Outcome.BUSY
         limit = self._admission.max_wait_seconds(matched_route)
         waiting = waiting_opening.WaitingOpening(
             key,
@@ -183,5 +181,17 @@
             source,
             message.packet,
         )
-        self._queue.put_opening(waiting, self._flows.count_occupying(key[:4]))
+        if self._admission.can_wait(now, matched_route, key):
+            self._queue.put_opening(waiting, self._flows.count_occupying(key[:4]))
+        elif not self.wait_late(now, waiting):
+            self._admission.record_refusal(now)
+            return outcome.Outcome.BUSY
         return outcome.Outcome.QUEUED
+
+    def wait_late(self, now: float, waiting: waiting_opening.WaitingOpening) -> bool:
+        """Queue a flow behind those that can be answered in time, if it helps."""
+        if waiting.is_late or not self._admission.can_wait_late(now, waiting):
+            return False
+        waiting.expires_at = self._admission.late_expires_at(waiting)
+        self._queue.put_late(waiting)
+        return True
--- a/src/limpetreel/streams/serving/slot_scheduler.py
+++ b/src/limpetreel/streams/serving/slot_scheduler.py
@@ -62,6 +62,8 @@
             )
             if item is None:
                 break
+            if isinstance(item, waiting_opening.WaitingOpening) and item.is_late:
+                self._admission.record_late_served(now)
             actions += self._serve(now, item, is_forced=False)
         return actions
 
@@ -73,11 +75,17 @@
     def expire(self, now: float) -> Actions:
         """Refuse openings and forward requests whose wait has expired."""
         actions: Actions = []
-        for item in self._queue.take_expired(now):
-            if isinstance(item, waiting_opening.WaitingOpening):
-                actions += self._opener.refuse(now, item, outcome.Outcome.BUSY)
-            else:
+        expired = self._queue.take_expired(now)
+        if self._admission.is_overload_lasting(now):
+            expired += self._queue.take_late()
+        for item in expired:
+            if isinstance(item, held_request.HeldRequest):
                 actions += self._serve(now, item, is_forced=True)
+                continue
+            assert isinstance(item, waiting_opening.WaitingOpening)
+            if not self._opener.wait_late(now, item):
+                self._admission.record_refusal(now)
+                actions += self._opener.refuse(now, item, outcome.Outcome.BUSY)
         return actions
 
     def refuse_openings(self, now: float, reason: outcome.Outcome) -> Actions:
--- a/src/limpetreel/streams/serving/waiting_opening.py
+++ b/src/limpetreel/streams/serving/waiting_opening.py
@@ -14,7 +14,7 @@
     """Opening packet of a flow, which is refused if its wait expires.
 
     Its attribute `offers` holds the identifier of the latest offer of each entry, as
-    each awaits an answer.
+    each awaits an answer. `is_late` tells whether it can no longer be answered in time.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
         The opening packet.
     """
 
-    __slots__ = ("offers", "packet")
+    __slots__ = ("is_late", "offers", "packet")
 
     def __init__(
         self,
@@ -47,3 +47,4 @@
         super().__init__(key, route, arrived_at, expires_at)
         self.offers = {entry: offer_id}
         self.packet = packet
+        self.is_late = False
--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from limpetreel.streams import owned_flow
-from limpetreel.streams.serving import held_request, waiting_lane, waiting_opening
+from limpetreel.streams.serving import (
+    held_request,
+    late_lane,
+    waiting_lane,
+    waiting_opening,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,11 +37,13 @@
 
     The lane that is served next is one that got nothing for too long; then one whose
     first item can be answered in time; then the one of the highest priority; then the
-    one whose first item arrived first.
+    one whose first item arrived first. Openings that may not be answered in time have
+    lanes of their own, which are served after all others, by priority.
     """
 
     def __init__(self) -> None:
         self._lanes: dict[tuple[bytes, bool], Lane] = {}
+        self._late_lanes: dict[bytes, late_lane.LateLane] = {}
         self._openings: dict[bytes, waiting_opening.WaitingOpening] = {}
         self._requests: dict[bytes, held_request.HeldRequest] = {}
         self._bytes = 0
@@ -93,6 +100,14 @@
         self._openings[item.key] = item
         self._put(item, running, is_opening=True)
 
+    def put_late(self, item: waiting_opening.WaitingOpening) -> None:
+        """Add an opening that may not be answered in time."""
+        item.is_late = True
+        item.number = next(self._numbers)
+        self._openings[item.key] = item
+        key = item.key[owned_flow.ROUTE_BYTES]
+        self._late_lanes.setdefault(key, late_lane.LateLane()).put(item)
+
     def put_request(
         self, item: held_request.HeldRequest, packet: segment.Segment, running: int
     ) -> bool:
@@ -140,16 +155,33 @@
             if len(lane) and may_serve(now, lane.first, lane.is_starved(now))
         ]
         if not lanes:
-            return None
+            return self._pop_late(now, may_serve)
         answer_at = now + response_seconds
         item = min(lanes, key=lambda lane: _rank(now, answer_at, lane)).pop(now)
         self._forget(item)
         return item
 
+    def _pop_late(
+        self, now: float, may_serve: Callable[[float, waiting.Waiting, bool], bool]
+    ) -> waiting.Waiting | None:
+        lanes = [
+            lane
+            for lane in self._late_lanes.values()
+            if len(lane) and may_serve(now, lane.first, False)
+        ]
+        if not lanes:
+            return None
+        item = min(lanes, key=lambda lane: lane.first.route.priority).pop()
+        self._forget(item)
+        return item
+
     def remove(self, item: waiting.Waiting) -> None:
         """Remove an opening or a request that is not served."""
         is_opening = isinstance(item, waiting_opening.WaitingOpening)
-        self._lanes[item.key[owned_flow.ROUTE_BYTES], is_opening].remove(item)
+        if isinstance(item, waiting_opening.WaitingOpening) and item.is_late:
+            self._late_lanes[item.key[owned_flow.ROUTE_BYTES]].remove(item)
+        else:
+            self._lanes[item.key[owned_flow.ROUTE_BYTES], is_opening].remove(item)
         self._forget(item)
 
     def take_expired(self, now: float) -> list[waiting.Waiting]:
@@ -160,6 +192,16 @@
         )
         return self._take([w for w in everything if w.expires_at <= now])
 
+    @property
+    def has_late(self) -> bool:
+        """Return whether openings wait that may not be answered in time."""
+        return any(len(lane) for lane in self._late_lanes.values())
+
+    def take_late(self) -> list[waiting.Waiting]:
+        """Remove and return openings that may not be answered in time."""
+        late: list[waiting.Waiting] = [w for w in self._openings.values() if w.is_late]
+        return self._take(late)
+
     def take_openings(self) -> list[waiting_opening.WaitingOpening]:
         """Remove and return all openings."""
         return self._take(list(self._openings.values()))
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -68,9 +68,6 @@
 OPEN_ANSWER_SECONDS = 0.06
 """Time limit for the answer to an opening packet. An upstream answers within 1 ms; the
 rest covers a pause of the machine."""
-MAX_OPENING_SECONDS = 0.15
-"""Time after which an open flow without a request no longer occupies a slot. A live
-caller sends its request within one round trip."""
 
 
 class StreamAgentCore(core.Core):
@@ -336,7 +333,8 @@
         self._requests.record_removed(self._flows.sweep(now, idle))
         # All callers of a request have timed out after the longest time limit.
         working = self._routes.longest_timeout_seconds if self._routes else 0.0
-        self._flows.release_stalled(now, MAX_OPENING_SECONDS, working)
+        opening = self._capacity.max_opening_seconds()
+        self._flows.release_stalled(now, opening, working)
         self._requests.end_silent(now)
         self._held.sweep(now)
         for segment in self._held.take_held(now):
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -26,6 +26,30 @@
 _OWNER = _SOURCE + "ownership/"
 
 MUTANTS = [
+    (
+        "late openings are served in order of arrival",
+        "src/limpetreel/streams/serving/late_lane.py",
+        "        return next(reversed(self._items.values()))\n",
+        "        return next(iter(self._items.values()))\n",
+        "tests.streams.test_load_patterns."
+        "test_new_callers_are_answered_in_time_beside_a_backlog",
+    ),
+    (
+        "no opening waits past its latency target",
+        "src/limpetreel/streams/serving/flow_opener.py",
+        "waiting.is_late or not self._admission.can_wait_late(now, waiting):\n",
+        "waiting.key:\n",
+        "tests.streams.test_load_patterns."
+        "test_callers_that_return_at_once_are_served_late",
+    ),
+    (
+        "openings wait past their latency target however long an overload lasts",
+        "src/limpetreel/streams/serving/overload_detector.py",
+        "        if since is not None and now - since >= UNSERVED_SECONDS:\n",
+        "        if since is not None and now < since:\n",
+        "tests.streams.test_load_patterns."
+        "test_lasting_overload_ends_waits_that_no_slot_is_left_for",
+    ),
     (
         "flows wait for as long as the caller",
         _SOURCE + "serving/flow_admission.py",
@@ -64,7 +88,7 @@
     (
         "flows without a request keep their slot",
         _SOURCE + "stream_agent_core.py",
-        "        self._flows.release_stalled(now, MAX_OPENING_SECONDS, working)\n",
+        "        self._flows.release_stalled(now, opening, working)\n",
         "",
         _LOAD + "test_opened_flows_without_a_caller_release_their_slots_soon",
     ),
--- a/tests/streams/test_load_patterns.py
+++ b/tests/streams/test_load_patterns.py
@@ -179,3 +179,59 @@
     site.run(8.0)
     # A flow more than slots is admitted, since requests are on the way at times.
     assert len(site.opened) - before <= len(site.upstreams)
+
+
+def return_of_callers(seed):
+    """Return a site after 240 callers have come at once, and the requests of these.
+
+    They are 0.6 s of work beside a load of half the capacity; callers wait for 1.2 s.
+    """
+    cfg = stream_site.make_configuration(1, 150, 2000)
+    site = stream_site.StreamSite(seed, [0.025] * 5, configuration=cfg)
+    site.run(0.1)
+    site.load(200, 6)
+    site.run(2)
+    steady = len(site.requests)
+    site.load(240 / 0.02, 0.02)
+    returned = site.requests[steady:]
+    site.run(8)
+    return site, returned
+
+
+def test_callers_that_return_at_once_are_served_late():
+    """Guards against refusals that use up the attempts of callers within milliseconds.
+
+    After an outage all callers return in one moment. Those that could not be answered
+    in time were refused three times within 0.2 s, although the upstreams served the
+    work of all of them while their callers still waited.
+    """
+    for seed in range(3):
+        _, returned = return_of_callers(seed)
+        served = sum(r.answered_at is not None for r in returned)
+        assert served >= 0.99 * len(returned), (seed, served, len(returned))
+
+
+def test_new_callers_are_answered_in_time_beside_a_backlog():
+    """Guards against a backlog that is served in order and makes everyone late.
+
+    The backlog takes 0.6 s of all slots. A new caller goes before it.
+    """
+    for seed in range(3):
+        site, returned = return_of_callers(seed)
+        ids = {id(r) for r in returned}
+        new = [r for r in site.requests if id(r) not in ids and 2.2 <= r.began_at < 3.4]
+        good = [r for r in new if r.answered_at and r.answered_at - r.began_at <= 0.15]
+        assert len(good) >= 0.9 * len(new), (seed, len(good), len(new))
+
+
+def test_lasting_overload_ends_waits_that_no_slot_is_left_for():
+    """Guards against callers that wait for nothing while an overload lasts."""
+    cfg = stream_site.make_configuration(1, 400, 2000)
+    site = stream_site.StreamSite(1, [0.05] * 5, configuration=cfg)
+    site.run(0.1)
+    site.load(2 * 5 * 2 / 0.05, 6, retries=0)
+    site.run(9)
+    lines = [(at, x) for at, _, x in site.log_lines if x.step == "flow.refused"]
+    held = sorted(x.fields["held_ms"] for at, x in lines if at >= 2.0)
+    assert held[int(0.95 * len(held))] <= 400 / 4, held[int(0.95 * len(held))]
+    assert site.in_time(2, 6) * 2 >= 0.9
