Place requests that may run once only away from unstable upstreams

Change: an agent whose upstream crashed, reset a request or left an opening unanswered gives such offers back for 2 to 16 s, except the last one of an entry. Held requests are found by their flow in the queue, so that owned_flow and held_request do not import one another; utilisation is part of slot_occupancy, and late openings need no lane of their own.

--- a/src/limpetreel/streams/flow_phase.py
+++ b/src/limpetreel/streams/flow_phase.py
@@ -18,3 +18,7 @@
     """A request has arrived in full and is not yet answered."""
     IDLE = "idle"
     """The answer has begun, or the flow waits for another request."""
+
+
+REQUEST_PHASES = (FlowPhase.RECEIVING, FlowPhase.WORKING)
+"""Phases in which a response is awaited."""
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from limpetreel.streams import flow_phase
+
 if TYPE_CHECKING:
-    from limpetreel.streams import flow_phase
-    from limpetreel.streams.serving import held_request, packet_gaps
+    from limpetreel.streams.serving import packet_gaps
 
 
 ROUTE_BYTES = slice(6, 12)
@@ -22,8 +23,8 @@
 
     Of the latest request, `request_at` and `data_at` are the times of its first and
     last data, `gaps` are its missing packets and `has_last_packet` tells whether the
-    packet that ends it has come. `held` is a request that waits for a slot,
-    `forced_priority` the priority of one whose wait expired without a free slot.
+    packet that ends it has come. `forced_priority` is the priority of a request whose
+    wait for a slot expired.
 
     Parameters
     ----------
@@ -46,7 +47,6 @@
         "has_caller_fin",
         "has_last_packet",
         "has_upstream_fin",
-        "held",
         "is_confirmed",
         "is_established",
         "key",
@@ -76,12 +76,17 @@
         self.gaps: packet_gaps.PacketGaps | None = None
         self.has_last_packet = False
         self.forced_priority: int | None = None
-        self.held: held_request.HeldRequest | None = None
         self.is_confirmed = False
         self.is_established = False
         self.has_caller_fin = False
         self.has_upstream_fin = False
 
+    @property
+    def has_open_request(self) -> bool:
+        """Return whether neither end has closed the flow before a response has come."""
+        is_closing = self.has_caller_fin or self.has_upstream_fin
+        return self.phase in flow_phase.REQUEST_PHASES and not is_closing
+
     def record_sent(self, sequence: int, size: int) -> None:
         """Record data that the upstream has sent."""
         end = (sequence + size) & _SEQUENCE_MASK
--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -11,7 +11,12 @@
 if TYPE_CHECKING:
     from limpetreel.configuration import route
     from limpetreel.streams import flow_set, route_table, upstream_state
-    from limpetreel.streams.serving import capacity, start_rate, waiting, waiting_queue
+    from limpetreel.streams.serving import (
+        capacity,
+        start_rate,
+        waiting,
+        waiting_queue,
+    )
 
 HANDSHAKE_SECONDS = 0.02
 """Part of the answer time that the handshake and the transfer of the answer take."""
@@ -71,7 +76,12 @@
         self.routes: route_table.RouteTable | None = None
 
     def refusal(
-        self, now: float, flow: bytes, version: int, is_accepting: bool
+        self,
+        now: float,
+        flow: bytes,
+        version: int,
+        is_accepting: bool,
+        is_last_offer: bool = False,
     ) -> outcome.Outcome | None:
         """Return the reason not to open a new flow now, None if there is none.
 
@@ -85,6 +95,8 @@
             Version of the configuration that the entry used.
         is_accepting : bool
             Whether the upstream and its zone accept new flows.
+        is_last_offer : bool
+            Whether the entry refuses the flow unless this agent takes it.
         """
         if self.routes is None or self._upstream.status is None:
             return outcome.Outcome.STARTING
@@ -103,6 +115,9 @@
             return outcome.Outcome.WARMING
         if not self.has_free_slot() or len(self._queue):
             return outcome.Outcome.BUSY
+        is_repeatable = matched_route.kind.is_repeatable
+        if not is_repeatable and not is_last_offer and self._upstream.is_unstable(now):
+            return outcome.Outcome.BUSY
         return None
 
     def find_route(self, flow: bytes) -> route.Route | None:
--- a/src/limpetreel/streams/serving/flow_opener.py
+++ b/src/limpetreel/streams/serving/flow_opener.py
@@ -90,7 +90,9 @@
             # Another entry may have got a copy of the opening packet.
             waiting.offers[source] = message.offer_id
         else:
-            refusal = self._admission.refusal(now, key, message.version, is_accepting)
+            refusal = self._admission.refusal(
+                now, key, message.version, is_accepting, message.may_wait
+            )
             if refusal is None:
                 self._queue.record_served(now, key, is_opening=True)
                 return self._open(now, source, message.offer_id, key, message.packet)
--- a/src/limpetreel/streams/serving/request_gate.py
+++ b/src/limpetreel/streams/serving/request_gate.py
@@ -54,8 +54,9 @@
         self, now: float, flow: owned_flow.OwnedFlow, packet: segment.Segment
     ) -> Actions:
         """Forward or hold a packet of the caller."""
-        if flow.held is not None:
-            return self._continue(now, flow, flow.held, packet)
+        held = self._queue.get_request(flow)
+        if held is not None:
+            return self._continue(now, flow, held, packet)
         is_idle = flow.phase is flow_phase.FlowPhase.IDLE
         if packet.size and is_idle and _may_hold(flow, packet):
             if not self._admission.has_free_slot():
@@ -78,7 +79,6 @@
             Whether no slot is free for it.
         """
         flow = held.flow
-        flow.held = None
         if self._flows.get(flow.key) is not flow:
             return []
         seconds = now - held.arrived_at
@@ -110,7 +110,6 @@
         running = self._flows.count_occupying(flow.key[:4])
         if not self._queue.put_request(held, packet, running):
             return self._send(now, flow, packet)
-        flow.held = held
         flow.last_at = now
         self._count(matched_route)
         return []
@@ -125,7 +124,6 @@
         """Handle a packet of a flow whose request is held."""
         if packet.is_reset or (packet.is_fin and not packet.size):
             self._queue.remove(held)
-            flow.held = None
             return self._send(now, flow, packet)
         if not packet.size or not request_tracker.is_new_data(flow, packet):
             return self._send(now, flow, packet)
--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -21,7 +21,6 @@
 _SEQUENCE_MASK = 0xFFFFFFFF
 _RECEIVING = flow_phase.FlowPhase.RECEIVING
 _WORKING = flow_phase.FlowPhase.WORKING
-_REQUEST_PHASES = (_RECEIVING, _WORKING)
 
 
 class RequestTracker:
@@ -81,7 +80,7 @@
 
         A response to a request that was not in service has no service time.
         """
-        if flow.phase not in _REQUEST_PHASES:
+        if flow.phase not in flow_phase.REQUEST_PHASES:
             return []
         if flow.phase is _RECEIVING:
             # The upstream knew the end of the request before the agent did.
@@ -101,7 +100,7 @@
 
     def record_upstream_end(self, now: float, flow: owned_flow.OwnedFlow) -> None:
         """Record that the upstream has closed its side, so that no response follows."""
-        if flow.phase in _REQUEST_PHASES:
+        if flow.phase in flow_phase.REQUEST_PHASES:
             self._flows.move(flow, flow_phase.FlowPhase.IDLE, now)
 
     def record_removed(self, flows: Iterable[owned_flow.OwnedFlow]) -> None:
@@ -130,7 +129,7 @@
         """Record data that is ahead of all data before it."""
         if flow.phase is flow_phase.FlowPhase.OPENING:
             self._capacity.record_opening_time(now - flow.phase_at)
-        if flow.phase not in _REQUEST_PHASES:
+        if flow.phase not in flow_phase.REQUEST_PHASES:
             self._record_start(now, flow)
         if flow.caller_end is not None and flow.caller_end != segment.sequence:
             self._record_gap(flow, flow.caller_end, segment.sequence)
@@ -157,7 +156,7 @@
     ) -> None:
         if flow.gaps is None or not flow.gaps.fill(segment.sequence, segment.size):
             return
-        if flow.phase in _REQUEST_PHASES:
+        if flow.phase in flow_phase.REQUEST_PHASES:
             flow.data_at = now
             self._update_phase(now, flow)
 
--- a/src/limpetreel/streams/serving/slot_occupancy.py
+++ b/src/limpetreel/streams/serving/slot_occupancy.py
@@ -2,14 +2,44 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from limpetreel.streams.serving import utilisation
-
 if TYPE_CHECKING:
     from limpetreel.streams import owned_flow
     from limpetreel.streams.serving import capacity
 
+AVERAGING_SECONDS = 2.0
+"""Time constant of the utilisation. It spans some tens of requests, and follows a
+demand whose swings last several seconds."""
+
+
+class _Utilisation:
+    """Exponentially weighted average over time of the share of busy slots."""
+
+    def __init__(self) -> None:
+        self._average = 0.0
+        self._share = 0.0
+        self._since: float | None = None
+
+    def record(self, now: float, share: float) -> None:
+        """Record the share of busy slots from now on, between 0 and 1."""
+        if share == self._share and self._since is not None:
+            return
+        self._average = self._average_at(now)
+        self._share = share
+        self._since = now
+
+    def percent(self, now: float) -> int:
+        """Return the average at a time in percent."""
+        return round(100 * self._average_at(now))
+
+    def _average_at(self, now: float) -> float:
+        if self._since is None:
+            return 0.0
+        decay = math.exp(min(0.0, self._since - now) / AVERAGING_SECONDS)
+        return self._share + decay * (self._average - self._share)
+
 
 class SlotOccupancy:
     """Follows which requests the upstream processes.
@@ -28,7 +58,7 @@
         self._capacity = capacity
         self._serving: dict[owned_flow.OwnedFlow, float] = {}
         self._queued: dict[owned_flow.OwnedFlow, None] = {}
-        self._utilisation = utilisation.Utilisation()
+        self._utilisation = _Utilisation()
         self._changed_at = 0.0
 
     def begin(self, now: float, flow: owned_flow.OwnedFlow) -> None:
--- a/src/limpetreel/streams/serving/waiting_queue.py
+++ b/src/limpetreel/streams/serving/waiting_queue.py
@@ -6,12 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from limpetreel.streams import owned_flow
-from limpetreel.streams.serving import (
-    held_request,
-    late_lane,
-    waiting_lane,
-    waiting_opening,
-)
+from limpetreel.streams.serving import held_request, waiting_lane, waiting_opening
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,13 +32,16 @@
 
     The lane that is served next is one that got nothing for too long; then one whose
     first item can be answered in time; then the one of the highest priority; then the
-    one whose first item arrived first. Openings that may not be answered in time have
-    lanes of their own, which are served after all others, by priority.
+    one whose first item arrived first.
+
+    Openings that may not be answered in time are served after all others, by priority
+    and the latest arrival first, which alone may still be in time. In order of arrival
+    every caller would wait for as long as a backlog lasts, and all would be late.
     """
 
     def __init__(self) -> None:
         self._lanes: dict[tuple[bytes, bool], Lane] = {}
-        self._late_lanes: dict[bytes, late_lane.LateLane] = {}
+        self._late: dict[int, waiting_opening.WaitingOpening] = {}
         self._openings: dict[bytes, waiting_opening.WaitingOpening] = {}
         self._requests: dict[bytes, held_request.HeldRequest] = {}
         self._bytes = 0
@@ -57,6 +55,13 @@
         """Return the opening of a flow, None if it does not wait."""
         return self._openings.get(flow)
 
+    def get_request(
+        self, flow: owned_flow.OwnedFlow
+    ) -> held_request.HeldRequest | None:
+        """Return the request of a flow, None if none waits."""
+        held = self._requests.get(flow.key)
+        return held if held is not None and held.flow is flow else None
+
     @property
     def has_openings(self) -> bool:
         """Return whether openings wait."""
@@ -105,8 +110,7 @@
         item.is_late = True
         item.number = next(self._numbers)
         self._openings[item.key] = item
-        key = item.key[owned_flow.ROUTE_BYTES]
-        self._late_lanes.setdefault(key, late_lane.LateLane()).put(item)
+        self._late[item.number] = item
 
     def put_request(
         self, item: held_request.HeldRequest, packet: segment.Segment, running: int
@@ -164,23 +168,17 @@
     def _pop_late(
         self, now: float, may_serve: Callable[[float, waiting.Waiting, bool], bool]
     ) -> waiting.Waiting | None:
-        lanes = [
-            lane
-            for lane in self._late_lanes.values()
-            if len(lane) and may_serve(now, lane.first, False)
-        ]
-        if not lanes:
-            return None
-        item = min(lanes, key=lambda lane: lane.first.route.priority).pop()
-        self._forget(item)
-        return item
+        latest = {item.route.priority: item for item in self._late.values()}
+        for _, item in sorted(latest.items(), key=lambda entry: entry[0]):
+            if may_serve(now, item, False):
+                self.remove(item)
+                return item
+        return None
 
     def remove(self, item: waiting.Waiting) -> None:
         """Remove an opening or a request that is not served."""
-        is_opening = isinstance(item, waiting_opening.WaitingOpening)
-        if isinstance(item, waiting_opening.WaitingOpening) and item.is_late:
-            self._late_lanes[item.key[owned_flow.ROUTE_BYTES]].remove(item)
-        else:
+        if self._late.pop(item.number, None) is None:
+            is_opening = isinstance(item, waiting_opening.WaitingOpening)
             self._lanes[item.key[owned_flow.ROUTE_BYTES], is_opening].remove(item)
         self._forget(item)
 
@@ -195,11 +193,11 @@
     @property
     def has_late(self) -> bool:
         """Return whether openings wait that may not be answered in time."""
-        return any(len(lane) for lane in self._late_lanes.values())
+        return bool(self._late)
 
     def take_late(self) -> list[waiting.Waiting]:
         """Remove and return openings that may not be answered in time."""
-        late: list[waiting.Waiting] = [w for w in self._openings.values() if w.is_late]
+        late: list[waiting.Waiting] = list(self._late.values())
         return self._take(late)
 
     def take_openings(self) -> list[waiting_opening.WaitingOpening]:
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -223,6 +223,7 @@
         status = event.status
         was_draining = bool(self.upstream.status and self.upstream.status.is_draining)
         is_first = self.upstream.status is None
+        has_departed = self.upstream.has_departed
         freshness = self.upstream.record_announcement(now, status)
         fields: Fields = {
             "instance": status.instance_id,
@@ -242,6 +243,8 @@
                 # The upstream has just started and holds no earlier flows.
                 self._held.mark_all_known()
             elif not is_first:
+                if not has_departed:
+                    self.upstream.record_break(now)
                 actions += self._reset_flows("upstream has restarted")
             actions += self._compare_starts(now)
         if status.is_draining and not was_draining:
@@ -271,6 +274,7 @@
         is_overdue = self.upstream.is_overdue(now)
         if not is_overdue or not self.upstream.record_end(event.instance_id):
             return []
+        self.upstream.record_break(now)
         fields: Fields = {"instance": event.instance_id}
         actions: Actions = [log_line.LogLine("warning", "upstream.ended", fields)]
         actions += self._refuse_waiting(outcome.Outcome.CLOSED)
@@ -323,6 +327,7 @@
         actions: Actions = []
         for key, flow in self._flows.take_unanswered(now - OPEN_ANSWER_SECONDS):
             self.upstream.record_timeout(now)
+            self.upstream.record_break(now)
             actions.append(self._answer(flow, outcome.Outcome.UNRESPONSIVE))
             fields: Fields = {"flow": stream_key.text(key)}
             actions.append(log_line.LogLine("warning", "upstream.unresponsive", fields))
@@ -434,6 +439,8 @@
         else:
             flow.is_established = True
             flow.record_sent(segment.sequence, segment.size)
+        if segment.is_reset and flow.has_open_request:
+            self.upstream.record_break(now)
         if segment.is_fin or segment.is_reset:
             flow.has_upstream_fin = True
             flow.has_caller_fin = flow.has_caller_fin or segment.is_reset
@@ -450,14 +457,14 @@
         if flow is None:
             return self._answers.record_returned(segment.flow)
         if not segment.is_open:
-            return self._handle_lost(segment, flow)
+            return self._handle_lost(now, segment, flow)
         if flow.phase is not flow_phase.FlowPhase.OFFERED:
             return []
         self._flows.remove(segment.flow)
         return [self._answer(flow, outcome.Outcome.FULL)]
 
     def _handle_lost(
-        self, segment: segment.Segment, flow: owned_flow.OwnedFlow
+        self, now: float, segment: segment.Segment, flow: owned_flow.OwnedFlow
     ) -> Actions:
         """Forget a flow that the upstream does not hold any more.
 
@@ -466,6 +473,7 @@
         self._flows.remove(segment.flow)
         if not flow.is_established or flow.is_closed:
             return []
+        self.upstream.record_break(now)
         fields: Fields = {
             "flow": stream_key.text(segment.flow),
             "reason": "upstream has returned a packet",
--- a/src/limpetreel/streams/upstream_state.py
+++ b/src/limpetreel/streams/upstream_state.py
@@ -15,6 +15,12 @@
 whether the process of the upstream still listens."""
 RETRY_SECONDS = 0.5
 """Time after an unanswered opening packet during which no other one is sent."""
+FIRST_BREAK_PAUSE_SECONDS = 2.0
+"""Time after a break in which the upstream is taken for unstable. It doubles with each
+break that follows soon, up to the maximum."""
+MAX_BREAK_PAUSE_SECONDS = 16.0
+SAME_BREAK_SECONDS = 0.5
+"""Time within which breaks have one cause: a crash breaks off many requests."""
 
 
 class Freshness(enum.Enum):
@@ -41,6 +47,8 @@
         self._cold_until = float("-inf")
         self._is_cold_time_known = False
         self._blocked_until = float("-inf")
+        self._broke_at = float("-inf")
+        self._break_pause = FIRST_BREAK_PAUSE_SECONDS
         self._departed_ids: set[str] = set()
         self._has_departed = False
         self.status: upstream_status.UpstreamStatus | None = None
@@ -103,6 +111,23 @@
         """Return whether the upstream recently left an opening packet unanswered."""
         return now < self._blocked_until
 
+    def record_break(self, now: float) -> None:
+        """Record a crash, a reset instead of a response or an unanswered opening."""
+        since = now - self._broke_at
+        if since >= 2 * self._break_pause:
+            self._break_pause = FIRST_BREAK_PAUSE_SECONDS
+        elif since >= SAME_BREAK_SECONDS:
+            self._break_pause = min(MAX_BREAK_PAUSE_SECONDS, 2 * self._break_pause)
+        self._broke_at = now
+
+    def is_unstable(self, now: float) -> bool:
+        """Return whether the upstream may break off requests as it did lately.
+
+        Callers repeat idempotent requests, so these show whether it has recovered; one
+        that may run once only would be lost.
+        """
+        return now - self._broke_at < self._break_pause
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the upstream should have announced itself by now."""
         if self.status is None or self._has_departed:
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -26,11 +26,19 @@
 _OWNER = _SOURCE + "ownership/"
 
 MUTANTS = [
+    (
+        "unstable upstreams get requests that may run once only",
+        "src/limpetreel/streams/upstream_state.py",
+        "        return now - self._broke_at < self._break_pause\n",
+        "        return False\n",
+        "tests.streams.serving.test_unstable_upstreams."
+        "test_upstream_that_goes_down_by_turns_gets_no_request_that_may_not_be_repeated",
+    ),
     (
         "late openings are served in order of arrival",
-        "src/limpetreel/streams/serving/late_lane.py",
-        "        return next(reversed(self._items.values()))\n",
-        "        return next(iter(self._items.values()))\n",
+        "src/limpetreel/streams/serving/waiting_queue.py",
+        "for item in self._late.values()}\n",
+        "for item in reversed(self._late.values())}\n",
         "tests.streams.test_load_patterns."
         "test_new_callers_are_answered_in_time_beside_a_backlog",
     ),
--- a/tests/streams/serving/test_verdict_load.py
+++ b/tests/streams/serving/test_verdict_load.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from limpetreel.streams import flow_phase, owned_flow
 from limpetreel.streams.messages import outcome, stream_codec, verdict
-from limpetreel.streams.serving import utilisation
+from limpetreel.streams.serving import capacity, slot_occupancy
 from tests import fixtures
+from tests.streams import stream_site
 from tests.streams.serving import load_site
 
 load_tests = fixtures.load_functions(globals())
@@ -44,9 +46,11 @@
 
 def test_utilisation_is_the_mean_over_time():
     """Guards against a value that counts events rather than time."""
-    measured = utilisation.Utilisation()
+    slots = slot_occupancy.SlotOccupancy(capacity.Capacity())
+    key = stream_site.stream_key.pack("100.64.1.1", 2000)
+    flow = owned_flow.OwnedFlow(key, 0.0, flow_phase.FlowPhase.WORKING)
     for step in range(400):
-        measured.record(step * 0.05, 1.0)
-        measured.record(step * 0.05 + 0.0125, 0.0)
-    assert abs(measured.percent(20.0) - 25) <= 2
-    assert measured.percent(60.0) == 0
+        slots.begin(step * 0.05, flow)
+        slots.end(step * 0.05 + 0.0125, flow)
+    assert abs(slots.utilisation(20.0) - 25) <= 2
+    assert slots.utilisation(60.0) == 0
