--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -17,6 +17,21 @@
 _STORE = "tests.storage.test_log_store."
 
 MUTANTS = [
+    (
+        "agents that have ended stay registered",
+        _CLUSTER + "agent_registry.py",
+        "        removed = set(self._ended)\n",
+        "        removed: set[str] = set()\n",
+        _LIST + "test_agents_that_ended_shortly_before_a_common_restart_"
+        "are_not_waited_for",
+    ),
+    (
+        "late report of an ended agent registers it again",
+        _CLUSTER + "agent_registry.py",
+        "        if self._directory.is_outdated(new_report):\n",
+        "        if not new_report:\n",
+        _LIST + "test_late_report_of_an_ended_agent_does_not_register_it_again",
+    ),
     (
         "new agents are published before they are registered",
         _CLUSTER + "agent_registry.py",
@@ -156,8 +171,8 @@
     (
         "late report of an ended start hides the next one",
         _CLUSTER + "upstream_directory.py",
-        "        if is_other_start and new_report.record.has_ended:\n",
-        "        if False:\n",
+        "            return new_report.record.has_ended\n",
+        "            return False\n",
         "tests.cluster.test_upstream_directory."
         "test_late_report_of_an_ended_start_does_not_hide_the_next_one",
     ),
