--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 import deployment
 import load
 
-HOST, PORT = "198.18.0.1", 443
+HOST, PORT = "127.200.0.1", 443
 
 
 async def case(has_trouble):
@@ -17,7 +17,8 @@
     try:
         await site.start_all()
         document = site.document(
-            [deployment.route("r-1", HOST, PORT, "svc")], [deployment.service("svc")])
+            [deployment.route("r-1", HOST, PORT, "svc")], [deployment.service("svc")]
+        )
         status, _ = await site.replace(document, 15)
         if status != 200:
             raise deployment.CannotRun("the first desired state was not acknowledged")
@@ -28,14 +29,22 @@
         machine = site.sides[0]
         if has_trouble:
             check_in = {
-                "Backend": "svc", "Address": f"{machine.ip}:{site.port['app']}",
-                "Zone": machine.zone, "Version": "v1", "MaxConcurrency": 4,
-                "State": "resting", "WarmupLeftMs": 0, "Sequence": 1,
+                "Backend": "svc",
+                "Address": f"{machine.ip}:{site.port['app']}",
+                "Zone": machine.zone,
+                "Version": "v1",
+                "MaxConcurrency": 4,
+                "State": "resting",
+                "WarmupLeftMs": 0,
+                "Sequence": 1,
                 "born": int(time.time() * 1000),
             }
             status, _ = await site.call(
-                machine.ip, "POST", "/Instances.Heartbeat/i-other",
-                json.dumps(check_in).encode())
+                machine.ip,
+                "POST",
+                "/Instances.Heartbeat/i-other",
+                json.dumps(check_in).encode(),
+            )
             site.note("check-in of another writer", machine=machine.name, status=status)
         await asyncio.sleep(6)
         # The target's own check-ins go on; does it get new flows again?
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,7 @@
 
 import deployment
 
-HOST, PORT = "198.18.0.1", 443
+HOST, PORT = "127.200.0.1", 443
 
 
 async def case(has_trouble):
@@ -15,7 +15,8 @@
     try:
         await site.start_all()
         document = site.document(
-            [deployment.route("r-1", HOST, PORT, "svc")], [deployment.service("svc")])
+            [deployment.route("r-1", HOST, PORT, "svc")], [deployment.service("svc")]
+        )
         document["Version"] = 0 if has_trouble else 1
         status, _ = await site.replace(document, 15)
         if status != 200:
@@ -35,8 +36,12 @@
             site.note("request", client=client.zone, result=result)
             outcomes.append(result)
         status, body = await site.order("GET", "/Config.Fetch", seconds=10)
-        site.note("read back", status=status, is_same=status == 200
-                  and json.loads(body) == document, ready=len(site.ready))
+        site.note(
+            "read back",
+            status=status,
+            is_same=status == 200 and json.loads(body) == document,
+            ready=len(site.ready),
+        )
         return status != 200 or json.loads(body) != document
     finally:
         await site.stop()
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -24,10 +24,22 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("zone-a", "zone-b", "zone-c")
 BOUNDS = {
-    "SeedLagS": 3, "ReuseAfterS": 2, "ContactMs": 4000, "AckMs": 5000, "CatchUpS": 4,
-    "DrainMs": 3000, "GraceS": 6, "LossSlackMs": 200, "ConfigApplyMs": 3000,
-    "RollbackSlackMs": 250, "MaxSkewMs": 12000, "WarmupOvershoot": 1.5,
-    "WarmupSlack": 5, "EvacuationMs": 5000, "RecoveryS": 12, "ReorderWindowMs": 2000,
+    "SeedLagS": 3,
+    "ReuseAfterS": 2,
+    "ContactMs": 4000,
+    "AckMs": 5000,
+    "CatchUpS": 4,
+    "DrainMs": 3000,
+    "GraceS": 6,
+    "LossSlackMs": 200,
+    "ConfigApplyMs": 3000,
+    "RollbackSlackMs": 250,
+    "MaxSkewMs": 12000,
+    "WarmupOvershoot": 1.5,
+    "WarmupSlack": 5,
+    "EvacuationMs": 5000,
+    "RecoveryS": 12,
+    "ReorderWindowMs": 2000,
     "MaxFlowS": 60,
 }
 
@@ -74,26 +86,42 @@
         self._tasks = []
         self.ready = set()
         self.version = 0
-        self._find_ports(services)
+        self._choose_ports()
         for index, zone in enumerate(ZONES):
             self.machines.append(
-                Machine(self, f"edge-{zone}-1", "edge", f"{self.net}.{index + 1}.10", zone))
+                Machine(
+                    self, f"edge-{zone}-1", "edge", f"{self.net}.{index + 1}.10", zone
+                )
+            )
             number = 0
             for service, count in services.items():
                 for _ in range(count):
                     number += 1
                     ip = f"{self.net}.{index + 1}.{20 + number}"
                     self.machines.append(
-                        Machine(self, f"side-{zone}-{number}", "side", ip, zone, service))
+                        Machine(
+                            self, f"side-{zone}-{number}", "side", ip, zone, service
+                        )
+                    )
         self.edges = [m for m in self.machines if m.kind == "edge"]
         self.sides = [m for m in self.machines if m.kind == "side"]
 
-    def _find_ports(self, services):
+    def _choose_ports(self):
         base = random.SystemRandom().randrange(20000, 30000, 32)
         names = ("ready", "control", "udp", "outbound", "app")
         self.internal = (base, base + 15)
         self.port = {name: base + 16 + i for i, name in enumerate(names)}
 
+    def _check_ports(self):
+        for machine in self.machines:
+            for port in (self.internal[0], self.internal[0] + 1, *self.port.values()):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    try:
+                        with socket.socket(socket.AF_INET, kind) as sock:
+                            sock.bind((machine.ip, port))
+                    except OSError as exc:
+                        raise CannotRun(f"{machine.ip}:{port} is in use") from exc
+
     def seconds(self):
         """Return the time of the record."""
         return time.monotonic() - self.started
@@ -111,18 +139,28 @@
     def _settings(self, machine, role):
         p = self.port
         listen = {"Ready": p["ready"]}
-        serves = {"entry": ["edge"], "control": ["control_plane"], "agent": ["side"]}[role]
+        serves = {"entry": ["edge"], "control": ["control_plane"], "agent": ["side"]}[
+            role
+        ]
         if role == "control":
             listen = {"Control": p["control"]}
         elif role == "entry":
             listen = {"UdpListen": p["udp"], "Ready": p["ready"]}
         else:
-            listen = {"UdpListen": p["udp"], "outbound": p["outbound"],
-                      "Ready": p["ready"], "Control": p["control"]}
+            listen = {
+                "UdpListen": p["udp"],
+                "outbound": p["outbound"],
+                "Ready": p["ready"],
+                "Control": p["control"],
+            }
         lines = [
-            f'NodeName = "{machine.name}"', f'Role = "{role}"',
-            f'MachineClass = "{machine.kind}"', f"Serves = {json.dumps(serves)}",
-            f'Ip = "{machine.ip}"', f'Zone = "{machine.zone}"', 'Region = "region"',
+            f'NodeName = "{machine.name}"',
+            f'Role = "{role}"',
+            f'MachineClass = "{machine.kind}"',
+            f"Serves = {json.dumps(serves)}",
+            f'Ip = "{machine.ip}"',
+            f'Zone = "{machine.zone}"',
+            'Region = "region"',
             f"InternalPortRange = [{self.internal[0]}, {self.internal[1]}]",
             "SeedNodes = " + json.dumps([f"{m.ip}:{p['control']}" for m in self.edges]),
             f"Bootstrap = {str(role not in machine.roles).lower()}",
@@ -130,19 +168,38 @@
         ]
         if role == "control":
             lines.append(f'DataDir = "{self.tmp}/{machine.name}"')
-        lines += ['Discovery = "local"', 'EntryKind = "announcement"',
-                  f"HeartbeatMs = {int(self.heartbeat_s * 1000)}",
-                  'Contracts = ["base","drain","config","cost","recover","flows","places"]',
-                  'config_mode = "highest"', 'Hash = "steady"', 'ForwardingMode = "agent"']
+        lines += [
+            'Discovery = "local"',
+            'EntryKind = "announcement"',
+            f"HeartbeatMs = {int(self.heartbeat_s * 1000)}",
+            'Contracts = ["base","drain","config","cost","recover","flows","places"]',
+            'config_mode = "highest"',
+            'Hash = "steady"',
+            'ForwardingMode = "agent"',
+        ]
         if role == "agent":
-            lines += [f'app = "{machine.ip}:{p["app"]}"', f'Backend = "{machine.service}"']
+            lines += [
+                f'app = "{machine.ip}:{p["app"]}"',
+                f'Backend = "{machine.service}"',
+            ]
         lines.append("[Zones]")
         lines += [f'{zone} = "region"' for zone in ZONES]
         lines.append("[ListenAddrs]")
         lines += [f'{name} = "{machine.ip}:{port}"' for name, port in listen.items()]
-        lines += ["[Limits]", "CpuShare = 1.0", "CpuCores = 1", "MemoryMb = 300",
-                  "MaxFds = 4100", "LinkMbps = 1000.0", "DiskMb = 64",
-                  "[FaultTolerance]", "Machines = 1", "Zones = 1", "Regions = 0", "[Bounds]"]
+        lines += [
+            "[Limits]",
+            "CpuShare = 1.0",
+            "CpuCores = 1",
+            "MemoryMb = 300",
+            "MaxFds = 4100",
+            "LinkMbps = 1000.0",
+            "DiskMb = 64",
+            "[FaultTolerance]",
+            "Machines = 1",
+            "Zones = 1",
+            "Regions = 0",
+            "[Bounds]",
+        ]
         lines += [f"{name} = {value}" for name, value in BOUNDS.items()]
         path = self.tmp / f"{machine.name}-{role}.toml"
         path.write_text("\n".join(lines) + "\n")
@@ -151,13 +208,27 @@
     async def start(self, machine, role):
         """Start a role with the command of the deploy file."""
         path = self._settings(machine, role)
-        env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        env = {
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
+        }
         env |= {"LIMPETREEL_CONFIG": str(path), "PYTHONPATH": "target/deps"}
         out = self.stdout(machine, role) if self.stdout else None
         log = out or (self.tmp / f"{machine.name}-{role}.log").open("ab")
         machine.roles[role] = await asyncio.create_subprocess_exec(
-            "python3", "-S", "-m", "limpetreel", "platform", role,
-            cwd=ROOT, env=env, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+            "python3",
+            "-S",
+            "-m",
+            "limpetreel",
+            "platform",
+            role,
+            cwd=ROOT,
+            env=env,
+            stdout=log,
+            stderr=log,
+            stdin=asyncio.subprocess.DEVNULL,
+        )
         if out is None:
             log.close()
         self.note("start", machine=machine.name, role=role)
@@ -174,19 +245,26 @@
         """Start everything and wait until the system is ready."""
         if not (ROOT / "target/deps/limpetreel").is_dir():
             raise CannotRun("target/deps is not built")
+        self._check_ports()
         loop = asyncio.get_running_loop()
         for machine in self.sides:
             _, target = await loop.create_datagram_endpoint(
                 lambda machine=machine: ends.Target(self, machine, **options),
-                local_addr=(machine.ip, self.port["app"]))
+                local_addr=(machine.ip, self.port["app"]),
+            )
             self.targets.append(target)
             target.health = await asyncio.start_server(
-                lambda r, w, t=target: _serve_health(t, r, w), machine.ip, self.port["app"])
+                lambda r, w, t=target: _serve_health(t, r, w),
+                machine.ip,
+                self.port["app"],
+            )
         for index, zone in enumerate(ZONES):
             _, client = await loop.create_datagram_endpoint(
                 lambda index=index, zone=zone: ends.Client(
-                    self, f"{self.net}.{index + 1}.200", zone),
-                local_addr=(f"{self.net}.{index + 1}.200", self.port["udp"]))
+                    self, f"{self.net}.{index + 1}.200", zone
+                ),
+                local_addr=(f"{self.net}.{index + 1}.200", self.port["udp"]),
+            )
             self.clients.append(client)
         for machine in self.edges:
             await self.start(machine, "control")
@@ -225,7 +303,8 @@
         misses = {m.ip: 2 for m in self.edges}
         while True:
             answers = await asyncio.gather(
-                *(self.call(m.ip, "GET", "/readyz", port="ready") for m in self.edges))
+                *(self.call(m.ip, "GET", "/readyz", port="ready") for m in self.edges)
+            )
             for machine, (status, _) in zip(self.edges, answers, strict=True):
                 misses[machine.ip] = 0 if status == 200 else misses[machine.ip] + 1
                 if misses[machine.ip] == 0:
@@ -240,7 +319,9 @@
         nodes = nodes or [m for m in self.edges if m.ip in self.ready]
         nodes = nodes or self.edges
         text = repr(packet.key())
-        return max(nodes, key=lambda m: hashlib.blake2s((m.ip + text).encode()).digest())
+        return max(
+            nodes, key=lambda m: hashlib.blake2s((m.ip + text).encode()).digest()
+        )
 
     # Calls
 
@@ -250,14 +331,19 @@
         try:
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(ip, self.port[port])
-                head = (f"{method} {path} HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n"
-                        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n")
+                head = (
+                    f"{method} {path} HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n"
+                    f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+                )
                 writer.write(head.encode() + body)
                 response = await reader.read(-1)
                 head, _, rest = response.partition(b"\r\n\r\n")
                 status = int(head.split()[1])
-                location = [line.split(b": ")[1] for line in head.split(b"\r\n")
-                            if line.lower().startswith(b"location: ")]
+                location = [
+                    line.split(b": ")[1]
+                    for line in head.split(b"\r\n")
+                    if line.lower().startswith(b"location: ")
+                ]
                 return status, (location[0].decode() if location else rest)
         except (OSError, TimeoutError, IndexError, ValueError):
             return 0, b""
@@ -289,15 +375,22 @@
         """Return the next desired state."""
         self.version = version or self.version + 3
         return {
-            "Version": self.version, "Routes": routes, "Backends": services,
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
-                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+            "Version": self.version,
+            "Routes": routes,
+            "Backends": services,
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 262144,
+                "HeaderTimeoutMs": 3000,
+                "IdleTimeoutMs": 15000,
+            },
         }
 
     async def replace(self, document, seconds=5.0):
         """Send a desired state."""
         return await self.order(
-            "POST", "/Config.Replace", json.dumps(document).encode(), seconds)
+            "POST", "/Config.Replace", json.dumps(document).encode(), seconds
+        )
 
     async def wait_ready(self, seconds=15.0):
         """Wait until all entries are in rotation."""
@@ -310,16 +403,30 @@
 
 def route(name, host, port, service, kind="idempotent", timeout_ms=2000):
     """Return a route."""
-    return {"Name": name, "Host": host, "PathPrefix": f"/{port}/", "Type": kind,
-            "TimeoutMs": timeout_ms, "AimMs": 200, "Priority": 1, "Backend": service,
-            "MaxAttempts": 2}
+    return {
+        "Name": name,
+        "Host": host,
+        "PathPrefix": f"/{port}/",
+        "Type": kind,
+        "TimeoutMs": timeout_ms,
+        "AimMs": 200,
+        "Priority": 1,
+        "Backend": service,
+        "MaxAttempts": 2,
+    }
 
 
 def service(name, slow_start_s=2.0, warmup_per_s=0.0):
     """Return a service."""
-    return {"Name": name, "HealthCheckPath": "/healthz", "MaxConnections": 2000,
-            "Protocol": "h1", "Tls": False, "SlowStartS": slow_start_s,
-            "WarmupPerS": warmup_per_s}
+    return {
+        "Name": name,
+        "HealthCheckPath": "/healthz",
+        "MaxConnections": 2000,
+        "Protocol": "h1",
+        "Tls": False,
+        "SlowStartS": slow_start_s,
+        "WarmupPerS": warmup_per_s,
+    }
 
 
 async def _serve_health(target, reader, writer):
@@ -334,6 +441,8 @@
 def main(case):
     """Run a case; its exit code is 1 if the rule was broken, 0 if not, 2 without result."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes that the case has started are ended on SIGTERM, too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(case(has_trouble))
     except CannotRun as exc:
--- a/review/standin/ends.py
+++ b/review/standin/ends.py
@@ -100,10 +100,15 @@
         self.sequence += 1
         left = self.warmup_s - (time.monotonic() - self.started)
         return {
-            "Backend": self.machine.service, "Address": f"{self.machine.ip}:{self.site.port['app']}",
-            "Zone": self.machine.zone, "Version": "v1", "MaxConcurrency": self.slots,
-            "State": self.state, "WarmupLeftMs": max(0, int(left * 1000)),
-            "Sequence": self.sequence, "born": self.born,
+            "Backend": self.machine.service,
+            "Address": f"{self.machine.ip}:{self.site.port['app']}",
+            "Zone": self.machine.zone,
+            "Version": "v1",
+            "MaxConcurrency": self.slots,
+            "State": self.state,
+            "WarmupLeftMs": max(0, int(left * 1000)),
+            "Sequence": self.sequence,
+            "born": self.born,
         }
 
     async def check_in(self):
@@ -111,12 +116,15 @@
         while True:
             body = self.body()
             status, _ = await self.site.call(
-                self.machine.ip, "POST", f"/Instances.Heartbeat/{self.instance}",
-                json.dumps(body).encode())
+                self.machine.ip,
+                "POST",
+                f"/Instances.Heartbeat/{self.instance}",
+                json.dumps(body).encode(),
+            )
             if 200 <= status < 300:
                 self.acks.append((time.monotonic(), body["State"]))
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.5)
 
     async def _beat(self):
         while True:
@@ -130,6 +138,7 @@
             if self.is_up:
                 packet = wire.Packet(host, port, client, cport, flags, seq, ack, data)
                 self.transport.sendto(wire.encode(packet), self.machine.outbound)
+
         return send
 
     def datagram_received(self, raw, address):
@@ -158,7 +167,9 @@
         end.record_ack(p.ack)
         if p.data or p.flags & wire.FIN:
             if p.seq == end.peer_next:
-                end.peer_next = (p.seq + len(p.data) + bool(p.flags & wire.FIN)) & wire.MASK
+                end.peer_next = (
+                    p.seq + len(p.data) + bool(p.flags & wire.FIN)
+                ) & wire.MASK
                 if p.data:
                     self._take(p.key(), end, p.data)
                 if p.flags & wire.FIN:
@@ -174,7 +185,11 @@
         if end is None:
             first = random.getrandbits(32)
             end = End(self._sender(p.key()), first)
-            end.first, end.is_open, end.peer_next = first, False, (p.seq + 1) & wire.MASK
+            end.first, end.is_open, end.peer_next = (
+                first,
+                False,
+                (p.seq + 1) & wire.MASK,
+            )
             self.flows[p.key()] = end
             self.opened.append((time.monotonic(), p.key()))
         if not end.is_open:
@@ -220,7 +235,9 @@
         """Send a packet through the router."""
         entry = self.site.route(packet, self.zone)
         if entry is not None:
-            self.transport.sendto(wire.encode(packet), (entry.ip, self.site.port["udp"]))
+            self.transport.sendto(
+                wire.encode(packet), (entry.ip, self.site.port["udp"])
+            )
 
     def datagram_received(self, raw, address):
         """Handle a packet for one of the flows."""
@@ -250,8 +267,16 @@
 
     def _send(self, flags, seq, ack, data):
         if not self.is_over:
-            packet = wire.Packet(self.key[0], self.key[1], self.key[2], self.key[3],
-                                 flags, seq, ack, data)
+            packet = wire.Packet(
+                self.key[0],
+                self.key[1],
+                self.key[2],
+                self.key[3],
+                flags,
+                seq,
+                ack,
+                data,
+            )
             self.client.send(packet)
 
     async def open(self):
@@ -267,8 +292,10 @@
     async def request(self, number, time_limit):
         """Send a request; return "answered", "reset", "late" or "foreign"."""
         self.answer = asyncio.get_running_loop().create_future()
-        text = (f"GET /x HTTP/1.1\r\nHost: {self.key[2]}\r\n"
-                f"X-Limpetreel-Request-Id: {number}\r\n\r\n")
+        text = (
+            f"GET /x HTTP/1.1\r\nHost: {self.key[2]}\r\n"
+            f"X-Limpetreel-Request-Id: {number}\r\n\r\n"
+        )
         self.end.send_data(0, text.encode())
         try:
             body = await asyncio.wait_for(asyncio.shield(self.answer), time_limit)
@@ -276,7 +303,9 @@
             return "late"
         if body is None:
             return "reset"
-        return "answered" if body.endswith(f"answer to {number}".encode()) else "foreign"
+        return (
+            "answered" if body.endswith(f"answer to {number}".encode()) else "foreign"
+        )
 
     def close(self):
         """Close the client's side."""
@@ -319,7 +348,9 @@
         self.end.record_ack(p.ack)
         if p.data or p.flags & wire.FIN:
             if p.seq == self.end.peer_next:
-                self.end.peer_next = (p.seq + len(p.data) + bool(p.flags & wire.FIN)) & wire.MASK
+                self.end.peer_next = (
+                    p.seq + len(p.data) + bool(p.flags & wire.FIN)
+                ) & wire.MASK
                 if p.data and self.answer is not None and not self.answer.done():
                     self.answer.set_result(p.data)
                 if p.flags & wire.FIN:
--- a/review/standin/load.py
+++ b/review/standin/load.py
@@ -40,7 +40,9 @@
                 self._count(f"open {result}")
                 await asyncio.sleep(0.1)
                 continue
-            while not self.is_stopping and not flow.is_over and not flow.end.has_peer_fin:
+            while (
+                not self.is_stopping and not flow.is_over and not flow.end.has_peer_fin
+            ):
                 number = f"r{next(_NUMBERS)}"
                 self.site.note("send", request=number, flow=flow.key)
                 result = await flow.request(number, self.time_limit)
@@ -59,13 +61,19 @@
     for at, what, fields in site.notes:
         if what != "reset" or fields["by"] != "system" or not fields["open"]:
             continue
-        opened = [(t, f["target"]) for t, w, f in site.notes
-                  if w == "open" and f["flow"] == fields["flow"] and t <= at]
+        opened = [
+            (t, f["target"])
+            for t, w, f in site.notes
+            if w == "open" and f["flow"] == fields["flow"] and t <= at
+        ]
         if not opened:
             continue
         t, name = opened[-1]
-        restarts = [u for u, w, f in site.notes
-                    if w in ("crash", "boot") and f["target"] == name and t <= u <= at]
+        restarts = [
+            u
+            for u, w, f in site.notes
+            if w in ("crash", "boot") and f["target"] == name and t <= u <= at
+        ]
         if not restarts:
             found.append((at, fields["flow"], name))
     return found
--- a/review/standin/wire.py
+++ b/review/standin/wire.py
@@ -14,8 +14,20 @@
 class Packet:
     """One packet; addresses are text, numbers are integers."""
 
-    __slots__ = ("ack", "data", "dport", "dst", "echo", "flags", "is_sum_right",
-                 "pad", "seq", "sport", "src", "sum")
+    __slots__ = (
+        "ack",
+        "data",
+        "dport",
+        "dst",
+        "echo",
+        "flags",
+        "is_sum_right",
+        "pad",
+        "seq",
+        "sport",
+        "src",
+        "sum",
+    )
 
     def __init__(self, src, sport, dst, dport, flags, seq=0, ack=0, data=b""):
         self.src, self.sport, self.dst, self.dport = src, sport, dst, dport
@@ -45,9 +57,12 @@
     """Return the bytes of a packet with its sum."""
     src, dst = socket.inet_aton(p.src), socket.inet_aton(p.dst)
     total = _sum(p.flags, len(p.data), src, p.sport, dst, p.dport, p.seq, p.ack, p.data)
-    return HEADER.pack(
-        p.flags, 0, len(p.data), total, src, p.dport, p.sport, dst, p.seq, p.ack, 0
-    ) + p.data
+    return (
+        HEADER.pack(
+            p.flags, 0, len(p.data), total, src, p.dport, p.sport, dst, p.seq, p.ack, 0
+        )
+        + p.data
+    )
 
 
 def decode(raw):
@@ -60,8 +75,16 @@
     data = raw[HEADER.size :]
     if size != len(data) or size > MAX_DATA:
         return None
-    p = Packet(socket.inet_ntoa(src), sport, socket.inet_ntoa(dst), dport, flags,
-               seq, ack, data)
+    p = Packet(
+        socket.inet_ntoa(src),
+        sport,
+        socket.inet_ntoa(dst),
+        dport,
+        flags,
+        seq,
+        ack,
+        data,
+    )
     p.pad, p.echo, p.sum = pad, echo, total
     p.is_sum_right = total == _sum(flags, size, src, sport, dst, dport, seq, ack, data)
     return p
