--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,10 +20,10 @@
         document["Version"] = 0 if has_trouble else 1
         status, _ = await site.replace(document, 15)
         if status != 200:
-            # A refusal would be a clear answer.
-            site.note("refused", status=status)
-            if not has_trouble:
-                raise deployment.CannotRun("the desired state was not acknowledged")
+            site.note("not acknowledged", status=status)
+            if not has_trouble or not 400 <= status < 500:
+                raise deployment.CannotRun("the desired state got no clear answer")
+            # A refusal is a clear answer.
             return False
         await asyncio.sleep(deployment.BOUNDS["ConfigApplyMs"] / 1000 + 4)
         outcomes = []
