--- a/src/limpetreel/cluster/agent_registry.py
+++ b/src/limpetreel/cluster/agent_registry.py
@@ -53,6 +53,11 @@
             return None
         return not self._missing
 
+    @property
+    def missing(self) -> frozenset[str]:
+        """Return the registered agents that have not reported."""
+        return frozenset(self._missing)
+
     def kept(self, now: float) -> frozenset[str]:
         """Return agents that stay in the directory without reports.
 
--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -77,6 +77,7 @@
 SEED_SECONDS = 2.0
 """Interval at which the seed addresses are read again from the settings file."""
 MAX_CALLS = 256
+MAX_NAMES_LOGGED = 5
 
 
 class ClusterCore(core.Core):
@@ -114,6 +115,7 @@
         self._registry = agent_registry.AgentRegistry(self._directory)
         self._registry.replace(self._state.agents)
         self._registration = 0
+        self._missing: frozenset[str] = frozenset()
         self._sessions: dict[int, node_session.NodeSession] = {}
         self._direct_reports: dict[str, report.Report] = {}
         self._relay_at = 0.0
@@ -172,6 +174,7 @@
             self._relay_at = now + RELAY_SECONDS
             actions += self._relay(self._direct_reports.values())
         actions += self._register_agents(now)
+        actions += self._log_missing()
         actions += self._snapshot(now)
         actions += self._published.check_document()
         self._published.record_lease(now, self._raft.lease_remaining(now))
@@ -219,6 +222,16 @@
         new_proposal = proposal.Proposal(self._registration, data)
         return self._run_raft(now, propose.Propose((new_proposal,)))
 
+    def _log_missing(self) -> Actions:
+        """Log a change of the registered agents that have not reported."""
+        missing = self._registry.missing
+        if missing == self._missing:
+            return []
+        self._missing = missing
+        names = ",".join(sorted(missing)[:MAX_NAMES_LOGGED])
+        fields: Fields = {"missing": len(missing), "first": names}
+        return [log_line.LogLine("info", "agents.missing", fields)]
+
     def _use_registered(self, now: float) -> Actions:
         for waiting in self._registry.replace(self._state.agents):
             self._directory.record_report(now, waiting)
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -111,6 +111,9 @@
         "result",
         lambda: core.probes,
     )
+    telemetry.add_metric(
+        "resets_total", "flows reset, by reason", "reason", lambda: core.resets
+    )
     telemetry.add_drop_counter("agent.core", lambda: core.dropped)
     _add_request_metrics(telemetry, core)
     api = http_upstream_api.HttpUpstreamApi(
--- a/src/limpetreel/streams/ownership/upstream_start.py
+++ b/src/limpetreel/streams/ownership/upstream_start.py
@@ -45,6 +45,18 @@
             self._heard_at = now
             self._status = status
 
+    def describe(self) -> dict[str, int]:
+        """Return the values that are compared, for the log."""
+        process, status = self._process, self._status
+        if process is None or status is None or status.started_ms is None:
+            return {}
+        return {
+            "sequence": status.sequence,
+            "cold_ms": status.cold_ms,
+            "started_after_ms": int(status.started_ms - process.unix_ms),
+            "process_age_ms": int((self._heard_at - process.at) * 1000),
+        }
+
     def is_later(self, cold_seconds: float) -> bool:
         """Return whether the upstream certainly started after the process was created.
 
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -148,6 +148,7 @@
             self._queue, self._capacity, self._admission, self._opener, self._gate
         )
         self.dropped: dict[str, int] = {}
+        self.resets: dict[str, int] = {}
 
     @property
     def outcomes(self) -> dict[str, int]:
@@ -228,6 +229,7 @@
         fields: Fields = {
             "instance": status.instance_id,
             "sequence": status.sequence,
+            "started_ms": status.started_ms if status.started_ms is not None else -1,
             "cold_ms": status.cold_ms,
             "draining": int(status.is_draining),
         }
@@ -260,7 +262,7 @@
         if not self._held.may_hold(now) or not self._start.is_later(cold_seconds):
             return []
         self._held.mark_all_known()
-        fields: Fields = {"cold_seconds": cold_seconds}
+        fields: Fields = {"cold_seconds": cold_seconds, **self._start.describe()}
         return [log_line.LogLine("info", "upstream.flows_known", fields)]
 
     def _depart(self, event: upstream_departed.UpstreamDeparted) -> Actions:
@@ -299,10 +301,11 @@
             fields: Fields = {"flow": stream_key.text(key), "reason": reason}
             actions.append(log_line.LogLine("warning", "flow.lost", fields))
             if flow.is_confirmed:
-                actions.append(self._reset(key, flow.caller_ack))
+                actions.append(self._reset(key, flow.caller_ack, reason))
         return actions
 
-    def _reset(self, key: bytes, ack: int) -> msgspec.Struct:
+    def _reset(self, key: bytes, ack: int, reason: str) -> msgspec.Struct:
+        self.resets[reason] = self.resets.get(reason, 0) + 1
         host = stream_key.caller(key)[0]
         return send_caller.SendCaller(host, self._codec.reset(key, ack))
 
@@ -474,12 +477,10 @@
         if not flow.is_established or flow.is_closed:
             return []
         self.upstream.record_break(now)
-        fields: Fields = {
-            "flow": stream_key.text(segment.flow),
-            "reason": "upstream has returned a packet",
-        }
+        reason = "upstream has returned a packet"
+        fields: Fields = {"flow": stream_key.text(segment.flow), "reason": reason}
         lost = log_line.LogLine("warning", "flow.lost", fields)
-        return [lost, self._reset(segment.flow, segment.ack)]
+        return [lost, self._reset(segment.flow, segment.ack, reason)]
 
     # Admission of new flows
 
