Show resets of sound flows with tests that fail, and with a soak of open flows

The project's soak had three agents and opened a flow for each request, so no flow was open when an agent, an entry or control restarted.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,10 @@
 PY := .venv/bin/python
 SEED ?= 1
 SECONDS ?= 60
+AGENTS ?= 12
 STEPS ?= 50
 
-.PHONY: setup demo test lint format fuzz soak measure slopes mutants binary clean
+.PHONY: setup demo test lint format fuzz soak measure soak-flows slopes mutants binary clean
 
 setup: .venv/.installed
 
@@ -43,6 +44,11 @@
 	LIMPETREEL_SOAK_SEED=$(SEED) LIMPETREEL_SOAK_SECONDS=$(SECONDS) \
 		$(PY) tools/run_tests.py --pattern tests.soak
 
+soak-flows: setup
+	LIMPETREEL_SOAK_SEED=$(SEED) LIMPETREEL_SOAK_SECONDS=$(SECONDS) \
+		LIMPETREEL_SOAK_AGENTS=$(AGENTS) \
+		$(PY) tools/run_tests.py --pattern tests.soak.test_open_flows
+
 binary: setup
 	$(PY) tools/build_binary.py
 	$(PY) tools/check_binary.py
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,7 +4,7 @@
 import json
 import pathlib
 
-import deployment
+from tests.soak.stand_in import deployment
 
 HOST, PORT = "127.200.0.1", 443
 
@@ -22,7 +22,7 @@
         if status != 200:
             site.note("not acknowledged", status=status)
             if not has_trouble or not 400 <= status < 500:
-                raise deployment.CannotRun("the desired state got no clear answer")
+                raise deployment.CannotRunError("the desired state got no clear answer")
             # A refusal is a clear answer.
             return False
         await asyncio.sleep(deployment.BOUNDS["ConfigApplyMs"] / 1000 + 4)
--- a/tests/cluster/test_list_return.py
+++ b/tests/cluster/test_list_return.py
@@ -28,6 +28,7 @@
 TARGET_SECONDS = 1.0
 """From the start of all to a complete list; agents return within 0.5 s."""
 LATE_SECONDS = 1.5
+SLOW_START_SECONDS = 8.0
 
 
 def running_fleet(seed):
@@ -88,6 +89,34 @@
     assert len(fleet.group.leader().core.state.agents) == AGENTS - 1
 
 
+# Entries reset flows of agents that took longer than 2 s to start.
+def test_list_stays_incomplete_until_a_slow_agent_has_started():
+    """Guards against resets of flows of an agent that is registered but away."""
+    for seed in range(3):
+        fleet = running_fleet(seed)
+        late = fleet.agents[0]
+        restart(fleet, late=[late])
+        for _ in range(int(SLOW_START_SECONDS / 0.1)):
+            fleet.run(0.1)
+            assert not any(e.is_current() for e in fleet.entries), seed
+        late.start()
+        fleet.run(0.6)
+        assert all(e.is_current() and late.name in e.names for e in fleet.entries)
+
+
+# Agents took flows before they were registered, so no list waited for them.
+def test_agent_is_not_published_before_it_is_registered():
+    """Guards against resets of flows of an agent while the log is slow."""
+    directory = upstream_directory.UpstreamDirectory()
+    registry = agent_registry.AgentRegistry(directory)
+    registry.replace(frozenset({"side-1"}))
+    record = upstream_record.UpstreamRecord("side-2", "h", 1, "z", "s-1", True, 2)
+    for i in range(20):
+        assert not registry.admit(0.4 * i, report.Report(1, i, record), True), i
+    assert registry.replace(frozenset({"side-1", "side-2"}))
+    assert registry.admit(9.0, report.Report(1, 30, record), True)
+
+
 def end(fleet, agent):
     """Stop an agent whose upstream has signed off."""
     agent.has_ended = True
--- /dev/null
+++ b/tests/soak/stand_in/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins of the users' platform: machines, router, operator, callers, upstreams."""
+
+from __future__ import annotations
--- a/review/standin/deployment.py
+++ b/tests/soak/stand_in/deployment.py
@@ -5,6 +5,8 @@
 with the command of deploy/system.toml.
 """
 
+from __future__ import annotations
+
 import asyncio
 import contextlib
 import hashlib
@@ -19,9 +21,9 @@
 import tempfile
 import time
 
-import ends
+from tests.soak.stand_in import ends
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 ZONES = ("zone-a", "zone-b", "zone-c")
 BOUNDS = {
     "SeedLagS": 3,
@@ -44,7 +46,7 @@
 }
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not run, which says nothing about the rule."""
 
 
@@ -70,12 +72,24 @@
         Number of side machines in each zone, by service.
     stdout : callable or None
         Returns the file for the output of a role of a machine.
+    entries : int
+        Number of edge machines in each zone; the first of them runs control too.
+    command : tuple of str
+        Program and arguments before those of the role.
     """
 
     heartbeat_s = 1.2
 
-    def __init__(self, folder, services, stdout=None):
+    def __init__(
+        self,
+        folder,
+        services,
+        stdout=None,
+        entries=1,
+        command=("python3", "-S", "-m", "limpetreel"),
+    ):
         self.case = pathlib.Path(folder)
+        self.command = command
         self.record = (self.case / "record.txt").open("w")
         self.started = time.monotonic()
         self.tmp = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -83,16 +97,18 @@
         self.stdout = stdout
         self.machines, self.targets, self.clients = [], [], []
         self.notes = []
+        # Time, target and whether it holds the flow, for each packet of each flow.
+        self.arrivals = {}
         self._tasks = []
         self.ready = set()
         self.version = 0
         self._choose_ports()
         for index, zone in enumerate(ZONES):
-            self.machines.append(
-                Machine(
-                    self, f"edge-{zone}-1", "edge", f"{self.net}.{index + 1}.10", zone
+            for number in range(1, entries + 1):
+                ip = f"{self.net}.{index + 1}.{9 + number}"
+                self.machines.append(
+                    Machine(self, f"edge-{zone}-{number}", "edge", ip, zone)
                 )
-            )
             number = 0
             for service, count in services.items():
                 for _ in range(count):
@@ -104,6 +120,7 @@
                         )
                     )
         self.edges = [m for m in self.machines if m.kind == "edge"]
+        self.controls = [m for m in self.edges if m.name.endswith("-1")]
         self.sides = [m for m in self.machines if m.kind == "side"]
 
     def _choose_ports(self):
@@ -120,7 +137,7 @@
                         with socket.socket(socket.AF_INET, kind) as sock:
                             sock.bind((machine.ip, port))
                     except OSError as exc:
-                        raise CannotRun(f"{machine.ip}:{port} is in use") from exc
+                        raise CannotRunError(f"{machine.ip}:{port} is in use") from exc
 
     def seconds(self):
         """Return the time of the record."""
@@ -162,7 +179,8 @@
             f'Zone = "{machine.zone}"',
             'Region = "region"',
             f"InternalPortRange = [{self.internal[0]}, {self.internal[1]}]",
-            "SeedNodes = " + json.dumps([f"{m.ip}:{p['control']}" for m in self.edges]),
+            "SeedNodes = "
+            + json.dumps([f"{m.ip}:{p['control']}" for m in self.controls]),
             f"Bootstrap = {str(role not in machine.roles).lower()}",
             f"InTolerance = {str(machine.kind == 'edge').lower()}",
         ]
@@ -217,10 +235,7 @@
         out = self.stdout(machine, role) if self.stdout else None
         log = out or (self.tmp / f"{machine.name}-{role}.log").open("ab")
         machine.roles[role] = await asyncio.create_subprocess_exec(
-            "python3",
-            "-S",
-            "-m",
-            "limpetreel",
+            *self.command,
             "platform",
             role,
             cwd=ROOT,
@@ -243,8 +258,8 @@
 
     async def start_all(self, targets=True, **options):
         """Start everything and wait until the system is ready."""
-        if not (ROOT / "target/deps/limpetreel").is_dir():
-            raise CannotRun("target/deps is not built")
+        if "-S" in self.command and not (ROOT / "target/deps/limpetreel").is_dir():
+            raise CannotRunError("target/deps is not built")
         self._check_ports()
         loop = asyncio.get_running_loop()
         for machine in self.sides:
@@ -253,11 +268,7 @@
                 local_addr=(machine.ip, self.port["app"]),
             )
             self.targets.append(target)
-            target.health = await asyncio.start_server(
-                lambda r, w, t=target: _serve_health(t, r, w),
-                machine.ip,
-                self.port["app"],
-            )
+            await target.serve_health()
         for index, zone in enumerate(ZONES):
             _, client = await loop.create_datagram_endpoint(
                 lambda index=index, zone=zone: ends.Client(
@@ -266,8 +277,9 @@
                 local_addr=(f"{self.net}.{index + 1}.200", self.port["udp"]),
             )
             self.clients.append(client)
-        for machine in self.edges:
+        for machine in self.controls:
             await self.start(machine, "control")
+        for machine in self.edges:
             await self.start(machine, "entry")
         for machine in self.sides:
             await self.start(machine, "agent")
@@ -332,8 +344,9 @@
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(ip, self.port[port])
                 head = (
-                    f"{method} {path} HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n"
-                    f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+                    f"{method} {path} HTTP/1.1\r\nHost: {ip}\r\n"
+                    "Connection: close\r\nContent-Type: application/json\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n"
                 )
                 writer.write(head.encode() + body)
                 response = await reader.read(-1)
@@ -356,7 +369,7 @@
         until = time.monotonic() + seconds
         pause = 0.1
         while time.monotonic() < until:
-            for machine in random.sample(self.edges, len(self.edges)):
+            for machine in random.sample(self.controls, len(self.controls)):
                 ip = machine.ip
                 for _ in range(3):
                     status, rest = await self.call(ip, method, path, body)
@@ -397,7 +410,7 @@
         until = time.monotonic() + seconds
         while len(self.ready) < len(self.edges):
             if time.monotonic() > until:
-                raise CannotRun("the entries did not get ready")
+                raise CannotRunError("the entries did not get ready")
             await asyncio.sleep(0.2)
 
 
@@ -429,23 +442,14 @@
     }
 
 
-async def _serve_health(target, reader, writer):
-    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-        await reader.readuntil(b"\r\n\r\n")
-        status = 200 if target.is_up and target.state == "ready" else 503
-        writer.write(f"HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n".encode())
-        await writer.drain()
-    writer.close()
-
-
 def main(case):
-    """Run a case; its exit code is 1 if the rule was broken, 0 if not, 2 without result."""
+    """Run a case; the exit code is 1 if the rule was broken, 2 without a result."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     # The processes that the case has started are ended on SIGTERM, too.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(case(has_trouble))
-    except CannotRun as exc:
+    except CannotRunError as exc:
         print(f"cannot run: {exc}")
         sys.exit(2)
     except Exception as exc:
--- a/review/standin/ends.py
+++ b/tests/soak/stand_in/ends.py
@@ -5,12 +5,15 @@
 times, a client at its time limit.
 """
 
+from __future__ import annotations
+
 import asyncio
+import contextlib
 import json
 import random
 import time
 
-import wire
+from tests.soak.stand_in import wire
 
 RETRANSMIT = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)
 SYN_COPIES = (0.2, 0.4, 0.8)
@@ -91,6 +94,20 @@
             end.drop()
         self.flows.clear()
 
+    async def serve_health(self):
+        """Listen for health probes, as the process of a target does."""
+        self.health = await asyncio.start_server(
+            self._answer_probe, self.machine.ip, self.site.port["app"]
+        )
+
+    async def _answer_probe(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            status = 200 if self.is_up and self.state == "ready" else 503
+            writer.write(f"HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+        writer.close()
+
     def connection_made(self, transport):
         """Take the socket."""
         self.transport = transport
@@ -158,7 +175,10 @@
             self._open(p)
             return
         end = self.flows.get(p.key())
-        if end is None or (not end.is_open and p.ack != end.next_seq):
+        is_own = end is not None and (end.is_open or p.ack == end.next_seq)
+        arrivals = self.site.arrivals.setdefault(p.key(), [])
+        arrivals.append((self.site.seconds(), self.machine.name, is_own))
+        if not is_own:
             self.transport.sendto(wire.bounced(raw), self.machine.outbound)
             return
         if not end.is_open:
@@ -212,7 +232,10 @@
             return
         if self.flows.get(key) is end:
             body = f"answer to {number}".encode()
-            head = f"HTTP/1.1 200 OK\r\nX-Limpetreel-Server-Signature: s\r\nContent-Length: {len(body)}\r\n\r\n"
+            head = (
+                "HTTP/1.1 200 OK\r\nX-Limpetreel-Server-Signature: s\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            )
             end.send_data(0, head.encode() + body)
         self.working -= 1
         if self.queue:
@@ -244,7 +267,7 @@
         p = wire.decode(raw)
         flow = self.flows.get(p.reply_key()) if p is not None else None
         if flow is not None:
-            flow.receive(p)
+            flow.receive(p, address[0])
 
     def new_flow(self, host, port):
         """Return a flow from a new port."""
@@ -318,8 +341,8 @@
         self.end.drop()
         self.client.flows.pop(self.key, None)
 
-    def receive(self, p):
-        """Handle a packet."""
+    def receive(self, p, source=""):
+        """Handle a packet from a machine of the system."""
         if p.flags & wire.RST:
             distance = (p.seq - self.end.peer_next) & wire.MASK
             is_near = min(distance, (1 << 32) - distance) <= RESET_WINDOW
@@ -327,7 +350,9 @@
                 self.site.note("ignored reset", flow=self.key)
                 return
             by = "system" if p.sum == 0 else "target"
-            self.site.note("reset", flow=self.key, by=by, open=self.is_open)
+            self.site.note(
+                "reset", flow=self.key, by=by, open=self.is_open, source=source
+            )
             self.finish()
             if not self.opened.done():
                 self.opened.set_result("reset")
--- a/review/standin/load.py
+++ b/tests/soak/stand_in/load.py
@@ -1,9 +1,11 @@
 """Clients that keep flows open for many requests (PROTOCOL.md, "Flows")."""
 
+from __future__ import annotations
+
 import asyncio
 import itertools
 
-import deployment
+from tests.soak.stand_in import deployment
 
 _NUMBERS = itertools.count(1)
 
@@ -11,12 +13,14 @@
 class LongFlows:
     """Clients with one open flow each, which send a request now and then.
 
-    A flow that ends is replaced by a new one from a new port.
+    A flow that ends is replaced by a new one from a new port. `pause_s` is the time
+    between two requests of a flow in seconds, or a function that draws it.
     """
 
     def __init__(self, site, host, port, per_client, pause_s=0.3, time_limit=2.0):
         self.site, self.host, self.port = site, host, port
-        self.pause_s, self.time_limit = pause_s, time_limit
+        self.pause_s = pause_s if callable(pause_s) else lambda: pause_s
+        self.time_limit = time_limit
         self.outcomes = {}
         self.is_stopping = False
         loop = asyncio.get_running_loop()
@@ -53,7 +57,7 @@
                 if result != "answered":
                     flow.finish()
                     break
-                await asyncio.sleep(self.pause_s)
+                await asyncio.sleep(self.pause_s())
             flow.close()
 
 
--- a/review/standin/wire.py
+++ b/tests/soak/stand_in/wire.py
@@ -1,5 +1,7 @@
 """Packets of the platform (PROTOCOL.md, "Packets")."""
 
+from __future__ import annotations
+
 import hashlib
 import socket
 import struct
@@ -37,7 +39,7 @@
         self.is_sum_right = True
 
     def key(self):
-        """Return the flow as (client, client port, host, port) for a client's packet."""
+        """Return the flow of a client's packet: its addresses and ports."""
         return (self.src, self.sport, self.dst, self.dport)
 
     def reply_key(self):
--- /dev/null
+++ b/tests/streams/test_certain_ends.py
@@ -0,0 +1,122 @@
+"""Tests that no flow is reset on a belief about its upstream that may be wrong.
+
+Announcements may be late, come from another writer, or be the first that an agent hears
+for other reasons than a start. The upstream itself says whether it holds a flow.
+"""
+
+from __future__ import annotations
+
+import time
+import unittest.mock
+
+from limpetreel import platform_factory
+from limpetreel.streams.events import upstream_announced
+from tests import fixtures
+from tests.streams import faulty_site, stream_site, test_ended_flows
+
+load_tests = fixtures.load_functions(globals())
+
+
+def announce(site, name, **changes):
+    """Pass an announcement with changes to an agent."""
+    status = stream_site.replace(site.upstreams[name].status(), **changes)
+    site.to_core(name, upstream_announced.UpstreamAnnounced(status))
+
+
+def assert_all_answered(site, callers):
+    """Check that the flows of callers live."""
+    test_ended_flows.send_again(site, callers)
+    assert not any(c.request.refused for c in callers)
+    assert all(c.request.answered_at is not None for c in callers)
+
+
+def restarted_upstreams(seed):
+    """Return a site whose upstreams have restarted, and callers with flows there."""
+    site = test_ended_flows.make_site(seed)
+    earlier = {name: u.status() for name, u in site.upstreams.items()}
+    for name, upstream in site.upstreams.items():
+        upstream.restart()
+        site.announce(name)
+    return site, earlier, test_ended_flows.open_flows(site, 40)
+
+
+# Agents reset all flows when a late announcement came first after their own restart.
+def test_late_announcement_of_an_earlier_start_resets_no_flow():
+    """Guards against resets of flows that were opened on the present start."""
+    site, earlier, callers = restarted_upstreams(61)
+    for name, status in earlier.items():
+        site.start_agent(name)
+        site.to_core(name, upstream_announced.UpstreamAnnounced(status))
+    test_ended_flows.send_again(site, callers[:20])
+    for name in site.names:
+        site.announce(name)
+    for name in list(site.entries):
+        site.start_entry(name)
+    assert_all_answered(site, callers)
+
+
+# One announcement with an unknown state and another id reset all flows of an upstream.
+def test_announcement_of_another_writer_resets_no_flow():
+    """Guards against resets on the word of something that is not the upstream."""
+    site = test_ended_flows.make_site(62)
+    callers = test_ended_flows.open_flows(site, 40)
+    for name in site.names:
+        announce(site, name, instance_id="i-x", started_ms=9, unknown_state="resting")
+    assert_all_answered(site, callers)
+    before = len(site.opened)
+    test_ended_flows.open_flows(site, 10)
+    assert len(site.opened) >= before + 10
+
+
+# An announcement with another id, valid in all its fields, reset all flows.
+def test_announcement_with_another_id_resets_no_flow_that_the_upstream_holds():
+    """Guards against resets when a process beside the upstream announces itself."""
+    site = test_ended_flows.make_site(63)
+    callers = test_ended_flows.open_flows(site, 40)
+    test_ended_flows.listen(site, callers)
+    for name in site.names:
+        announce(site, name, instance_id="i-x", started_ms=9)
+    assert_all_answered(site, callers)
+
+
+# Agents that restarted within the first interval denied flows that they had placed.
+def test_first_announcement_that_an_agent_hears_is_no_proof_of_a_start():
+    """Guards against resets of flows that an earlier process has placed."""
+    site = test_ended_flows.make_site(64)
+    for name in site.names:
+        site.upstreams[name].restart()
+    for name in site.names:
+        announce(site, name, sequence=0)
+    callers = test_ended_flows.open_flows(site, 40)
+    for name in site.names:
+        site.start_agent(name)
+        announce(site, name, sequence=1)
+    faulty_site.restart_entries(site)
+    assert_all_answered(site, callers)
+
+
+# A processor clock that ran with the steady clock made agents older than upstreams.
+def test_age_of_the_agent_does_not_depend_on_its_processor_clock():
+    """Guards against an agent that takes itself for older than it is."""
+    before = time.monotonic()
+    with unittest.mock.patch("time.process_time", return_value=50_000.0):
+        process = platform_factory._read_process_start()
+    assert process.at >= before - 60.0
+
+
+# Entries reset flows of an agent that had joined after their last update.
+def test_flow_is_not_reset_on_a_list_that_is_older_than_the_flow():
+    """Guards against resets of flows of an agent that the entry does not know yet."""
+    site = faulty_site.make_site(65)
+    callers = test_ended_flows.open_flows(site, 40)
+    assert faulty_site.owners(site, callers, "agent-5")
+    site.unlisted = {"agent-5"}
+    faulty_site.restart_entries(site)
+    site.update_seconds = 1.0
+    site.after(0.9, lambda at: site.unlisted.clear())
+    test_ended_flows.send_again(site, callers, 0.8)
+    site.run(site.now + 0.3)
+    site.update_all()
+    site.run(site.now + 1.0)
+    assert not any(c.request.refused for c in callers)
+    assert all(c.request.answered_at is not None for c in callers)
