Reset flows only on a list that is no older than the search

What callers saw: a sound flow was reset by an entry that had not yet heard of the flow's agent.

Cause: the list of an entry is that of its last update. An agent that joined later is missing there, while another entry may already have placed a flow on it. A pause of 0.1 s after the last denial stood for the delay of updates, which has no bound on a busy machine.

Entries number their messages to control, updates repeat the number, and with the age of the lease an entry knows a time of its own clock up to which its list names all agents with flows. A search ends in a reset, and all unsure agents are probed at once, only if that time is not before its start; until then the entry asks control, every 0.05 s at most. The pause is gone.

--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -23,6 +23,7 @@
     change_requested,
     consensus_arrived,
     leave,
+    node_asked,
     node_connected,
     node_disconnected,
     read_requested,
@@ -149,6 +150,8 @@
                 return self._report(now, event)
             case node_connected.NodeConnected():
                 return self._connect(now, event)
+            case node_asked.NodeAsked():
+                return self._ask(now, event)
             case node_disconnected.NodeDisconnected():
                 return self._disconnect(event)
             case change_requested.ChangeRequested():
@@ -187,6 +190,13 @@
         self._sessions[event.session_id] = session
         return self._update_node(now, event.session_id, session)
 
+    def _ask(self, now: float, event: node_asked.NodeAsked) -> Actions:
+        session = self._sessions.get(event.session_id)
+        if session is None:
+            return []
+        session.ask(event.number)
+        return self._update_node(now, event.session_id, session)
+
     def _disconnect(self, event: node_disconnected.NodeDisconnected) -> Actions:
         session = self._sessions.pop(event.session_id, None)
         connected_names = {s.name for s in self._sessions.values()}
--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -18,6 +18,7 @@
     change_requested,
     consensus_arrived,
     leave,
+    node_asked,
     node_connected,
     node_disconnected,
     read_requested,
@@ -56,6 +57,7 @@
 error; each reads the log."""
 _SOFT_EVENTS = (
     report_arrived.ReportArrived,
+    node_asked.NodeAsked,
     node_connected.NodeConnected,
     node_disconnected.NodeDisconnected,
 )
@@ -277,7 +279,9 @@
             case hello.Hello():
                 self._accept_hello(link, message)
             case alive.Alive():
-                pass
+                if message.number and link.session_id:
+                    asked = node_asked.NodeAsked(link.session_id, message.number)
+                    self._handle(asked)
             case failure.Failure():
                 self._telemetry.refuse(message.step, link.peer, message.reason)
                 link.abort()
--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -39,7 +39,12 @@
 """Interval between reports; control drops a connection after about three are
 missing."""
 
+CHECK_SECONDS = 0.05
+"""Minimum interval between questions about the list. Control's lease is renewed every
+0.1 s, so an earlier answer would often say nothing new."""
+
 OnView = Callable[[fleet_view.FleetView], None]
+OnList = Callable[[float], None]
 
 
 class ControlClient:
@@ -55,6 +60,8 @@
         Whether the node needs the list of upstreams.
     on_view : callable
         Called with each new view.
+    on_list : callable
+        Called with the time up to which the list of upstreams is complete.
     telemetry : Telemetry
         Logs and metrics.
     random : random.Random
@@ -67,12 +74,15 @@
         seeds: Callable[[], Sequence[str]],
         wants_upstreams: bool,
         on_view: OnView,
+        on_list: OnList,
         telemetry: telemetry.Telemetry,
         random: random.Random,
     ) -> None:
         self._hello = cluster_codec.encode(hello.Hello(name, "", wants_upstreams))
         self._seeds = seeds
         self._on_view = on_view
+        self._on_list = on_list
+        self._checked_at = float("-inf")
         self._telemetry = telemetry
         self._random = random
         self._known_controls: tuple[str, ...] = ()
@@ -94,6 +104,12 @@
             self._record = record
             self._send_report()
 
+    def check_list(self) -> None:
+        """Ask whether the list of upstreams is complete, unless that was just asked."""
+        now = asyncio.get_running_loop().time()
+        if self._link is not None and now - self._checked_at >= CHECK_SECONDS:
+            self._send_alive(self._link, now)
+
     async def run(self) -> None:
         """Stay connected until cancelled."""
         while True:
@@ -208,13 +224,17 @@
         if self._link is None:
             return
         if self._record is None:
-            message = alive.Alive(self.view.revision)
-            self._link.send(cluster_codec.encode(message))
+            self._send_alive(self._link, asyncio.get_running_loop().time())
             return
         self._sequence += 1
         new_report = report.Report(self._start, self._sequence, self._record)
         self._link.send(cluster_codec.encode(new_report))
 
+    def _send_alive(self, link: frame_protocol.FrameProtocol, now: float) -> None:
+        self._checked_at = now
+        message = alive.Alive(self.view.revision, self._list_clock.ask(now))
+        link.send(cluster_codec.encode(message))
+
     def _receive(self, link: frame_protocol.FrameProtocol, data: bytes) -> None:
         message = cluster_codec.decode(data)
         if not isinstance(message, update.Update):
@@ -223,10 +243,14 @@
         now = asyncio.get_running_loop().time()
         if message.lease_ms > 0:
             self._confirmed_at = now
-        self._list_clock.record(message.lease_ms > 0, message.is_complete)
+        before = self._list_clock.complete_until
+        self._list_clock.record(message.lease_ms, message.is_complete, message.answered)
         if message.controls:
             self._known_controls = message.controls
         self._merge(message)
+        # The agents in the update are known to the node before it trusts the list.
+        if self._list_clock.complete_until > before:
+            self._on_list(self._list_clock.complete_until)
 
     def _merge(self, message: update.Update) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/limpetreel/cluster/messages/alive.py
+++ b/src/limpetreel/cluster/messages/alive.py
@@ -12,6 +12,9 @@
     ----------
     revision : int
         Revision that the node has.
+    number : int
+        Number of the message, which the next update repeats; 0 for none.
     """
 
     revision: int
+    number: int = 0
--- a/src/limpetreel/cluster/messages/update.py
+++ b/src/limpetreel/cluster/messages/update.py
@@ -33,6 +33,8 @@
     is_complete : bool or None
         Whether the instance has heard all agents that are registered; None if it does
         not know which agents there are.
+    answered : int
+        Number of the last `Alive` that has arrived on the connection, 0 for none.
     """
 
     revision: int
@@ -44,3 +46,4 @@
     removed: tuple[str, ...]
     controls: tuple[str, ...]
     is_complete: bool | None = None
+    answered: int = 0
--- a/src/limpetreel/cluster/node_session.py
+++ b/src/limpetreel/cluster/node_session.py
@@ -38,6 +38,12 @@
         self._change = -1
         self._had_lease = False
         self._was_complete: bool | None = None
+        self._asked = 0
+        self._answered = 0
+
+    def ask(self, number: int) -> None:
+        """Record a question, which the next update answers."""
+        self._asked = max(self._asked, number)
 
     def next_update(
         self,
@@ -56,6 +62,7 @@
         has_changed = has_changed or (lease_ms > 0 and not self._had_lease)
         if self._wants_upstreams and is_complete is not self._was_complete:
             has_changed = True
+        has_changed = has_changed or self._asked > self._answered
         age = now - self._sent_at
         if self._wants_upstreams and directory.change > self._change:
             has_changed = has_changed or age >= UPSTREAMS_SECONDS
@@ -75,6 +82,7 @@
         self._change = directory.change
         self._had_lease = lease_ms > 0
         self._was_complete = is_complete
+        self._answered = self._asked
         return update.Update(
             state.applied,
             lease_ms,
@@ -85,4 +93,5 @@
             removed,
             controls,
             is_complete,
+            self._answered,
         )
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -225,6 +225,7 @@
         seeds.addresses,
         wants_upstreams,
         shell.apply_update,
+        shell.confirm_list,
         telemetry,
         random.Random(),
     )
--- a/src/limpetreel/streams/ownership/flow_owners.py
+++ b/src/limpetreel/streams/ownership/flow_owners.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.streams import stream_key
-from limpetreel.streams.actions import log_line, send_caller
+from limpetreel.streams.actions import check_list, log_line, send_caller
 from limpetreel.streams.ownership import known_owner, owner_search
 
 if TYPE_CHECKING:
@@ -75,7 +75,12 @@
         """Apply a new list of upstreams."""
         self._names = {(r.host, r.port): r.name for r in view.upstreams}
         self._revision = view.revision
-        self._search.change_list(view.upstreams, view.is_list_current)
+        self._search.change_list(view.upstreams)
+
+    def confirm_list(self, now: float, complete_until: float) -> Actions:
+        """Record that the list names all agents that had flows at some time."""
+        self._search.complete_until = complete_until
+        return self._reset_denied(now)
 
     def record(self, now: float, flow: bytes, address: Address) -> None:
         """Record the owner of a flow."""
@@ -113,16 +118,22 @@
 
     def tick(self, now: float) -> Actions:
         """Continue searches; reset flows that no upstream holds."""
-        actions: Actions = []
-        for flow in self._search.take_denied(now):
-            # With a known owner it is the next flow from the address of the last one.
-            if flow.flow not in self._owners:
-                actions += self._reset(now, flow)
+        actions = self._reset_denied(now)
+        if self._search.awaits_list:
+            actions.append(check_list.CheckList())
         expired, questions = self._search.tick(now)
         for flow in expired:
             actions.append(self._report_expired(flow))
         return actions + questions
 
+    def _reset_denied(self, now: float) -> Actions:
+        actions: Actions = []
+        for flow in self._search.take_denied():
+            # With a known owner it is the next flow from the address of the last one.
+            if flow.flow not in self._owners:
+                actions += self._reset(now, flow)
+        return actions
+
     def sweep(self, now: float, idle_seconds: float) -> None:
         """Forget the owners of flows without packets for some time."""
         if now - self._swept_at < SWEEP_SECONDS:
@@ -140,6 +151,7 @@
             "upstreams": len(flow.seen),
             "revision": self._revision,
             "searched_ms": int((now - flow.began_at) * _MS_PER_SECOND),
+            "list_age_ms": int((now - self._search.complete_until) * _MS_PER_SECOND),
         }
         host = stream_key.caller(flow.flow)[0]
         packet = self._codec.reset(flow.flow, flow.latest.ack)
--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -37,9 +37,6 @@
 PROBE_DELAY_SECONDS = 0.3
 """Time for which the answers of agents that are sure are awaited before a packet is
 tried at one that is not."""
-CONFIRM_SECONDS = 0.1
-"""Pause after all known agents have denied a flow; an agent that has just started may
-become known meanwhile."""
 MAX_FLOWS = 4096
 MAX_FLOWS_PER_ROUND = 400
 """Ten messages to each agent; bounds the burst on a small link."""
@@ -55,8 +52,10 @@
     if they do not hold it. If one of the unsure agents must be the owner, all of them
     get it at once; otherwise few do, the same ones from each entry.
 
-    Its attribute `is_list_current` tells whether the list of agents is known to be
-    complete, and `probes` counts the packets that were sent to unsure agents.
+    Its attribute `complete_until` is the latest time at which all agents that had flows
+    are known, and `probes` counts the packets that were sent to unsure agents. A flow
+    that is searched for was opened before the search, so a list that is complete up to
+    the start of the search names its owner.
 
     Parameters
     ----------
@@ -68,7 +67,7 @@
 
     def __init__(self, data_centre: str, first_number: int) -> None:
         self._known = known_agents.KnownAgents(data_centre)
-        self.is_list_current = False
+        self.complete_until = float("-inf")
         self._flows: dict[bytes, sought_flow.SoughtFlow] = {}
         self._due: dict[bytes, sought_flow.SoughtFlow] = {}
         self._denied: dict[bytes, sought_flow.SoughtFlow] = {}
@@ -81,19 +80,25 @@
         """Return the number of flows that are searched for."""
         return len(self._flows)
 
-    def change_list(
-        self, records: Iterable[upstream_record.UpstreamRecord], is_current: bool
-    ) -> None:
+    @property
+    def awaits_list(self) -> bool:
+        """Return whether a search needs a list that is complete up to its start."""
+        return any(
+            not self._has_owner_listed(flow) and not flow.awaits_sure_agent
+            for flow in self._flows.values()
+        )
+
+    def _has_owner_listed(self, flow: sought_flow.SoughtFlow) -> bool:
+        return self.complete_until >= flow.began_at
+
+    def change_list(self, records: Iterable[upstream_record.UpstreamRecord]) -> None:
         """Replace the list of agents, and ask those that have become known.
 
         Parameters
         ----------
         records : iterable of UpstreamRecord
             Known upstreams.
-        is_current : bool
-            Whether the list is known to be complete.
         """
-        self.is_list_current = is_current
         self._known.update(records)
         for flow in self._flows.values():
             if flow.add_agents(self._known.groups(flow.services)):
@@ -179,11 +184,11 @@
                 actions += self._probe(now, flow)
         return actions
 
-    def take_denied(self, now: float) -> list[sought_flow.SoughtFlow]:
+    def take_denied(self) -> list[sought_flow.SoughtFlow]:
         """Remove and return flows that all agents have denied.
 
-        While the list of agents may be incomplete they are kept, and no agent is asked
-        again.
+        While the list of agents may lack their owner they are kept, and no agent is
+        asked again.
         """
         denied = []
         for flow in list(self._denied.values()):
@@ -192,7 +197,7 @@
                 del self._denied[flow.flow]
             elif self._add_others(flow):
                 continue
-            elif self.is_list_current and now - flow.denied_at >= CONFIRM_SECONDS:
+            elif self._has_owner_listed(flow):
                 self._remove(flow.flow)
                 denied.append(flow)
         return denied
@@ -204,7 +209,7 @@
         for asked in self._questions.take_unapplied():
             actions += self._apply_denials(now, asked)
         for flow in list(self._flows.values()):
-            if not self.is_list_current and not flow.awaits_sure_agent:
+            if not self._has_owner_listed(flow) and not flow.awaits_sure_agent:
                 flow.await_list()
             if now > flow.ends_at:
                 self._remove(flow.flow)
@@ -235,7 +240,7 @@
         if not flow.unsure or flow.trial is None:
             return []
         # The owner is then one of the agents that are unsure, and gets the packet too.
-        has_owner = self.is_list_current and not flow.awaits_sure_agent
+        has_owner = self._has_owner_listed(flow) and not flow.awaits_sure_agent
         if not has_owner and now - flow.began_at < PROBE_DELAY_SECONDS:
             return []
         targets = flow.unprobed()
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -24,6 +24,7 @@
 from limpetreel.streams.events import (
     agent_leaving,
     fleet_changed,
+    list_confirmed,
     node_datagram,
     upstream_announced,
     upstream_departed,
@@ -216,6 +217,8 @@
             return self._end_upstream(now, event)
         if isinstance(event, agent_leaving.AgentLeaving):
             return self._leave()
+        if isinstance(event, list_confirmed.ListConfirmed):
+            return []
         raise TypeError(type(event))
 
     def _announce(
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -15,7 +15,12 @@
 from limpetreel.streams.actions import (
     send_node,
 )
-from limpetreel.streams.events import caller_packet, fleet_changed, node_datagram
+from limpetreel.streams.events import (
+    caller_packet,
+    fleet_changed,
+    list_confirmed,
+    node_datagram,
+)
 from limpetreel.streams.messages import (
     carry,
     holdings,
@@ -122,6 +127,8 @@
             return self._tick(now)
         if isinstance(event, fleet_changed.FleetChanged):
             return self._change_view(now, event.view)
+        if isinstance(event, list_confirmed.ListConfirmed):
+            return self._owners.confirm_list(now, event.complete_until)
         raise TypeError(type(event))
 
     def _change_view(self, now: float, view: fleet_view.FleetView) -> Actions:
--- a/src/limpetreel/streams/stream_shell.py
+++ b/src/limpetreel/streams/stream_shell.py
@@ -9,13 +9,14 @@
 
 from limpetreel.node import tick
 from limpetreel.streams.actions import (
+    check_list,
     histogram_sample,
     log_line,
     send_caller,
     send_node,
     send_upstream,
 )
-from limpetreel.streams.events import fleet_changed
+from limpetreel.streams.events import fleet_changed, list_confirmed
 
 if TYPE_CHECKING:
     import msgspec
@@ -57,6 +58,10 @@
         """Apply an update from control."""
         self._handle(fleet_changed.FleetChanged(view))
 
+    def confirm_list(self, complete_until: float) -> None:
+        """Record up to which time the list of upstreams is complete."""
+        self._handle(list_confirmed.ListConfirmed(complete_until))
+
     def _handle(self, event: msgspec.Struct) -> None:
         try:
             actions = self._decisions.handle(time.monotonic(), event)
@@ -80,6 +85,9 @@
                 self._send_caller(action.data, action.host)
             case send_upstream.SendUpstream():
                 self._send_upstream(action.data)
+            case check_list.CheckList():
+                if self._control is not None:
+                    self._control.check_list()
             case histogram_sample.HistogramSample():
                 self._telemetry.observe(action.name, action.seconds)
             case log_line.LogLine():
--- a/tests/cluster/node_fleet.py
+++ b/tests/cluster/node_fleet.py
@@ -7,6 +7,7 @@
 
 from limpetreel.cluster import control_client, list_clock, upstream_record
 from limpetreel.cluster.events import (
+    node_asked,
     node_connected,
     node_disconnected,
     report_arrived,
@@ -77,6 +78,7 @@
     def report(self):
         """Report the upstream, as an agent does."""
         if self.wants_upstreams:
+            self.ask()
             return
         self.sequence += 1
         record = upstream_record.UpstreamRecord(
@@ -85,11 +87,16 @@
         message = report.Report(self.start_number, self.sequence, record)
         self.instance.handle(report_arrived.ReportArrived(message, is_direct=True))
 
+    def ask(self):
+        """Ask for an update that is sent after the question."""
+        number = self.clock.ask(self.fleet.group.now)
+        self.instance.handle(node_asked.NodeAsked(self.session_id, number))
+
     def apply(self, now, update):
         """Apply an update."""
         if update.lease_ms > 0:
             self.confirmed_at = now
-        self.clock.record(update.lease_ms > 0, update.is_complete)
+        self.clock.record(update.lease_ms, update.is_complete, update.answered)
         self.names = set() if update.is_full else self.names
         self.names |= {r.name for r in update.upstreams}
         self.names -= set(update.removed)
--- a/tests/cluster/test_control_links.py
+++ b/tests/cluster/test_control_links.py
@@ -131,6 +131,7 @@
         lambda: [*silent, address],
         False,
         views.append,
+        lambda until: None,
         telemetry.disabled(),
         random.Random(1),
     )
@@ -168,7 +169,13 @@
 
     raised = []
     client = control_client.ControlClient(
-        "edge-1", seeds, True, lambda view: None, telemetry.disabled(), random.Random(1)
+        "edge-1",
+        seeds,
+        True,
+        lambda view: None,
+        lambda until: None,
+        telemetry.disabled(),
+        random.Random(1),
     )
     task = asyncio.create_task(client.run())
     until = asyncio.get_running_loop().time() + 5
--- a/tests/soak/stand_in/deployment.py
+++ b/tests/soak/stand_in/deployment.py
@@ -90,6 +90,8 @@
     ):
         self.case = pathlib.Path(folder)
         self.command = command
+        # Without site packages, the programs come from the build of the deploy file.
+        self.is_built = "-S" in command
         self.record = (self.case / "record.txt").open("w")
         self.started = time.monotonic()
         self.tmp = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -231,7 +233,9 @@
             for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
-        env |= {"LIMPETREEL_CONFIG": str(path), "PYTHONPATH": "target/deps"}
+        env["LIMPETREEL_CONFIG"] = str(path)
+        if self.is_built:
+            env["PYTHONPATH"] = "target/deps"
         out = self.stdout(machine, role) if self.stdout else None
         log = out or (self.tmp / f"{machine.name}-{role}.log").open("ab")
         machine.roles[role] = await asyncio.create_subprocess_exec(
@@ -258,7 +262,7 @@
 
     async def start_all(self, targets=True, **options):
         """Start everything and wait until the system is ready."""
-        if "-S" in self.command and not (ROOT / "target/deps/limpetreel").is_dir():
+        if self.is_built and not (ROOT / "target/deps/limpetreel").is_dir():
             raise CannotRunError("target/deps is not built")
         self._check_ports()
         loop = asyncio.get_running_loop()
--- a/tests/streams/stream_site.py
+++ b/tests/streams/stream_site.py
@@ -30,10 +30,17 @@
     stream_key,
     upstream_status,
 )
-from limpetreel.streams.actions import log_line, send_caller, send_node, send_upstream
+from limpetreel.streams.actions import (
+    check_list,
+    log_line,
+    send_caller,
+    send_node,
+    send_upstream,
+)
 from limpetreel.streams.events import (
     caller_packet,
     fleet_changed,
+    list_confirmed,
     node_datagram,
     upstream_announced,
     upstream_packet,
@@ -218,6 +225,8 @@
         self.down = set()
         self.unreported = set()
         self.is_list_current = False
+        self.update_seconds = 2 * LINK_SECONDS
+        self.is_checked = set()
         self.messages = 0
         self.on_action = lambda node, action: None
         self.log_lines = []
@@ -269,7 +278,14 @@
     def update_all(self):
         """Send the current update from control to all nodes."""
         for name in (*self.agents, *self.entries):
-            self.to_core(name, self.fleet_update())
+            self.send_update(name, self.now)
+
+    def send_update(self, name, asked_at):
+        """Send the current update from control to a node, which has asked for it."""
+        self.is_checked.discard(name)
+        self.to_core(name, self.fleet_update())
+        if self.is_list_current:
+            self.to_core(name, list_confirmed.ListConfirmed(asked_at))
 
     def after(self, seconds, call):
         """Schedule a call."""
@@ -316,6 +332,13 @@
                 event = node_datagram.NodeDatagram(name, 1, action.data)
                 target = action.address[0]
                 self.after(LINK_SECONDS, lambda at: self.to_core(target, event))
+            case check_list.CheckList():
+                if name not in self.is_checked:
+                    self.is_checked.add(name)
+                    asked_at = self.now
+                    self.after(
+                        self.update_seconds, lambda at: self.send_update(name, asked_at)
+                    )
             case send_caller.SendCaller():
                 data = action.data
                 self.after(CALLER_SECONDS, lambda at: self.to_caller(data))
--- a/tests/streams/test_certain_ends.py
+++ b/tests/streams/test_certain_ends.py
@@ -112,11 +112,8 @@
     assert faulty_site.owners(site, callers, "agent-5")
     site.unlisted = {"agent-5"}
     faulty_site.restart_entries(site)
-    site.update_seconds = 1.0
-    site.after(0.9, lambda at: site.unlisted.clear())
+    site.update_seconds = 0.5
+    site.after(0.4, lambda at: site.unlisted.clear())
     test_ended_flows.send_again(site, callers, 0.8)
-    site.run(site.now + 0.3)
-    site.update_all()
-    site.run(site.now + 1.0)
     assert not any(c.request.refused for c in callers)
     assert all(c.request.answered_at is not None for c in callers)
