Carry the age of the list in the update of the fleet

FleetChanged carries the time up to which the list is complete, the entry's shell asks after a tick, and control sends the age of its state in place of entries computing it from the lease.

--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -43,8 +43,7 @@
 """Minimum interval between questions about the list. Control's lease is renewed every
 0.1 s, so an earlier answer would often say nothing new."""
 
-OnView = Callable[[fleet_view.FleetView], None]
-OnList = Callable[[float], None]
+OnView = Callable[[fleet_view.FleetView, float], None]
 
 
 class ControlClient:
@@ -59,9 +58,8 @@
     wants_upstreams : bool
         Whether the node needs the list of upstreams.
     on_view : callable
-        Called with each new view.
-    on_list : callable
-        Called with the time up to which the list of upstreams is complete.
+        Called with each new view, and the monotonic time in seconds up to which its
+        list of upstreams is complete.
     telemetry : Telemetry
         Logs and metrics.
     random : random.Random
@@ -74,14 +72,12 @@
         seeds: Callable[[], Sequence[str]],
         wants_upstreams: bool,
         on_view: OnView,
-        on_list: OnList,
         telemetry: telemetry.Telemetry,
         random: random.Random,
     ) -> None:
         self._hello = cluster_codec.encode(hello.Hello(name, "", wants_upstreams))
         self._seeds = seeds
         self._on_view = on_view
-        self._on_list = on_list
         self._checked_at = float("-inf")
         self._telemetry = telemetry
         self._random = random
@@ -93,6 +89,7 @@
         self._unlisted_until: dict[str, float] = {}
         self._confirmed_at = 0.0
         self._list_clock = list_clock.ListClock()
+        self._complete_until = float("-inf")
         self._start = random.getrandbits(52)
         self._sequence = 0
         self._record: upstream_record.UpstreamRecord | None = None
@@ -243,14 +240,10 @@
         now = asyncio.get_running_loop().time()
         if message.lease_ms > 0:
             self._confirmed_at = now
-        before = self._list_clock.complete_until
-        self._list_clock.record(message.lease_ms, message.is_complete, message.answered)
+        self._list_clock.record(message)
         if message.controls:
             self._known_controls = message.controls
         self._merge(message)
-        # The agents in the update are known to the node before it trusts the list.
-        if self._list_clock.complete_until > before:
-            self._on_list(self._list_clock.complete_until)
 
     def _merge(self, message: update.Update) -> None:
         now = asyncio.get_running_loop().time()
@@ -271,11 +264,14 @@
         self._apply(view)
 
     def _apply(self, view: fleet_view.FleetView) -> None:
-        previous = self.view
+        previous, until = self.view, self._list_clock.complete_until
         if view != previous:
             self.view = view
             self._log_change(previous, view)
-            self._on_view(view)
+        elif until <= self._complete_until:
+            return
+        self._complete_until = until
+        self._on_view(self.view, until)
 
     def _merge_upstreams(self, message: update.Update, now: float) -> None:
         if message.is_full:
--- a/src/limpetreel/cluster/list_clock.py
+++ b/src/limpetreel/cluster/list_clock.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from limpetreel.consensus import timing
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from limpetreel.cluster.messages import update
 
 MAX_QUESTIONS = 64
 """Questions whose times are kept; an answer to an earlier one shows nothing new."""
@@ -17,8 +20,8 @@
 
     An update shows the state of the instance at some time before it arrives, and it may
     be late. The node therefore numbers its messages to control. An update that repeats
-    a number was sent after that message, and a lease tells how old the state of the
-    instance was at most.
+    a number was sent after that message, and says how old the state of the instance
+    was at most.
     """
 
     def __init__(self) -> None:
@@ -35,23 +38,13 @@
             del self._asked_at[next(iter(self._asked_at))]
         return self._last_number
 
-    def record(self, lease_ms: int, is_complete: bool | None, answered: int) -> None:
-        """Record an update.
-
-        Parameters
-        ----------
-        lease_ms : int
-            Remaining lease of the instance; 0 without contact with a quorum.
-        is_complete : bool or None
-            Whether it has heard all agents that it knows of; None if it does not know.
-        answered : int
-            Number of the last message that it has received; 0 if none had a number.
-        """
-        self._is_complete = lease_ms > 0 and is_complete is True
-        asked_at = self._asked_at.get(answered)
+    def record(self, message: update.Update) -> None:
+        """Record an update."""
+        has_lease = message.lease_ms > 0
+        self._is_complete = has_lease and message.is_complete is True
+        asked_at = self._asked_at.get(message.answered)
         if self._is_complete and asked_at is not None:
-            state_age = timing.LEASE_SECONDS - lease_ms / 1000
-            until = asked_at - max(0.0, state_age)
+            until = asked_at - message.state_age_ms / 1000
             self._complete_until = max(self._complete_until, until)
 
     def reset(self) -> None:
--- a/src/limpetreel/cluster/messages/update.py
+++ b/src/limpetreel/cluster/messages/update.py
@@ -35,6 +35,8 @@
         not know which agents there are.
     answered : int
         Number of the last `Alive` that has arrived on the connection, 0 for none.
+    state_age_ms : int
+        Time by which the state may be older than the update, with a lease.
     """
 
     revision: int
@@ -47,3 +49,4 @@
     controls: tuple[str, ...]
     is_complete: bool | None = None
     answered: int = 0
+    state_age_ms: int = 0
--- a/src/limpetreel/cluster/node_session.py
+++ b/src/limpetreel/cluster/node_session.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.cluster.messages import update
+from limpetreel.consensus import timing
 
 if TYPE_CHECKING:
     from limpetreel.cluster import cluster_state, upstream_directory, upstream_record
@@ -13,6 +14,7 @@
 """Interval at which updates are sent even if nothing has changed; nodes treat three
 missing updates as a lost connection."""
 
+LEASE_MS = int(timing.LEASE_SECONDS * 1000)
 UPSTREAMS_SECONDS = 0.1
 """Minimum interval between updates that change only the list of upstreams. Many of them
 announce themselves within a second after a common restart."""
@@ -94,4 +96,5 @@
             controls,
             is_complete,
             self._answered,
+            LEASE_MS - lease_ms,
         )
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -225,7 +225,6 @@
         seeds.addresses,
         wants_upstreams,
         shell.apply_update,
-        shell.confirm_list,
         telemetry,
         random.Random(),
     )
--- a/src/limpetreel/streams/ownership/flow_owners.py
+++ b/src/limpetreel/streams/ownership/flow_owners.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.streams import stream_key
-from limpetreel.streams.actions import check_list, log_line, send_caller
+from limpetreel.streams.actions import log_line, send_caller
 from limpetreel.streams.ownership import known_owner, owner_search
 
 if TYPE_CHECKING:
@@ -62,6 +62,11 @@
         """Return whether the owner of a flow is searched for."""
         return bool(len(self._search))
 
+    @property
+    def awaits_list(self) -> bool:
+        """Return whether a search needs a later list of upstreams."""
+        return self._search.awaits_list
+
     @property
     def probes(self) -> int:
         """Return how many packets were sent to agents that are unsure."""
@@ -79,7 +84,7 @@
 
     def confirm_list(self, now: float, complete_until: float) -> Actions:
         """Record that the list names all agents that had flows at some time."""
-        self._search.complete_until = complete_until
+        self._search.complete_until = max(self._search.complete_until, complete_until)
         return self._reset_denied(now)
 
     def record(self, now: float, flow: bytes, address: Address) -> None:
@@ -119,8 +124,6 @@
     def tick(self, now: float) -> Actions:
         """Continue searches; reset flows that no upstream holds."""
         actions = self._reset_denied(now)
-        if self._search.awaits_list:
-            actions.append(check_list.CheckList())
         expired, questions = self._search.tick(now)
         for flow in expired:
             actions.append(self._report_expired(flow))
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -15,12 +15,7 @@
 from limpetreel.streams.actions import (
     send_node,
 )
-from limpetreel.streams.events import (
-    caller_packet,
-    fleet_changed,
-    list_confirmed,
-    node_datagram,
-)
+from limpetreel.streams.events import caller_packet, fleet_changed, node_datagram
 from limpetreel.streams.messages import (
     carry,
     holdings,
@@ -102,6 +97,11 @@
         pending = len(self._placement) or self._owners.is_searching
         return bool(pending or len(self._transfers))
 
+    @property
+    def awaits_list(self) -> bool:
+        """Return whether a search needs a later list of upstreams."""
+        return self._owners.awaits_list
+
     @property
     def open_flows(self) -> int:
         """Return the number of flows whose owner is known."""
@@ -126,12 +126,12 @@
         if isinstance(event, tick.Tick):
             return self._tick(now)
         if isinstance(event, fleet_changed.FleetChanged):
-            return self._change_view(now, event.view)
-        if isinstance(event, list_confirmed.ListConfirmed):
+            if event.view is not self._view:
+                self._change_view(now, event.view)
             return self._owners.confirm_list(now, event.complete_until)
         raise TypeError(type(event))
 
-    def _change_view(self, now: float, view: fleet_view.FleetView) -> Actions:
+    def _change_view(self, now: float, view: fleet_view.FleetView) -> None:
         version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
@@ -141,7 +141,6 @@
             self._routes = route_table.RouteTable(view.configuration)
             self._placement.configure(self._routes)
         self._services.update(now, view, is_new)
-        return []
 
     def _from_caller(self, now: float, data: bytes) -> Actions:
         segment = self._codec.from_caller(data)
--- a/src/limpetreel/streams/stream_entry_shell.py
+++ b/src/limpetreel/streams/stream_entry_shell.py
@@ -91,6 +91,10 @@
             self._telemetry.log("info", "entry.ready" if ready else "entry.not_ready")
         return ready
 
+    def _after_tick(self) -> None:
+        if self._control is not None and self._core.awaits_list:
+            self._control.check_list()
+
     def _from_caller(self, data: bytes, source: tuple[str, int]) -> None:
         self._handle(caller_packet.CallerPacket(data))
 
--- a/src/limpetreel/streams/stream_shell.py
+++ b/src/limpetreel/streams/stream_shell.py
@@ -9,14 +9,13 @@
 
 from limpetreel.node import tick
 from limpetreel.streams.actions import (
-    check_list,
     histogram_sample,
     log_line,
     send_caller,
     send_node,
     send_upstream,
 )
-from limpetreel.streams.events import fleet_changed, list_confirmed
+from limpetreel.streams.events import fleet_changed
 
 if TYPE_CHECKING:
     import msgspec
@@ -54,13 +53,9 @@
         """Set the connection to control."""
         self._control = control
 
-    def apply_update(self, view: fleet_view.FleetView) -> None:
+    def apply_update(self, view: fleet_view.FleetView, complete_until: float) -> None:
         """Apply an update from control."""
-        self._handle(fleet_changed.FleetChanged(view))
-
-    def confirm_list(self, complete_until: float) -> None:
-        """Record up to which time the list of upstreams is complete."""
-        self._handle(list_confirmed.ListConfirmed(complete_until))
+        self._handle(fleet_changed.FleetChanged(view, complete_until))
 
     def _handle(self, event: msgspec.Struct) -> None:
         try:
@@ -85,9 +80,6 @@
                 self._send_caller(action.data, action.host)
             case send_upstream.SendUpstream():
                 self._send_upstream(action.data)
-            case check_list.CheckList():
-                if self._control is not None:
-                    self._control.check_list()
             case histogram_sample.HistogramSample():
                 self._telemetry.observe(action.name, action.seconds)
             case log_line.LogLine():
--- a/tests/cluster/node_fleet.py
+++ b/tests/cluster/node_fleet.py
@@ -96,7 +96,7 @@
         """Apply an update."""
         if update.lease_ms > 0:
             self.confirmed_at = now
-        self.clock.record(update.lease_ms, update.is_complete, update.answered)
+        self.clock.record(update)
         self.names = set() if update.is_full else self.names
         self.names |= {r.name for r in update.upstreams}
         self.names -= set(update.removed)
--- a/tests/cluster/test_control_links.py
+++ b/tests/cluster/test_control_links.py
@@ -130,8 +130,7 @@
         "n-1",
         lambda: [*silent, address],
         False,
-        views.append,
-        lambda until: None,
+        lambda view, until: views.append(view),
         telemetry.disabled(),
         random.Random(1),
     )
@@ -172,8 +171,7 @@
         "edge-1",
         seeds,
         True,
-        lambda view: None,
-        lambda until: None,
+        lambda view, until: None,
         telemetry.disabled(),
         random.Random(1),
     )
--- a/tests/streams/stream_site.py
+++ b/tests/streams/stream_site.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -31,7 +32,6 @@
     upstream_status,
 )
 from limpetreel.streams.actions import (
-    check_list,
     log_line,
     send_caller,
     send_node,
@@ -40,7 +40,6 @@
 from limpetreel.streams.events import (
     caller_packet,
     fleet_changed,
-    list_confirmed,
     node_datagram,
     upstream_announced,
     upstream_packet,
@@ -283,9 +282,10 @@
     def send_update(self, name, asked_at):
         """Send the current update from control to a node, which has asked for it."""
         self.is_checked.discard(name)
-        self.to_core(name, self.fleet_update())
+        event = self.fleet_update()
         if self.is_list_current:
-            self.to_core(name, list_confirmed.ListConfirmed(asked_at))
+            event = replace(event, complete_until=asked_at)
+        self.to_core(name, event)
 
     def after(self, seconds, call):
         """Schedule a call."""
@@ -302,6 +302,11 @@
         """Tick all cores periodically."""
         for name in (*self.agents, *self.entries):
             self.to_core(name, tick.Tick())
+        for name, entry in self.entries.items():
+            if entry.awaits_list and name not in self.is_checked:
+                self.is_checked.add(name)
+                update = functools.partial(self.send_update, name, self.now)
+                self.after(self.update_seconds, lambda at, update=update: update())
         self.after(TICK_SECONDS, self.ticks)
 
     def announce(self, name):
@@ -332,13 +337,6 @@
                 event = node_datagram.NodeDatagram(name, 1, action.data)
                 target = action.address[0]
                 self.after(LINK_SECONDS, lambda at: self.to_core(target, event))
-            case check_list.CheckList():
-                if name not in self.is_checked:
-                    self.is_checked.add(name)
-                    asked_at = self.now
-                    self.after(
-                        self.update_seconds, lambda at: self.send_update(name, asked_at)
-                    )
             case send_caller.SendCaller():
                 data = action.data
                 self.after(CALLER_SECONDS, lambda at: self.to_caller(data))
