Take the age of an agent from the steady clock

Cause: an agent is sure of all flows if its upstream started after its own process. The age of the process was its processor time. The age was also rounded up by 0.1 s, in which an earlier process may have placed a flow.

The age now counts from the first reading of the steady clock by the program, which is never before the creation of the process, and nothing is added. An agent that cannot tell asks its upstream about each flow.

The case of 0.05 s that a test took for later is now asserted as not certain.

--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -12,6 +12,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import limpetreel
 from limpetreel import exceptions
 from limpetreel.platform import process_settings, seed_source
 from limpetreel.telemetry import log_writer, telemetry
@@ -191,15 +192,10 @@
 
 
 def _read_process_start() -> process_start.ProcessStart:
-    """Return a bound on the time of creation of this process.
-
-    It has existed for at least the processor time that it has used.
-    """
+    """Return a time at which this process existed, as early as is known."""
     from limpetreel.streams.ownership import process_start
 
-    age = time.process_time()
-    unix_ms = (time.time() - age) * _MS_PER_SECOND
-    return process_start.ProcessStart(time.monotonic() - age, unix_ms)
+    return process_start.ProcessStart(limpetreel.LOADED_AT, limpetreel.LOADED_UNIX_MS)
 
 
 def _build_telemetry(cfg: Settings, role: str) -> telemetry.Telemetry:
--- a/src/limpetreel/streams/ownership/process_start.py
+++ b/src/limpetreel/streams/ownership/process_start.py
@@ -1,4 +1,4 @@
-"""Time at which a process was created."""
+"""Time at which a process existed."""
 
 from __future__ import annotations
 
--- a/src/limpetreel/streams/ownership/upstream_start.py
+++ b/src/limpetreel/streams/ownership/upstream_start.py
@@ -8,10 +8,6 @@
     from limpetreel.streams import upstream_status
     from limpetreel.streams.ownership import process_start
 
-TOLERANCE_SECONDS = 0.1
-"""Time by which the upstream may have started earlier. Both start together after a loss
-of power, and an earlier agent cannot have placed a flow on it within this time."""
-
 
 class UpstreamStart:
     """Tells whether the upstream has started after the agent's process was created.
@@ -19,12 +15,14 @@
     All its flows have then passed this process. Three values say when it started: the
     time in its announcement, the number of announcements, and the time for which it
     stays cold. Each alone can mislead: the clock may be set back, announcements may be
-    late, and an upstream may be cold again without a restart.
+    late, and an upstream may be cold again without a restart. An upstream that started
+    together with the process counts as earlier, however short the time between them:
+    an earlier process may have placed a flow on it.
 
     Parameters
     ----------
     process : ProcessStart or None
-        Creation of the agent's process, None if it is not known.
+        Time at which the agent's process existed, None if it is not known.
     interval_seconds : float
         Time between announcements.
     """
@@ -71,10 +69,10 @@
         left = status.cold_ms / 1000
         if not 0 < left <= cold_seconds:
             return False
-        age = self._heard_at - process.at + TOLERANCE_SECONDS
+        age = self._heard_at - process.at
         is_cold_for_less = cold_seconds - left <= age
         has_announced_for_less = (status.sequence - 1) * self._interval_seconds <= age
         started = (status.started_ms - process.unix_ms) / 1000
         # A start in the future shows that the clock was set back after it.
-        is_started_within = -TOLERANCE_SECONDS <= started <= age
+        is_started_within = 0 <= started <= age
         return is_started_within and is_cold_for_less and has_announced_for_less
--- a/tests/streams/ownership/test_upstream_start.py
+++ b/tests/streams/ownership/test_upstream_start.py
@@ -50,7 +50,7 @@
 def test_upstream_that_starts_after_the_agent_has_no_unknown_flows():
     """Guards against 60 s of probes after a missed first announcement."""
     assert is_later(51.6, 50.3, 0.7, 2)
-    assert is_later(51.6, 49.95, 0.35, 2)
+    assert is_later(51.6, 50.01, 0.41, 2)
 
 
 def test_agent_that_is_killed_alone_stays_unsure():
@@ -59,6 +59,13 @@
     assert not is_later(50.5, 49.0, 0.5, 2)
 
 
+# An upstream that had started up to 0.1 s before the agent counted as later.
+def test_upstream_that_starts_together_with_the_agent_may_hold_flows():
+    """Guards against resets of flows of an agent that was killed right before."""
+    assert not is_later(51.6, 49.95, 0.35, 2)
+    assert not is_later(51.6, 49.99, 0.39, 2)
+
+
 def test_upstream_that_restarted_while_its_announcements_were_cut_off():
     """Guards against trust in a late announcement, heard when it is warm again."""
     assert is_later(53.9, 52.3, 0.4, 2)
