Ask the upstream about its flows when another start announces itself

Cause: an announcement was taken for proof. The first one an agent hears made it sure of all flows if its number was 1 or less; any later start time or other id made it reset what it had and deny the rest.

An announcement is now no proof. The agent sends the last packet of each flow once more, which the upstream returns if it does not hold the flow, and resets only those. An unknown state counts only from the start that is known already. A sign-off is withdrawn by a later announcement of the same start.

--- a/src/limpetreel/streams/flow_set.py
+++ b/src/limpetreel/streams/flow_set.py
@@ -52,6 +52,10 @@
         """Return the number of flows."""
         return len(self._flows)
 
+    def __iter__(self) -> Iterator[owned_flow.OwnedFlow]:
+        """Iterate over all flows."""
+        return iter(self._flows.values())
+
     @property
     def open_flows(self) -> int:
         """Return the number of flows that are not closed at both ends."""
--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -51,6 +51,7 @@
         "is_established",
         "key",
         "last_at",
+        "last_packet",
         "offer_id",
         "phase",
         "phase_at",
@@ -64,6 +65,8 @@
         self.phase = phase
         self.phase_at = now
         self.last_at = now
+        # Last packet of the caller that was sent to the upstream.
+        self.last_packet: bytes | None = None
         self.offer_id = 0
         self.entry = ("", 0)
         self.first_sequence: int | None = None
--- a/src/limpetreel/streams/serving/request_tracker.py
+++ b/src/limpetreel/streams/serving/request_tracker.py
@@ -60,6 +60,7 @@
         """Record a packet of the caller that is sent to the upstream."""
         flow.last_at = now
         if segment.is_ack:
+            flow.last_packet = segment.data
             flow.is_confirmed = True
             flow.caller_ack = segment.ack
         flow.has_caller_fin = flow.has_caller_fin or segment.is_fin or segment.is_reset
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -24,7 +24,6 @@
 from limpetreel.streams.events import (
     agent_leaving,
     fleet_changed,
-    list_confirmed,
     node_datagram,
     upstream_announced,
     upstream_departed,
@@ -217,14 +216,14 @@
             return self._end_upstream(now, event)
         if isinstance(event, agent_leaving.AgentLeaving):
             return self._leave()
-        if isinstance(event, list_confirmed.ListConfirmed):
-            return []
         raise TypeError(type(event))
 
     def _announce(
         self, now: float, event: upstream_announced.UpstreamAnnounced
     ) -> Actions:
         status = event.status
+        if status.unknown_state and not self.upstream.is_from_current_start(status):
+            return self._drop("announcement of another writer")
         was_draining = bool(self.upstream.status and self.upstream.status.is_draining)
         is_first = self.upstream.status is None
         has_departed = self.upstream.has_departed
@@ -244,13 +243,10 @@
         actions: Actions = []
         if is_new_start:
             actions.append(log_line.LogLine("info", "upstream.started", fields))
-            if is_first and status.sequence <= 1:
-                # The upstream has just started and holds no earlier flows.
-                self._held.mark_all_known()
-            elif not is_first:
+            if not is_first:
                 if not has_departed:
                     self.upstream.record_break(now)
-                actions += self._reset_flows("upstream has restarted")
+                actions += self._ask_upstream()
             actions += self._compare_starts(now)
         if status.is_draining and not was_draining:
             actions.append(log_line.LogLine("info", "upstream.draining", fields))
@@ -293,6 +289,18 @@
             actions += self._reset_flows("upstream has departed")
         return actions
 
+    def _ask_upstream(self) -> Actions:
+        """Send the last packet of each flow again, which shows whether the flow lives.
+
+        The upstream returns packets of flows that it does not hold. An announcement may
+        be late or come from another writer, so it is no proof that flows have ended.
+        """
+        return [
+            send_upstream.SendUpstream(flow.last_packet)
+            for flow in self._flows
+            if flow.last_packet is not None and not flow.is_closed
+        ]
+
     def _reset_flows(self, reason: str) -> Actions:
         """Forget all flows, since the start of the upstream that held them has ended.
 
--- a/src/limpetreel/streams/upstream_state.py
+++ b/src/limpetreel/streams/upstream_state.py
@@ -60,6 +60,9 @@
         freshness = self._compare(now, status)
         if freshness is Freshness.LATE:
             return freshness
+        if freshness is Freshness.SAME_START:
+            # A sign-off that came before was late: it was that of an earlier start.
+            self._has_departed = False
         if freshness is Freshness.NEW_START:
             if self.status is not None:
                 self._departed_ids.add(self.status.instance_id)
@@ -71,6 +74,14 @@
         self._is_cold_time_known = True
         return freshness
 
+    def is_from_current_start(self, status: upstream_status.UpstreamStatus) -> bool:
+        """Return whether an announcement names the start that is known."""
+        current = self.status
+        return current is not None and (
+            (status.instance_id, status.started_ms)
+            == (current.instance_id, current.started_ms)
+        )
+
     def record_sign_off(self, instance_id: str) -> bool:
         """Record a sign-off; return whether it belongs to the current start."""
         if self.status is None or self.status.instance_id != instance_id:
--- a/tests/streams/serving/test_held_requests.py
+++ b/tests/streams/serving/test_held_requests.py
@@ -100,6 +100,12 @@
         packet = stream_site.make_packet(flow, flags, 1, 0, data, from_caller=False)
         self.handle(upstream_packet.UpstreamPacket(packet))
 
+    def bounce(self, segment):
+        """Let the upstream return a packet of a flow that it does not hold."""
+        data = segment.data
+        returned = bytes((data[0] | stream_site.BOUNCED, 0)) + data[2:]
+        self.handle(upstream_packet.UpstreamPacket(returned))
+
     def wait(self, seconds):
         """Let time pass with regular ticks."""
         until = self.now + seconds
@@ -296,8 +302,13 @@
     make_busy(agent)
     agent.send(flow, 101)
     agent.announce("i-2")
-    assert not agent.core.has_work
+    asked = agent.sent
+    assert {s.flow for s in asked} >= {flow}
+    assert (flow, 101) not in agent.take()
+    for segment in asked:
+        agent.bounce(segment)
     agent.wait(0.5)
+    assert not agent.core.has_work
     assert agent.take() == []
 
 
