Refuse odd entries of other writers in each reader of outside data

Operators of similar systems reported machines that ended again and again on one odd entry. Fed to each reader here, odd entries showed: a settings file that is nested deeply or has a number of thousands of digits ended the read with an error that is not handled, on control at each read of its seeds; a document with an integer beyond 64 bits was acknowledged and could not be encoded for entries and agents; a report with a port out of range was taken into the list; a number of slots beyond 32 bits was taken from an announcement. Announcements nested deeply were refused before.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PY := .venv/bin/python
 SEED ?= 1
 SECONDS ?= 60
-AGENTS ?= 12
+SEEDS ?= 50
 STEPS ?= 50
 
 .PHONY: setup demo test lint format fuzz soak measure soak-flows slopes mutants binary clean
@@ -45,9 +45,8 @@
 		$(PY) tools/run_tests.py --pattern tests.soak
 
 soak-flows: setup
-	LIMPETREEL_SOAK_SEED=$(SEED) LIMPETREEL_SOAK_SECONDS=$(SECONDS) \
-		LIMPETREEL_SOAK_AGENTS=$(AGENTS) \
-		$(PY) tools/run_tests.py --pattern tests.soak.test_open_flows
+	$(PY) tools/run_flow_soak.py --folder build/soak --first $(SEED) \
+		--seeds $(SEEDS) --seconds $(SECONDS)
 
 binary: setup
 	$(PY) tools/build_binary.py
--- a/src/limpetreel/cluster/upstream_record.py
+++ b/src/limpetreel/cluster/upstream_record.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+MAX_SLOTS = 2**31 - 1
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+
 
 class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
     """State of one upstream and the agent beside it.
@@ -33,10 +40,10 @@
 
     name: str
     host: str
-    port: int
+    port: _Port
     data_centre: str
     service: str
     is_accepting: bool
-    slots: int
+    slots: _Slots
     is_reported: bool = True
     has_ended: bool = False
--- a/src/limpetreel/platform/announcement_format.py
+++ b/src/limpetreel/platform/announcement_format.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
+from limpetreel.cluster import upstream_record
 from limpetreel.core import failure, reason
 from limpetreel.streams import upstream_status
 
-_Positive = Annotated[int, msgspec.Meta(gt=0)]
+_Slots = Annotated[int, msgspec.Meta(gt=0, le=upstream_record.MAX_SLOTS)]
 _NotNegative = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -19,7 +20,7 @@
     backend: str
     address: str
     zone: str
-    max_concurrency: _Positive
+    max_concurrency: _Slots
     state: str
     sequence: _NotNegative
     warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
--- a/src/limpetreel/platform/configuration_format.py
+++ b/src/limpetreel/platform/configuration_format.py
@@ -21,9 +21,14 @@
 DEFAULT_IDLE_MS = 15_000
 DEFAULT_PRIORITY = 1
 
-_Version = Annotated[int, msgspec.Meta(ge=0)]
-_Positive = Annotated[int, msgspec.Meta(gt=0)]
-_NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+MAX_PORT_DIGITS = 5
+MAX_NUMBER = 2**63 - 1
+"""Largest integer that messages to nodes can carry."""
+
+_Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Positive = Annotated[int, msgspec.Meta(gt=0, le=MAX_NUMBER)]
+_NotNegative = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class _Split(msgspec.Struct, rename="pascal"):
@@ -42,7 +47,7 @@
     type: str
     timeout_ms: _Positive
     aim_ms: _NotNegative = 0
-    priority: int = DEFAULT_PRIORITY
+    priority: _Number = DEFAULT_PRIORITY
     backend: str = ""
     weighted_backends: tuple[_Split, ...] = ()
 
@@ -158,7 +163,8 @@
     """Return the port; the platform writes it as a path prefix such as ``/8080/``."""
     text = document_route.path_prefix
     number = text.strip("/")
-    if text != f"/{number}/" or not number.isdecimal() or not 0 < int(number) < 65536:
+    is_number = number.isdecimal() and len(number) <= MAX_PORT_DIGITS
+    if text != f"/{number}/" or not is_number or not 0 < int(number) < 65536:
         raise _invalid(
             f"prefix {text!r} of route {document_route.name!r} is not a port"
         )
--- a/src/limpetreel/platform/process_settings.py
+++ b/src/limpetreel/platform/process_settings.py
@@ -14,6 +14,10 @@
 DEFAULT_PATH = "/etc/limpetreel/settings.toml"
 
 Address = tuple[str, int]
+MAX_NUMBER = 2**53
+"""Largest number whose floating-point value is exact."""
+MAX_PORT_DIGITS = 5
+
 Path = str | os.PathLike[str]
 
 _FILE_NAMES = {
@@ -107,7 +111,8 @@
     try:
         with open(path, encoding="utf-8") as stream:
             fields = tomllib.loads(stream.read())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
+        # A number of some thousand digits is a ValueError, as is a syntax error.
         raise exceptions.SettingError(str(path), str(exc), "a TOML file") from exc
     return decode(fields)
 
@@ -182,8 +187,11 @@
 
 def _positive(fields: dict[str, Any], name: str, default: int) -> Any:
     value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise exceptions.SettingError(name, str(value), "a number above 0")
+    if not 0 < value <= MAX_NUMBER:
+        allowed = f"a number above 0, {MAX_NUMBER} at most"
+        raise exceptions.SettingError(name, str(value), allowed)
     return value
 
 
@@ -210,6 +218,8 @@
     if not value:
         return None
     host, _, port = str(value).rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not host or not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
         raise exceptions.SettingError(name, str(value), "host:port")
+    if not 0 < int(port) < 65536:
+        raise exceptions.SettingError(name, str(value), "a port of 1 to 65535")
     return host, int(port)
--- a/tests/soak/flow_soak.py
+++ b/tests/soak/flow_soak.py
@@ -16,7 +16,7 @@
 SLOW_START_SECONDS = (0.1, 5.0)
 """Time between the end of a process and its next start."""
 COLD_SECONDS = 2.0
-PLANNED = "agents", "control", "entry", "edge", "zone", "release", "change"
+PLANNED = "agents", "control", "entry", "edge", "return", "zone", "release", "change"
 FAULTS = "kill_agents", "kill_control", "kill_entry", "pause", "crash"
 OTHERS = "cold", "late_announcement", "odd_announcement"
 """What other systems do at any time, without a fault of a machine."""
@@ -138,6 +138,19 @@
             self._again(machine, "entry", signal.SIGTERM),
         )
 
+    async def _return(self):
+        """Restart control and entries while agents are away that start late."""
+        if "return" in self._busy:
+            return
+        self._busy.add("return")
+        agents = asyncio.create_task(self._restart_agents(signal.SIGTERM))
+        await asyncio.sleep(deployment.BOUNDS["GraceS"])
+        edges = [(m, "control") for m in self.site.controls]
+        edges += [(m, "entry") for m in self.random.sample(self.site.edges, 3)]
+        await asyncio.gather(*(self._again(*edge, signal.SIGTERM) for edge in edges))
+        await agents
+        self._busy.discard("return")
+
     async def _zone(self):
         if "zone" in self._busy:
             return
