Count agents that have not answered as tried by another entry

Cause: an entry tries a packet at two agents that are unsure, in 3 s, and learns from the agents' answers what other entries have tried. It waited 0.3 s for them. On a busy machine answers take longer, and the second entry of a caller tried further agents.

An agent that has not answered now counts as one at which a packet was tried. While two are silent nothing is tried; the search goes on until they answer or the list is complete.

Evidence: test_agents_that_have_not_answered_count_as_tried_by_another_entry fails without the change and passes with it. The soak also notes when an end has closed a flow, which ends the rule, counts the packets at machines other than the flow's own, and lists them.

--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -246,7 +246,9 @@
         targets = flow.unprobed()
         if not has_owner and targets:
             targets.sort(key=lambda agent: _rank(flow.flow, agent))
-            del targets[self._budget.left(now, flow.flow) :]
+            # An agent that has not answered may have tried one for another entry.
+            left = self._budget.left(now, flow.flow) - flow.unanswered
+            del targets[max(0, left) :]
         if not targets:
             return []
         if has_owner:
--- a/src/limpetreel/streams/ownership/sought_flow.py
+++ b/src/limpetreel/streams/ownership/sought_flow.py
@@ -91,7 +91,12 @@
     @property
     def awaits_sure_agent(self) -> bool:
         """Return whether an agent has neither answered nor said that it is unsure."""
-        return len(self.unsure) < len(self.remaining)
+        return self.unanswered > 0
+
+    @property
+    def unanswered(self) -> int:
+        """Return the number of agents that have said nothing about the flow."""
+        return len(self.remaining) - len(self.unsure)
 
     def add_packet(self, segment: segment.Segment) -> None:
         """Hold a packet until the owner is known."""
--- a/tests/soak/flow_rule.py
+++ b/tests/soak/flow_rule.py
@@ -15,9 +15,10 @@
 class FlowRule:
     """Finds sound flows that the system has reset or moved.
 
-    A flow is sound while its upstream lives. Resets and packets around planned work
-    always count. Around unplanned faults they do not count if the upstream's machine,
-    the sender or a control machine had one less than `CONTACT_SECONDS` before.
+    A flow is sound while its upstream lives and neither end has closed it. Resets and
+    packets around planned work always count. Around unplanned faults they do not count
+    if the upstream's machine, the sender or a control machine had one less than
+    `CONTACT_SECONDS` before.
 
     Parameters
     ----------
@@ -31,11 +32,14 @@
         self._faults = {}
         self._ends = {}
         self._opened = {}
+        self._closed = {}
         for at, what, fields in site.notes:
             if what == "fault":
                 self._faults.setdefault(fields["machine"], []).append(at)
             elif what in ("crash", "boot", "depart"):
                 self._ends.setdefault(fields["target"], []).append(at)
+            elif what == "closed":
+                self._closed[fields["flow"]] = at
             elif what == "open":
                 self._opened[fields["flow"]] = (at, fields["target"])
 
@@ -57,16 +61,21 @@
             if flow not in self._opened:
                 continue
             since = self._opened[flow][0]
-            foreign = [a for a in arrivals if not a[2] and a[0] >= since]
+            target = self._opened[flow][1]
+            foreign = [a for a in arrivals if a[0] >= since and a[1] != target]
             for first, name, _ in foreign:
                 until = first + REORDER_SECONDS
                 inside = [a for a in arrivals if first <= a[0] <= until]
-                is_moved = sum(not a[2] for a in inside) >= MOVED_PACKETS
-                if any(a[2] for a in inside) or not is_moved:
+                is_moved = sum(a[1] != target for a in inside) >= MOVED_PACKETS
+                if any(a[1] == target for a in inside) or not is_moved:
                     continue
                 if self._is_sound(flow, until, name):
-                    target = self._opened[flow][1]
-                    yield f"{first:.3f} moved {flow} target {target} to {name}"
+                    around = [
+                        f"{at:.3f} {machine}"
+                        for at, machine, _ in arrivals
+                        if first - REORDER_SECONDS <= at <= until
+                    ]
+                    yield f"{first:.3f} moved {flow} target {target}: {around}"
                     break
 
     def _is_sound(self, flow, at, sender):
@@ -75,6 +84,8 @@
         opened_at, target = self._opened[flow]
         if at - opened_at > MAX_FLOW_SECONDS or self._is_idle(flow, at):
             return False
+        if self._closed.get(flow, at) < at:
+            return False
         since = min(opened_at, at - CONTACT_SECONDS)
         if any(since <= end <= at for end in self._ends.get(target, ())):
             return False
--- a/tests/soak/stand_in/ends.py
+++ b/tests/soak/stand_in/ends.py
@@ -170,6 +170,7 @@
             end = self.flows.pop(p.key(), None)
             if end is not None:
                 end.drop()
+                self.site.note("closed", flow=p.key())
             return
         if p.flags & wire.SYN:
             self._open(p)
@@ -199,6 +200,7 @@
             end.acknowledge()
         if end.has_peer_fin and end.has_sent_fin and not end.unacked:
             self.flows.pop(p.key(), None)
+            self.site.note("closed", flow=p.key())
 
     def _open(self, p):
         end = self.flows.get(p.key())
--- a/tests/streams/test_probes.py
+++ b/tests/streams/test_probes.py
@@ -122,6 +122,29 @@
     assert not site.misdirected(flows)
 
 
+# Two entries tried three packets of a flow, as answers about the first were late.
+def test_agents_that_have_not_answered_count_as_tried_by_another_entry():
+    """Guards against a third packet at wrong upstreams when callers change entries."""
+    site = faulty_site.make_site(52)
+    callers = test_ended_flows.open_flows(site, 20)
+    flows = faulty_site.owners(site, callers, "agent-0")
+    faulty_site.restart_agents(site, [n for n in site.names if n != "agent-0"])
+    faulty_site.restart_entries(site)
+    site.delay = lambda source, target, message: (
+        None
+        if source == "agent-0"
+        else 1.0
+        if target == "entry-1"
+        else stream_site.LINK_SECONDS
+    )
+    site.down.add("entry-1")
+    test_ended_flows.send_again(site, callers, 0.7)
+    site.down = {"entry-0"}
+    test_ended_flows.send_again(site, callers, 2.0)
+    assert flows
+    assert not site.misdirected(flows)
+
+
 def test_owner_that_is_not_in_the_list_limits_the_probes():
     """Guards against a probe to each unsure agent while the list may be incomplete."""
     site = faulty_site.make_site(49)
