Refuse no flow that a late node may have opened

Cause: under load an upstream answers an opening late. After 0.06 s its agent reported it as unresponsive, the entry found the other agents busy and refused the flow with a reset, and the agent passed on the late answer to the caller. The same holds for an agent that is silent for 0.08 s, for a flow in the queue of an agent after 1.25 s, and for a copy of an opening that reaches an entry while another one places the flow.

An agent that has given up an opening now drops the answer to it, so its word is true. An entry that gets no answer from an agent refuses the flow once that agent has denied it, offers it again with the caller's next copy, and otherwise lets the attempt end without a reset. A copy of an opening whose original the entry has not seen is placed, but never answered by a reset.

--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -78,6 +78,8 @@
         self._pending: dict[int, pending_offer.PendingOffer] = {}
         self._by_flow: dict[bytes, pending_offer.PendingOffer] = {}
         self._unanswered: dict[int, pending_offer.PendingOffer] = {}
+        # Flows that nobody else takes, while agents have not answered.
+        self._awaiting: dict[bytes, pending_offer.PendingOffer] = {}
         self._long_routes = long_routes.LongRoutes()
         self.lines = placement_lines.PlacementLines()
         self._routes: route_table.RouteTable | None = None
@@ -117,7 +119,10 @@
         matched_route = self.find_route(segment.flow)
         if matched_route is None:
             line = self.lines.without_route(segment.flow)
-            return [self.reset(segment.flow), *line]
+            return [*self.refuse(segment), *line]
+        awaiting = self._awaiting.pop(segment.flow, None)
+        if awaiting is not None:
+            return self._retry(now, awaiting)
         if segment.flow in self._by_flow:
             return []
         service = route_table.choose_service(matched_route, segment.flow)
@@ -128,6 +133,7 @@
             matched_route.name,
             service,
             matched_route.answer_ms / 1000,
+            segment.is_open_copy,
         )
         self._renumber(pending)
         self._by_flow[segment.flow] = pending
@@ -256,9 +262,16 @@
         The caller may have completed the handshake, so a reset would be wrong.
         """
         pending = self._unanswered.get(message.offer_id)
-        if pending is None or message.outcome is not outcome.Outcome.ACCEPTED:
+        if pending is None or message.outcome is outcome.Outcome.QUEUED:
             return []
-        if not pending.retry_at:
+        is_awaiting = pending.flow in self._awaiting
+        if message.outcome is not outcome.Outcome.ACCEPTED:
+            pending.unanswered.remove(message.offer_id)
+            del self._unanswered[message.offer_id]
+            if is_awaiting and not pending.unanswered:
+                return self._refuse(now, pending)
+            return []
+        if not pending.retry_at and not is_awaiting:
             self._end_offer(pending)
         self._count("LATE")
         pending.target = self._candidates.name_at(source)
@@ -284,19 +297,34 @@
         return self.lines.placed(now, pending)
 
     def _refuse(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+        """Reset a flow that nobody takes, unless it may have opened."""
+        if pending.is_decided:
+            return self._forget(now, pending)
+        if pending.unanswered and now - pending.started_at <= QUEUED_SECONDS:
+            self._pending.pop(pending.offer_id, None)
+            self._awaiting[pending.flow] = pending
+            return []
+        if pending.may_have_opened:
+            reason = "another node may have placed it"
+            return self._give_up(now, pending, reason)
         self._remove_pending(pending)
         known_busy = self._candidates.count_busy(now, pending.service)
         line = self.lines.refused(now, pending, known_busy)
-        return [self.reset(pending.flow), *line]
+        return [self._reset(pending.flow), *line]
 
-    def _give_up(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+    def _give_up(
+        self,
+        now: float,
+        pending: pending_offer.PendingOffer,
+        reason: str = "no upstream is known yet",
+    ) -> Actions:
         """Forget a flow whose caller repeats its opening packet.
 
         A refused caller would use up its retries before any upstream is known.
         """
         self._remove_pending(pending)
         self._count("UNKNOWN")
-        return self.lines.not_placed(now, pending)
+        return self.lines.not_placed(now, pending, reason)
 
     def _forget(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
         """Forget a flow that is open or given up; its owner is searched for."""
@@ -304,7 +332,14 @@
         self._count("UNSEEN")
         return self.lines.opened_unseen(now, pending)
 
-    def reset(self, flow: bytes) -> msgspec.Struct:
+    def refuse(self, segment: segment.Segment) -> Actions:
+        """Reset a flow that was not offered.
+
+        For a copy of an opening packet another entry may have placed it.
+        """
+        return [] if segment.is_open_copy else [self._reset(segment.flow)]
+
+    def _reset(self, flow: bytes) -> msgspec.Struct:
         """Return the reset of a flow that has not opened, so nothing of it has run."""
         self._count("REFUSED")
         host = stream_key.caller(flow)[0]
@@ -313,6 +348,7 @@
     def _remove_pending(self, pending: pending_offer.PendingOffer) -> None:
         self._pending.pop(pending.offer_id, None)
         self._by_flow.pop(pending.flow, None)
+        self._awaiting.pop(pending.flow, None)
         for offer_id in pending.unanswered:
             self._unanswered.pop(offer_id, None)
 
@@ -322,6 +358,9 @@
     def tick(self, now: float) -> Actions:
         """Offer flows elsewhere whose offers are unanswered."""
         actions: Actions = []
+        for pending in list(self._awaiting.values()):
+            if now - pending.started_at > QUEUED_SECONDS:
+                actions += self._refuse(now, pending)
         for pending in list(self._pending.values()):
             if pending.retry_at:
                 if now >= pending.retry_at:
--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -20,12 +20,16 @@
         Service of the flow.
     target_seconds : float
         Latency target of its requests.
+    is_copy : bool
+        Whether the packet repeats an earlier one, for which another entry may have
+        placed the flow.
     """
 
     __slots__ = (
         "asked_at",
         "busy_answers",
         "flow",
+        "is_copy",
         "is_decided",
         "is_queued",
         "may_wait",
@@ -51,12 +55,14 @@
         route: str,
         service: str,
         target_seconds: float,
+        is_copy: bool,
     ) -> None:
         self.flow = flow
         self.packet = packet
         self.route = route
         self.service = service
         self.target_seconds = target_seconds
+        self.is_copy = is_copy
         self.started_at = now
         self.asked_at = now
         self.offer_id = 0
@@ -71,6 +77,14 @@
         self.is_decided = False
         self.retry_at = 0.0
 
+    @property
+    def may_have_opened(self) -> bool:
+        """Return whether a reset could hit an open flow.
+
+        An agent that has not answered may have accepted the flow.
+        """
+        return self.is_copy or bool(self.unanswered)
+
     def restart(self) -> None:
         """Allow offers to all agents again."""
         self.tried.clear()
--- a/src/limpetreel/streams/placement/placement_lines.py
+++ b/src/limpetreel/streams/placement/placement_lines.py
@@ -100,10 +100,12 @@
         fields: Fields = {"flow": stream_key.text(flow), "reason": "no route"}
         return [log_line.LogLine("info", "flow.refused", fields)]
 
-    def not_placed(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
+    def not_placed(
+        self, now: float, pending: pending_offer.PendingOffer, reason: str
+    ) -> Actions:
         """Return the line of a flow that is forgotten without a refusal."""
         fields = self._fields(now, pending)
-        fields["reason"] = "no upstream is known yet"
+        fields["reason"] = reason
         return [log_line.LogLine("warning", "flow.not_placed", fields)]
 
     def opened_unseen(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
--- a/src/limpetreel/streams/segment.py
+++ b/src/limpetreel/streams/segment.py
@@ -41,3 +41,11 @@
     ack: int
     size: int
     data: bytes
+
+    @property
+    def is_open_copy(self) -> bool:
+        """Return whether it repeats an opening packet, which another node may have got.
+
+        The acknowledgement number of an opening packet counts the earlier ones.
+        """
+        return self.is_open and self.ack > 0
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -424,10 +424,14 @@
         if segment.is_returned:
             return self._handle_returned(now, segment)
         flow = self._flows.get(segment.flow)
+        if flow is None and segment.is_open_reply:
+            # Entries were told that the upstream does not respond, or were not told
+            # anything. The flow may have been refused, so it must not open now.
+            return self._drop("late answer to an opening")
         if flow is None:
             # The flow is older than this process.
             flow = self._flows.add(segment.flow, now, flow_phase.FlowPhase.IDLE)
-            flow.is_confirmed = not segment.is_open_reply
+            flow.is_confirmed = True
         host = stream_key.caller(segment.flow)[0]
         actions: Actions = [send_caller.SendCaller(host, data)]
         probed = self._held.take_probe(segment.flow)
--- a/src/limpetreel/streams/transfers/transfer_admission.py
+++ b/src/limpetreel/streams/transfers/transfer_admission.py
@@ -103,4 +103,4 @@
         line = self._placement.lines.link_busy(
             segment.flow, now - arrived_at, self._limit.active, len(self._limit)
         )
-        return [self._placement.reset(segment.flow), *line]
+        return [*self._placement.refuse(segment), *line]
