--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -25,6 +25,7 @@
 _START = "tests.streams.ownership.test_upstream_start."
 _OWNER = _SOURCE + "ownership/"
 _CERTAIN = "tests.streams.test_certain_ends."
+_REFUSED = "tests.streams.placement.test_refused_openings."
 
 MUTANTS = [
     (
@@ -777,4 +778,40 @@
         "ProcessStart(time.monotonic() - time.process_time(), ",
         _CERTAIN + "test_age_of_the_agent_does_not_depend_on_its_processor_clock",
     ),
+    (
+        "flow is refused while an agent is silent",
+        _PLACEMENT + "flow_placement.py",
+        "        if pending.may_have_opened:\n",
+        "        if False:\n",
+        _REFUSED + "test_flow_that_an_agent_may_have_accepted_is_not_reset",
+    ),
+    (
+        "late denial does not lead to a refusal",
+        _PLACEMENT + "flow_placement.py",
+        "            if is_awaiting and not pending.unanswered:\n",
+        "            if False:\n",
+        _REFUSED + "test_flow_is_refused_once_the_last_agent_has_denied_it",
+    ),
+    (
+        "copy of an opening is refused",
+        _PLACEMENT + "pending_offer.py",
+        "        return self.is_copy or bool(self.unanswered)\n",
+        "        return bool(self.unanswered)\n",
+        _REFUSED + "test_copy_of_an_opening_is_not_answered_by_a_reset",
+    ),
+    (
+        "answer to an opening that was given up is passed on",
+        _SOURCE + "stream_agent_core.py",
+        "        if flow is None and segment.is_open_reply:\n",
+        "        if False:\n",
+        _REFUSED + "test_late_answer_to_an_opening_that_was_given_up_does_not_open_"
+        "the_flow",
+    ),
+    (
+        "silent agents count as not tried",
+        _OWNER + "owner_search.py",
+        "            left = self._budget.left(now, flow.flow) - flow.unanswered\n",
+        "            left = self._budget.left(now, flow.flow)\n",
+        _PROBES + "test_agents_that_have_not_answered_count_as_tried_by_another_entry",
+    ),
 ]
