Try a packet only where one of the tried agents must be the owner

Cause: while the owner might be silent or unknown, two packets were tried at agents that are unsure, in 3 s. Once the list was complete all unsure agents got one, the owner among them. With 1.997 s between the two, one of the others got its packet 3 ms before the owner. A count and a time stood for the knowledge that the owner gets a packet.

Nothing is tried any more until the list is complete up to the start of the search and all agents that are sure have denied the flow.

What it costs: with a silent agent and all others restarted, a flow is found once the silent one answers or leaves the list.

Evidence: test_nothing_is_tried_before_the_owner_must_be_among_the_unsure fails with the early probes put back (a deliberate fault) and passes.

--- a/src/limpetreel/streams/ownership/flow_owners.py
+++ b/src/limpetreel/streams/ownership/flow_owners.py
@@ -99,12 +99,11 @@
         """Ask agents of services for the owner of a flow."""
         return self._search.add(now, segment, services)
 
-    def forget(self, now: float, flow: bytes, source: Address) -> None:
+    def forget(self, flow: bytes, source: Address) -> None:
         """Record that an agent does not own a flow."""
         owner = self._owners.get(flow)
         if owner is not None and owner.address == source:
             del self._owners[flow]
-        self._search.record_not_owned(now, flow, source)
 
     def record_holdings(
         self, now: float, source: Address, message: holdings.Holdings
--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -5,13 +5,10 @@
 import itertools
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from limpetreel.streams.actions import send_node
 from limpetreel.streams.messages import carry, probe, stream_codec
 from limpetreel.streams.ownership import (
     known_agents,
-    probe_budget,
     questions,
     sought_flow,
 )
@@ -34,9 +31,6 @@
 BATCH_SECONDS_PER_AGENT = 0.002
 """Part of that time for each agent that is asked; bounds the messages of an entry to
 500 a second, however many flows it searches for."""
-PROBE_DELAY_SECONDS = 0.3
-"""Time for which the answers of agents that are sure are awaited before a packet is
-tried at one that is not."""
 MAX_FLOWS = 4096
 MAX_FLOWS_PER_ROUND = 400
 """Ten messages to each agent; bounds the burst on a small link."""
@@ -49,8 +43,7 @@
     lost it. An agent that does not answer leaves it open.
 
     Agents that are unsure are sent a packet of the flow, which their upstreams return
-    if they do not hold it. If one of the unsure agents must be the owner, all of them
-    get it at once; otherwise few do, the same ones from each entry.
+    if they do not hold it, once one of these agents must be the owner.
 
     Its attribute `complete_until` is the latest time at which all agents that had flows
     are known, and `probes` counts the packets that were sent to unsure agents. A flow
@@ -71,7 +64,6 @@
         self._flows: dict[bytes, sought_flow.SoughtFlow] = {}
         self._due: dict[bytes, sought_flow.SoughtFlow] = {}
         self._denied: dict[bytes, sought_flow.SoughtFlow] = {}
-        self._budget = probe_budget.ProbeBudget()
         self._questions = questions.Questions(first_number)
         self._next_batch_at = float("-inf")
         self.probes = 0
@@ -120,10 +112,6 @@
         self._due[segment.flow] = flow
         return self._ask_due(now)
 
-    def record_not_owned(self, now: float, flow: bytes, source: Address) -> None:
-        """Count a packet that an agent returned, which it may have tried first."""
-        self._budget.record(now, flow, source)
-
     def record_holdings(
         self, now: float, source: Address, message: holdings.Holdings
     ) -> Actions:
@@ -133,9 +121,6 @@
             flow = self._remove(key)
             if flow is not None:
                 actions += [_send(source, carry.Carry(p)) for p in flow.packets]
-        for key in message.tried:
-            if key in self._flows:
-                self._budget.record_report(now, key, source)
         for key in message.unsure:
             flow = self._flows.get(key)
             if flow is not None:
@@ -219,7 +204,6 @@
                 actions += self._probe(now, flow)
             if flow.remaining and now >= flow.ask_again_at:
                 self._due[flow.flow] = flow
-        self._budget.sweep(now)
         self._questions.sweep(now)
         return expired, actions + self._ask_due(now)
 
@@ -236,26 +220,20 @@
         return self._flows.pop(key, None)
 
     def _probe(self, now: float, flow: sought_flow.SoughtFlow) -> Actions:
-        """Try a packet at agents that are unsure, if the rules allow it."""
+        """Try a packet at all agents that are unsure if one of them is the owner.
+
+        Otherwise the packet would reach only upstreams that do not hold the flow.
+        """
         if not flow.unsure or flow.trial is None:
             return []
-        # The owner is then one of the agents that are unsure, and gets the packet too.
-        has_owner = self._has_owner_listed(flow) and not flow.awaits_sure_agent
-        if not has_owner and now - flow.began_at < PROBE_DELAY_SECONDS:
+        if not self._has_owner_listed(flow) or flow.awaits_sure_agent:
             return []
         targets = flow.unprobed()
-        if not has_owner and targets:
-            targets.sort(key=lambda agent: _rank(flow.flow, agent))
-            # An agent that has not answered may have tried one for another entry.
-            left = self._budget.left(now, flow.flow) - flow.unanswered
-            del targets[max(0, left) :]
         if not targets:
             return []
-        if has_owner:
-            # A lost probe is noticed with the answer to the next question.
-            flow.extend(now)
+        # A lost probe is noticed with the answer to the next question.
+        flow.extend(now)
         for agent in targets:
-            self._budget.record(now, flow.flow, agent)
             flow.probed[agent] = self._questions.last_number
         self.probes += len(targets)
         message = probe.Probe(flow.trial.data)
@@ -287,10 +265,5 @@
         return actions
 
 
-def _rank(flow: bytes, agent: Address) -> int:
-    """Return the order of agents for a flow, which all entries agree on."""
-    return xxhash.xxh64_intdigest(f"{agent[0]}:{agent[1]}".encode() + flow)
-
-
 def _send(address: Address, message: stream_codec.Message) -> msgspec.Struct:
     return send_node.SendNode(address, stream_codec.encode(message))
--- a/src/limpetreel/streams/ownership/sought_flow.py
+++ b/src/limpetreel/streams/ownership/sought_flow.py
@@ -91,12 +91,7 @@
     @property
     def awaits_sure_agent(self) -> bool:
         """Return whether an agent has neither answered nor said that it is unsure."""
-        return self.unanswered > 0
-
-    @property
-    def unanswered(self) -> int:
-        """Return the number of agents that have said nothing about the flow."""
-        return len(self.remaining) - len(self.unsure)
+        return len(self.unsure) < len(self.remaining)
 
     def add_packet(self, segment: segment.Segment) -> None:
         """Hold a packet until the owner is known."""
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -199,7 +199,7 @@
         segment = self._codec.from_caller(packet)
         if isinstance(segment, failure.Failure):
             return self._drop(str(segment.reason))
-        self._owners.forget(now, segment.flow, source)
+        self._owners.forget(segment.flow, source)
         return self._find_owner(now, segment)
 
     # Placement of new flows
--- a/tests/streams/test_probes.py
+++ b/tests/streams/test_probes.py
@@ -145,6 +145,27 @@
     assert not site.misdirected(flows)
 
 
+# Two packets were tried early, and one more before the owner got its own 2 s later.
+def test_nothing_is_tried_before_the_owner_must_be_among_the_unsure():
+    """Guards against packets that can only reach upstreams without the flow."""
+    site = faulty_site.make_site(53)
+    callers = test_ended_flows.open_flows(site, 20)
+    flows = faulty_site.owners(site, callers, "agent-0")
+    faulty_site.restart_agents(site, site.names)
+    site.unlisted.add("agent-0")
+    site.is_list_current = False
+    faulty_site.restart_entries(site)
+    began_at = site.now
+    test_ended_flows.send_again(site, callers, 0.9)
+    assert not [a for a in site.arrivals if a[0] >= began_at]
+    site.unlisted.clear()
+    site.is_list_current = True
+    site.update_all()
+    site.run(site.now + 0.3)
+    assert flows
+    assert all(c.request.answered_at is not None for c in callers if c.flow in flows)
+
+
 def test_owner_that_is_not_in_the_list_limits_the_probes():
     """Guards against a probe to each unsure agent while the list may be incomplete."""
     site = faulty_site.make_site(49)
