Read only updates in the connection of nodes to control

Entries and agents decoded every kind of message between processes from the connection to control, and dropped all but updates afterwards.

--- a/src/limpetreel/cluster/control_client.py
+++ b/src/limpetreel/cluster/control_client.py
@@ -9,13 +9,15 @@
 import msgspec
 
 from limpetreel.cluster import fleet_view, list_clock
-from limpetreel.cluster.messages import alive, cluster_codec, hello, report, update
+from limpetreel.cluster.messages import alive, hello, node_codec, report
+from limpetreel.core import failure
 from limpetreel.runtime import frame_protocol
 
 if TYPE_CHECKING:
     import random
 
     from limpetreel.cluster import upstream_record
+    from limpetreel.cluster.messages import update
     from limpetreel.telemetry import telemetry
 
 MIN_CONNECT_SECONDS = 0.1
@@ -75,7 +77,7 @@
         telemetry: telemetry.Telemetry,
         random: random.Random,
     ) -> None:
-        self._hello = cluster_codec.encode(hello.Hello(name, "", wants_upstreams))
+        self._hello = node_codec.encode(hello.Hello(name, "", wants_upstreams))
         self._seeds = seeds
         self._on_view = on_view
         self._checked_at = float("-inf")
@@ -225,16 +227,16 @@
             return
         self._sequence += 1
         new_report = report.Report(self._start, self._sequence, self._record)
-        self._link.send(cluster_codec.encode(new_report))
+        self._link.send(node_codec.encode(new_report))
 
     def _send_alive(self, link: frame_protocol.FrameProtocol, now: float) -> None:
         self._checked_at = now
         message = alive.Alive(self.view.revision, self._list_clock.ask(now))
-        link.send(cluster_codec.encode(message))
+        link.send(node_codec.encode(message))
 
     def _receive(self, link: frame_protocol.FrameProtocol, data: bytes) -> None:
-        message = cluster_codec.decode(data)
-        if not isinstance(message, update.Update):
+        message = node_codec.decode(data)
+        if isinstance(message, failure.Failure):
             self._telemetry.refuse("control.update", link.peer, "malformed")
             return
         now = asyncio.get_running_loop().time()
