Believe no odd announcement against a living upstream

What callers saw: after one announcement of another writer, the upstream beside the agent got no new flow any more, though it lived and went on announcing itself.

Cause: the agent took the start with the later time, or with an id that it did not know, for the successor of the present one, and locked the id of the present one out. An unnamed state of the present start counted as draining, a sequence far ahead made all later announcements late, and address and zone were not read.

- What names a target is decided in AnnouncementFormat: all fields, of their types, a state that is named, and the service, address and zone of the agent's own upstream.
Anything else is answered with 400.
- What replaces a start is decided in StartSuccession: only the sign-off, the end or the missed announcement of the present start.
Until then others are rivals, and each announcement of the present start dismisses them.
A start that lives and was displaced takes its place back by the same rule, within two or three intervals.
A rival that may be cold counts at once, so no upstream gets more flows than a cold one bears.
- An announcement or sign-off that is not in force is answered with 503, so its sender comes again; before, it was acknowledged without effect.
- A sign-off alone resets nothing when the agent leaves: the agent connects to the upstream first, and only a refusal shows that its process has ended.

--- a/src/limpetreel/platform/announcement_format.py
+++ b/src/limpetreel/platform/announcement_format.py
@@ -10,8 +10,12 @@
 from limpetreel.core import failure, reason
 from limpetreel.streams import upstream_status
 
+MAX_NUMBER = 2**63 - 1
+MAX_COLD_MS = 24 * 3600 * 1000
+
 _Slots = Annotated[int, msgspec.Meta(gt=0, le=upstream_record.MAX_SLOTS)]
-_NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_ColdMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
 
 
 class _Announcement(msgspec.Struct, rename="pascal"):
@@ -20,11 +24,14 @@
     backend: str
     address: str
     zone: str
+    version: str
     max_concurrency: _Slots
     state: str
-    sequence: _NotNegative
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
-    born: int | None = msgspec.field(name="born", default=None)
+    warmup_left_ms: _ColdMs
+    sequence: _Number
+    born: _Number | msgspec.UnsetType = msgspec.field(
+        name="born", default=msgspec.UNSET
+    )
 
 
 _READY = "ready"
@@ -32,33 +39,81 @@
 _DECODER = msgspec.json.Decoder(_Announcement)
 
 
-def decode(
-    instance_id: str, body: bytes
-) -> upstream_status.UpstreamStatus | failure.Failure:
-    """Return the announcement in a request.
+class AnnouncementFormat:
+    """Decides which announcements name the upstream beside the agent.
 
-    An upstream whose state is not known keeps its flows and takes no new ones.
+    Another writer's announcement may lack fields, or have fields of another type, words
+    that are not known, or the service, address or zone of another upstream. It changes
+    nothing: what the upstream has announced before holds.
 
     Parameters
     ----------
-    instance_id : str
-        Identifier of this start of the upstream, from the path.
-    body : bytes
-        Body of the request.
+    service : str
+        Service of the upstream.
+    address : tuple of (str, int)
+        Address at which it receives packets.
+    data_centre : str
+        Data centre of the machine.
     """
-    try:
-        announcement = _DECODER.decode(body)
-    except (msgspec.DecodeError, RecursionError) as exc:
-        return failure.Failure(
-            reason.Reason.MALFORMED, "announcement.decode", detail=str(exc)
+
+    def __init__(
+        self, service: str, address: tuple[str, int], data_centre: str
+    ) -> None:
+        host, port = address
+        self._expected = {
+            "Backend": service,
+            "Address": f"{host}:{port}",
+            "Zone": data_centre,
+        }
+
+    def decode(
+        self, instance_id: str, body: bytes
+    ) -> upstream_status.UpstreamStatus | failure.Failure:
+        """Return the announcement in a request, or why it names no upstream.
+
+        Parameters
+        ----------
+        instance_id : str
+            Identifier of this start of the upstream, from the path.
+        body : bytes
+            Body of the request.
+        """
+        try:
+            announcement = _DECODER.decode(body)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            return _refused(str(exc))
+        detail = self._difference(instance_id, announcement)
+        if detail is not None:
+            return _refused(detail)
+        born = announcement.born
+        return upstream_status.UpstreamStatus(
+            instance_id,
+            None if isinstance(born, msgspec.UnsetType) else born,
+            announcement.sequence,
+            announcement.backend,
+            announcement.max_concurrency,
+            announcement.state == _DRAINING,
+            int(announcement.warmup_left_ms),
         )
-    return upstream_status.UpstreamStatus(
-        instance_id,
-        announcement.born,
-        announcement.sequence,
-        announcement.backend,
-        announcement.max_concurrency,
-        announcement.state != _READY,
-        int(announcement.warmup_left_ms),
-        None if announcement.state in (_READY, _DRAINING) else announcement.state,
+
+    def _difference(self, instance_id: str, announcement: _Announcement) -> str | None:
+        """Return what does not fit the upstream beside the agent, None if all does."""
+        if not instance_id:
+            return "the path has no instance id"
+        if announcement.state not in (_READY, _DRAINING):
+            return f"State {announcement.state!r} is not known"
+        found = {
+            "Backend": announcement.backend,
+            "Address": announcement.address,
+            "Zone": announcement.zone,
+        }
+        for field, expected in self._expected.items():
+            if found[field] != expected:
+                return f"{field} {found[field]!r} is not {expected!r}"
+        return None
+
+
+def _refused(detail: str) -> failure.Failure:
+    return failure.Failure(
+        reason.Reason.MALFORMED, "announcement.decode", detail=detail
     )
--- a/src/limpetreel/platform/http_upstream_api.py
+++ b/src/limpetreel/platform/http_upstream_api.py
@@ -14,6 +14,9 @@
     from limpetreel.streams import stream_agent_shell
     from limpetreel.telemetry import telemetry
 
+MAX_DETAIL = 200
+"""Characters of a refused announcement's fault in the log, which names its values."""
+
 
 class HttpUpstreamApi(upstream_api.UpstreamApi):
     """Translates announcements and deregistrations of the upstream.
@@ -24,6 +27,8 @@
         Address of the server.
     ready_listen : tuple of (str, int) or None
         Address of the agent's readiness endpoint.
+    reader : AnnouncementFormat
+        Format of announcements.
     telemetry : Telemetry
         Logs and metrics.
     """
@@ -32,10 +37,12 @@
         self,
         listen: tuple[str, int],
         ready_listen: tuple[str, int] | None,
+        reader: announcement_format.AnnouncementFormat,
         telemetry: telemetry.Telemetry,
     ) -> None:
         self._listen = listen
         self._ready_listen = ready_listen
+        self._reader = reader
         self._telemetry = telemetry
         self._server = http_server.HttpServer(self._serve, telemetry.refuse)
         self._ready_server = http_server.HttpServer(self._serve, telemetry.refuse)
@@ -62,20 +69,25 @@
             instance_id = paths.last_part(req.path, paths.ANNOUNCE)
             return self._announce(instance_id, req.body)
         if req.method == "POST" and req.path.startswith(paths.DEPART):
-            instance_id = paths.last_part(req.path, paths.DEPART)
-            self._shell.depart(instance_id)
-            return http_response.HttpResponse(200, b"{}")
+            return self._depart(paths.last_part(req.path, paths.DEPART))
         self._telemetry.refuse("upstream.call", req.path, "unknown call")
         return http_response.HttpResponse(404)
 
     def _announce(self, instance_id: str, body: bytes) -> http_response.HttpResponse:
+        """Acknowledge an announcement only if it is in force; others come again."""
         assert self._shell is not None
-        decoded = announcement_format.decode(instance_id, body)
+        decoded = self._reader.decode(instance_id, body)
         if isinstance(decoded, failure.Failure):
-            self._telemetry.refuse(decoded.step, instance_id, decoded.detail)
+            self._telemetry.refuse(decoded.step, instance_id, str(decoded.reason))
+            fields = {"instance": instance_id, "detail": decoded.detail[:MAX_DETAIL]}
+            self._telemetry.log_decision("warning", "announcement.refused", fields)
             return http_response.HttpResponse(400)
-        if decoded.unknown_state is not None:
-            fields = {"instance": instance_id, "state": decoded.unknown_state}
-            self._telemetry.log_decision("warning", "upstream.unknown_state", fields)
-        self._shell.announce(decoded)
+        if not self._shell.announce(decoded):
+            return http_response.HttpResponse(503)
+        return http_response.HttpResponse(200, b"{}")
+
+    def _depart(self, instance_id: str) -> http_response.HttpResponse:
+        assert self._shell is not None
+        if not self._shell.depart(instance_id):
+            return http_response.HttpResponse(503)
         return http_response.HttpResponse(200, b"{}")
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -89,7 +89,11 @@
 def build_agent(path: process_settings.Path) -> stream_agent_shell.StreamAgentShell:
     """Return an agent that is ready to serve."""
     process = _read_process_start()
-    from limpetreel.platform import http_upstream_api, segment_format
+    from limpetreel.platform import (
+        announcement_format,
+        http_upstream_api,
+        segment_format,
+    )
     from limpetreel.streams import stream_agent_core, stream_agent_shell
 
     cfg = process_settings.read(path)
@@ -118,7 +122,12 @@
     telemetry.add_drop_counter("agent.core", lambda: core.dropped)
     _add_request_metrics(telemetry, core)
     api = http_upstream_api.HttpUpstreamApi(
-        process_settings.required(cfg, "control"), cfg.ready, telemetry
+        process_settings.required(cfg, "control"),
+        cfg.ready,
+        announcement_format.AnnouncementFormat(
+            cfg.service, process_settings.required(cfg, "upstream"), cfg.data_centre
+        ),
+        telemetry,
     )
     shell = stream_agent_shell.StreamAgentShell(
         cfg.node,
--- a/src/limpetreel/streams/ownership/upstream_start.py
+++ b/src/limpetreel/streams/ownership/upstream_start.py
@@ -35,13 +35,13 @@
         self._heard_at = 0.0
         self._status: upstream_status.UpstreamStatus | None = None
 
-    def record(
-        self, now: float, status: upstream_status.UpstreamStatus, is_new_start: bool
-    ) -> None:
-        """Record the first announcement of a start, which says most about its time."""
-        if is_new_start or self._status is None:
-            self._heard_at = now
-            self._status = status
+    def record(self, heard_at: float, status: upstream_status.UpstreamStatus) -> None:
+        """Record the first announcement of the present start.
+
+        It says most about the time of the start.
+        """
+        self._heard_at = heard_at
+        self._status = status
 
     def describe(self) -> dict[str, int]:
         """Return the values that are compared, for the log."""
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -12,6 +12,7 @@
     flow_set,
     owned_flow,
     route_table,
+    start_succession,
     stream_key,
     upstream_state,
 )
@@ -222,24 +223,27 @@
         self, now: float, event: upstream_announced.UpstreamAnnounced
     ) -> Actions:
         status = event.status
-        if status.unknown_state and not self.upstream.is_from_current_start(status):
-            return self._drop("announcement of another writer")
         was_draining = bool(self.upstream.status and self.upstream.status.is_draining)
         is_first = self.upstream.status is None
         has_departed = self.upstream.has_departed
-        freshness = self.upstream.record_announcement(now, status)
+        result = self.upstream.record_announcement(now, status)
         fields: Fields = {
             "instance": status.instance_id,
             "sequence": status.sequence,
-            "started_ms": status.started_ms if status.started_ms is not None else -1,
             "cold_ms": status.cold_ms,
             "draining": int(status.is_draining),
         }
-        if freshness is upstream_state.Freshness.LATE:
+        if status.started_ms is not None:
+            fields["started_ms"] = status.started_ms
+        if result is start_succession.Freshness.LATE:
             return [log_line.LogLine("warning", "upstream.late_announcement", fields)]
+        if result is start_succession.Freshness.RIVAL:
+            line = log_line.LogLine("warning", "upstream.rival_announcement", fields)
+            return [line, *self._ask_upstream()]
         self._capacity.slots = status.slots
-        is_new_start = freshness is upstream_state.Freshness.NEW_START
-        self._start.record(now, status, is_new_start)
+        is_new_start = result is start_succession.Freshness.NEW_START
+        assert self.upstream.first_heard is not None
+        self._start.record(*self.upstream.first_heard)
         actions: Actions = []
         if is_new_start:
             actions.append(log_line.LogLine("info", "upstream.started", fields))
@@ -265,15 +269,15 @@
         return [log_line.LogLine("info", "upstream.flows_known", fields)]
 
     def _depart(self, event: upstream_departed.UpstreamDeparted) -> Actions:
-        if not self.upstream.record_sign_off(event.instance_id):
-            return []
         fields: Fields = {"instance": event.instance_id}
+        if not self.upstream.record_sign_off(event.instance_id):
+            return [log_line.LogLine("warning", "upstream.other_departed", fields)]
         actions: Actions = [log_line.LogLine("info", "upstream.departed", fields)]
         return actions + self._refuse_waiting(outcome.Outcome.CLOSED)
 
     def _end_upstream(self, now: float, event: upstream_ended.UpstreamEnded) -> Actions:
-        is_overdue = self.upstream.is_overdue(now)
-        if not is_overdue or not self.upstream.record_end(event.instance_id):
+        may_have_ended = self.upstream.has_departed or self.upstream.is_overdue(now)
+        if not may_have_ended or not self.upstream.record_end(event.instance_id):
             return []
         self.upstream.record_break(now)
         fields: Fields = {"instance": event.instance_id}
@@ -284,10 +288,7 @@
     def _leave(self) -> Actions:
         """Take no new flows; entries may offer some before they hear of the stop."""
         self._is_leaving = True
-        actions = self._refuse_waiting(outcome.Outcome.CLOSED)
-        if self.upstream.has_departed:
-            actions += self._reset_flows("upstream has departed")
-        return actions
+        return self._refuse_waiting(outcome.Outcome.CLOSED)
 
     def _ask_upstream(self) -> Actions:
         """Send the last packet of each flow again, which shows whether the flow lives.
--- a/src/limpetreel/streams/stream_agent_shell.py
+++ b/src/limpetreel/streams/stream_agent_shell.py
@@ -97,6 +97,9 @@
         await stopped.wait()
         self._is_leaving = True
         self._handle(agent_leaving.AgentLeaving())
+        if self._core.upstream.has_departed:
+            # A sign-off may be late or that of another writer.
+            await self._check_upstream()
         self._report()
         self._telemetry.log("info", "agent.leaving")
         await self._wait_for_flows()
@@ -108,18 +111,17 @@
         self._local.close()
         await self._telemetry.close()
 
-    def announce(self, status: upstream_status.UpstreamStatus) -> None:
-        """Handle an announcement of the upstream."""
-        if status.service != self._service:
-            self._telemetry.refuse("upstream.announce", status.service, "other service")
-            return
+    def announce(self, status: upstream_status.UpstreamStatus) -> bool:
+        """Handle an announcement; return whether it describes the upstream now."""
         self._handle(upstream_announced.UpstreamAnnounced(status))
         self._report()
+        return self._core.upstream.is_in_force(status)
 
-    def depart(self, instance_id: str) -> None:
-        """Handle the sign-off of the upstream."""
+    def depart(self, instance_id: str) -> bool:
+        """Handle a sign-off; return whether its sender gets no new flow now."""
         self._handle(upstream_departed.UpstreamDeparted(instance_id))
         self._report()
+        return self._core.upstream.is_unused(instance_id)
 
     async def _wait_for_flows(self) -> None:
         until = time.monotonic() + self._grace_seconds - STOP_RESERVE_SECONDS
@@ -136,7 +138,7 @@
             self._check = asyncio.create_task(self._check_upstream())
 
     async def _check_upstream(self) -> None:
-        """Connect to a silent upstream; a refusal shows that its process has ended."""
+        """Connect to the upstream; a refusal shows that its process has ended."""
         status = self._core.upstream.status
         assert status is not None
         try:
@@ -161,7 +163,7 @@
             self._service,
             not self._is_leaving and self._core.upstream.is_accepting(time.monotonic()),
             self._core.slots,
-            has_ended=self._is_leaving and self._core.upstream.has_departed,
+            has_ended=self._is_leaving and self._core.upstream.has_ended,
         )
         self._control.report(record)
 
--- a/src/limpetreel/streams/upstream_status.py
+++ b/src/limpetreel/streams/upstream_status.py
@@ -13,7 +13,8 @@
     instance_id : str
         Identifies a start of the upstream, unless it keeps its id.
     started_ms : int or None
-        Time of its start, in milliseconds since 1970 on its own clock.
+        Time of its start, in milliseconds since 1970 on its own clock; None if it
+        was not announced.
     sequence : int
         Increases with each announcement of one start.
     service : str
@@ -21,12 +22,9 @@
     slots : int
         Requests that it processes concurrently.
     is_draining : bool
-        Whether it takes no new flows, since it is about to leave or its state is not
-        known.
+        Whether it takes no new flows, since it is about to leave.
     cold_ms : int
         Time for which it stays cold.
-    unknown_state : str or None
-        State as it was announced, if it is not known.
     """
 
     instance_id: str
@@ -36,4 +34,3 @@
     slots: int
     is_draining: bool
     cold_ms: int
-    unknown_state: str | None = None
--- a/tests/streams/test_ended_flows.py
+++ b/tests/streams/test_ended_flows.py
@@ -286,6 +286,10 @@
     site.to_core("agent-0", agent_leaving.AgentLeaving())
     site.to_core("agent-1", agent_leaving.AgentLeaving())
     site.run(site.now + 0.1)
+    assert not any(c.request.refused for c in callers)
+    site.to_core("agent-0", upstream_ended.UpstreamEnded("i-agent-0-0"))
+    site.to_core("agent-1", upstream_ended.UpstreamEnded("i-agent-1-0"))
+    site.run(site.now + 0.1)
     assert {c.flow for c in callers if c.request.refused} == {c.flow for c in lost}
 
 
