--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the files that the platform deploys from."""
+
+from __future__ import annotations
