Keep a first document of any version

What callers saw: the first desired state had version 0.

Cause: 0 stood for "no document yet" in ClusterState.version, so version 0 was taken for one that is not higher. The same value stood for "none" in the session of a node, in the check of a document, and in entries and agents, each of which would have dropped version 0 again. The change of registered agents was written as a document of version 0 with no contents.

Absence is None now: for versions, the document, the pending number of a call, the redirect and the state of a session. Changes of agents are a command of their own; its bytes in the log stay those that earlier releases read, told apart by the document that is missing and not by the version. Entries of an earlier release with version 0 and a document take effect, as they were acknowledged.

--- a/src/limpetreel/cluster/actions/answer_call.py
+++ b/src/limpetreel/cluster/actions/answer_call.py
@@ -16,13 +16,13 @@
         Number of the call.
     status : CallStatus
         Outcome of the call.
-    document : bytes
-        The document, if the call was a read.
-    leader : str
-        Host of the leader, if the caller is redirected to it.
+    document : bytes or None
+        The document, None unless the call was a read that found one.
+    leader : str or None
+        Host of the leader, None unless the caller is redirected to it.
     """
 
     call_id: int
     status: call_status.CallStatus
-    document: bytes = b""
-    leader: str = ""
+    document: bytes | None = None
+    leader: str | None = None
--- a/src/limpetreel/cluster/agent_registry.py
+++ b/src/limpetreel/cluster/agent_registry.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limpetreel.cluster import upstream_directory
-from limpetreel.cluster.commands import set_configuration
+from limpetreel.cluster.commands import register_agents
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -125,7 +125,7 @@
 
     def next_change(
         self, now: float, leads: bool
-    ) -> set_configuration.SetConfiguration | None:
+    ) -> register_agents.RegisterAgents | None:
         """Return the next entry for the log, None if none is due.
 
         Parameters
@@ -168,8 +168,8 @@
 
 def _change(
     added: Iterable[str], removed: Iterable[str], room: int
-) -> set_configuration.SetConfiguration | None:
+) -> register_agents.RegisterAgents | None:
     first, last = tuple(sorted(added)[: max(0, room)]), tuple(sorted(removed))
     if not first and not last:
         return None
-    return set_configuration.SetConfiguration(0, b"", first, last)
+    return register_agents.RegisterAgents(first, last)
--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -8,6 +8,7 @@
     agent_registry,
     call_status,
     cluster_state,
+    command_codec,
     node_session,
     pending_call,
     published_state,
@@ -115,7 +116,7 @@
         self._directory = upstream_directory.UpstreamDirectory()
         self._registry = agent_registry.AgentRegistry(self._directory)
         self._registry.replace(self._state.agents)
-        self._registration = 0
+        self._registration: int | None = None
         self._missing: frozenset[str] = frozenset()
         self._sessions: dict[int, node_session.NodeSession] = {}
         self._direct_reports: dict[str, report.Report] = {}
@@ -224,11 +225,11 @@
         leads = self._raft.role is role.Role.LEADER
         leads = leads and self._raft.lease_remaining(now) > 0
         command = self._registry.next_change(now, leads)
-        if command is None or self._registration:
+        if command is None or self._registration is not None:
             return []
         self._next_number += 1
         self._registration = self._next_number
-        data = cluster_state.encode(command)
+        data = command_codec.encode(command)
         new_proposal = proposal.Proposal(self._registration, data)
         return self._run_raft(now, propose.Propose((new_proposal,)))
 
@@ -288,7 +289,7 @@
     # Operators
 
     def _call(
-        self, now: float, call_id: int, command: cluster_state.Command | None
+        self, now: float, call_id: int, command: command_codec.Command | None
     ) -> Actions:
         if len(self._calls) >= MAX_CALLS:
             return [self._answer(call_id, call_status.CallStatus.UNAVAILABLE)]
@@ -306,31 +307,31 @@
                 self._calls.remove(call)
                 status = call_status.CallStatus.UNAVAILABLE
                 actions.append(self._answer(call.call_id, status))
-            elif call.number:
+            elif call.number is not None:
                 continue
             elif is_leader:
                 actions += self._submit(now, call)
-            elif leader:
+            elif leader is not None:
                 self._calls.remove(call)
                 status = call_status.CallStatus.REDIRECT
                 actions.append(self._answer(call.call_id, status, leader=leader))
         return actions
 
-    def _leader_host(self, now: float) -> str:
-        """Return the leader's host, empty once its lease has expired."""
+    def _leader_host(self, now: float) -> str | None:
+        """Return the leader's host, None once its lease has expired."""
         if self._raft.lease_remaining(now) <= 0:
-            return ""
+            return None
         for member in self._raft.members:
             if member.identity == self._raft.leader:
                 return member.address.rpartition(":")[0]
-        return ""
+        return None
 
     def _submit(self, now: float, call: pending_call.PendingCall) -> Actions:
         self._next_number += 1
         call.number = self._next_number
         if call.command is None:
             return self._run_raft(now, read.Read(call.number))
-        data = cluster_state.encode(call.command)
+        data = command_codec.encode(call.command)
         new_proposal = proposal.Proposal(call.number, data)
         return self._run_raft(now, propose.Propose((new_proposal,)))
 
@@ -339,10 +340,10 @@
             if call.number != number:
                 continue
             self._calls.remove(call)
-            document = b""
+            document = None
             if call.command is None and status is call_status.CallStatus.DONE:
                 document = self._state.document
-                if not document:
+                if document is None:
                     status = call_status.CallStatus.MISSING
             return [self._answer(call.call_id, status, document)]
         return []
@@ -351,8 +352,8 @@
         self,
         call_id: int,
         status: call_status.CallStatus,
-        document: bytes = b"",
-        leader: str = "",
+        document: bytes | None = None,
+        leader: str | None = None,
     ) -> msgspec.Struct:
         return answer_call.AnswerCall(call_id, status, document, leader)
 
@@ -399,7 +400,7 @@
             case proposal_result.ProposalResult():
                 is_done = not isinstance(action.result, failure.Failure)
                 if action.proposal_id == self._registration:
-                    self._registration = 0
+                    self._registration = None
                 return self._finish(action.proposal_id, _status(is_done))
             case read_result.ReadResult():
                 return self._finish(action.read_id, _status(action.current))
@@ -423,11 +424,12 @@
         has_changed = self._state.apply(action.index, action.data)
         fields: Fields = {
             "revision": action.index,
-            "version": self._state.version,
             "zones_out": ",".join(sorted(self._state.zones_out)),
             "agents": len(self._state.agents),
             "changed": int(has_changed),
         }
+        if self._state.version is not None:
+            fields["version"] = self._state.version
         return [log_line.LogLine("info", "state.applied", fields)]
 
     def _snapshot(self, now: float) -> Actions:
--- a/src/limpetreel/cluster/cluster_shell.py
+++ b/src/limpetreel/cluster/cluster_shell.py
@@ -42,7 +42,7 @@
 
     import msgspec
 
-    from limpetreel.cluster import cluster_state, durable_instance
+    from limpetreel.cluster import command_codec, durable_instance
     from limpetreel.telemetry import telemetry
 
 TICK_SECONDS = 0.05
@@ -147,7 +147,7 @@
             self._links.close()
             await self._telemetry.close()
 
-    async def change(self, command: cluster_state.Command) -> answer_call.AnswerCall:
+    async def change(self, command: command_codec.Change) -> answer_call.AnswerCall:
         """Carry out a change and return its outcome."""
         started_at = steady_clock.now()
         call_id, fut = self._new_call()
--- a/src/limpetreel/cluster/cluster_state.py
+++ b/src/limpetreel/cluster/cluster_state.py
@@ -8,22 +8,23 @@
 import msgspec
 
 from limpetreel import exceptions
-from limpetreel.cluster.commands import set_configuration, set_zone
+from limpetreel.cluster import command_codec
+from limpetreel.cluster.commands import register_agents, set_zone
 
 if TYPE_CHECKING:
     from limpetreel.configuration import configuration as configurations
     from limpetreel.configuration import document_parser
 
-Command = set_configuration.SetConfiguration | set_zone.SetZone
-
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
 COMPRESSION_LEVEL = 1
 """The fastest level; documents repeat field names and shrink to a tenth even so."""
 
 
 class _Image(msgspec.Struct, frozen=True):
-    """State as stored in a snapshot."""
+    """State as stored in a snapshot.
+
+    The document is empty if there is none, and the version is not read then.
+    """
 
     version: int
     document: bytes
@@ -43,30 +44,32 @@
     ----------
     applied : int
         Index of the last entry that was applied.
-    version : int
-        Version of the document in force; 0 before the first one.
+    version : int or None
+        Version of the document in force, None before the first one.
     configuration : Configuration or None
         The document in force, None if there is none or it cannot be read.
-    unreadable : str
-        Why the document in force cannot be read, empty if it can.
+    unreadable : str or None
+        Why the document in force cannot be read, None if it can.
     zones_out : frozenset of str
         Data centres that take no new flows.
     """
 
     def __init__(self, parser: document_parser.DocumentParser) -> None:
         self._parser = parser
-        self._compressed = b""
+        self._compressed: bytes | None = None
         self.applied = 0
-        self.version = 0
+        self.version: int | None = None
         self.configuration: configurations.Configuration | None = None
-        self.unreadable = ""
+        self.unreadable: str | None = None
         self.zones_out: frozenset[str] = frozenset()
         self.agents: frozenset[str] = frozenset()
 
     @property
-    def document(self) -> bytes:
-        """Return the document in force as it was sent, empty before the first."""
-        return zlib.decompress(self._compressed) if self._compressed else b""
+    def document(self) -> bytes | None:
+        """Return the document in force as it was sent, None before the first."""
+        if self._compressed is None:
+            return None
+        return zlib.decompress(self._compressed)
 
     def apply(self, index: int, data: bytes) -> bool:
         """Apply a command; return whether it changed anything.
@@ -79,24 +82,24 @@
             The encoded command.
         """
         self.applied = index
-        command = _DECODER.decode(data)
+        command = command_codec.decode(data)
         if isinstance(command, set_zone.SetZone):
             return self._set_zone(command)
-        if command.agents_added or command.agents_removed:
-            kept = self.agents.difference(command.agents_removed)
-            self.agents = kept.union(command.agents_added)
-            return True
-        if command.version <= self.version:
+        if isinstance(command, register_agents.RegisterAgents):
+            before = self.agents
+            self.agents = before.difference(command.removed).union(command.added)
+            return self.agents != before
+        if not is_newer(command.version, self.version):
             return False
         self._set_document(command.version, command.document)
         return True
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
-        zones = tuple(sorted(self.zones_out))
-        return _ENCODER.encode(
-            _Image(self.version, self._compressed, zones, tuple(sorted(self.agents)))
-        )
+        zones, agents = tuple(sorted(self.zones_out)), tuple(sorted(self.agents))
+        if self.version is None or self._compressed is None:
+            return _ENCODER.encode(_Image(0, b"", zones, agents))
+        return _ENCODER.encode(_Image(self.version, self._compressed, zones, agents))
 
     def restore(self, index: int, data: bytes) -> None:
         """Replace the state by that of a snapshot.
@@ -115,6 +118,9 @@
         self.agents = frozenset(image.agents)
         if image.document:
             self._set_document(image.version, image.document)
+        else:
+            self._compressed = self.version = None
+            self.configuration, self.unreadable = None, None
 
     def _set_zone(self, command: set_zone.SetZone) -> bool:
         before = self.zones_out
@@ -125,7 +131,7 @@
     def _set_document(self, version: int, compressed: bytes) -> None:
         self.version = version
         self._compressed = compressed
-        self.configuration, self.unreadable = None, ""
+        self.configuration, self.unreadable = None, None
         try:
             self.configuration = self._parser.parse(zlib.decompress(compressed))
         except exceptions.DocumentError as exc:
@@ -134,9 +140,9 @@
             self.unreadable = exc.detail
 
 
-def encode(command: Command) -> bytes:
-    """Return the data of a log entry."""
-    return _ENCODER.encode(command)
+def is_newer(version: int, known: int | None) -> bool:
+    """Return whether a version is higher than the known one, if there is one."""
+    return known is None or version > known
 
 
 def compress(document: bytes) -> bytes:
--- a/src/limpetreel/cluster/node_session.py
+++ b/src/limpetreel/cluster/node_session.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from limpetreel.cluster import cluster_state
 from limpetreel.cluster.messages import update
 from limpetreel.consensus import timing
 
 if TYPE_CHECKING:
-    from limpetreel.cluster import cluster_state, upstream_directory, upstream_record
+    from limpetreel.cluster import upstream_directory, upstream_record
 
 REFRESH_SECONDS = 0.4
 """Interval at which updates are sent even if nothing has changed; nodes treat three
@@ -35,9 +36,9 @@
         self.name = name
         self._wants_upstreams = wants_upstreams
         self._sent_at = float("-inf")
-        self._version = 0
+        self._version: int | None = None
         self._zones_out: frozenset[str] = frozenset()
-        self._change = -1
+        self._change: int | None = None
         self._had_lease = False
         self._was_complete: bool | None = None
         self._asked = 0
@@ -57,29 +58,29 @@
         is_complete: bool | None = None,
     ) -> update.Update | None:
         """Return an update if something has changed or a refresh is due."""
-        has_changed = (
-            state.version > self._version or state.zones_out != self._zones_out
+        is_newer = state.version is not None and (
+            cluster_state.is_newer(state.version, self._version)
         )
+        has_changed = is_newer or state.zones_out != self._zones_out
         # A node waits for the first lease after a restart, and entries for the list.
         has_changed = has_changed or (lease_ms > 0 and not self._had_lease)
         if self._wants_upstreams and is_complete is not self._was_complete:
             has_changed = True
         has_changed = has_changed or self._asked > self._answered
         age = now - self._sent_at
-        if self._wants_upstreams and directory.change > self._change:
+        if self._wants_upstreams and directory.change != self._change:
             has_changed = has_changed or age >= UPSTREAMS_SECONDS
         if not has_changed and age < REFRESH_SECONDS:
             return None
-        is_full = self._change < 0
+        is_full = self._change is None
         records: tuple[upstream_record.UpstreamRecord, ...] = ()
         removed: tuple[str, ...] = ()
         if self._wants_upstreams:
             records, removed = directory.changed_since(self._change)
-        configuration = None
-        if state.version > self._version:
-            configuration = state.configuration
+        configuration = state.configuration if is_newer else None
         self._sent_at = now
-        self._version = state.version
+        if is_newer:
+            self._version = state.version
         self._zones_out = state.zones_out
         self._change = directory.change
         self._had_lease = lease_ms > 0
--- a/src/limpetreel/cluster/pending_call.py
+++ b/src/limpetreel/cluster/pending_call.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from limpetreel.cluster import cluster_state
+from limpetreel.cluster import command_codec
 
 
 class PendingCall(msgspec.Struct):
@@ -18,11 +18,11 @@
         The change; None for a read.
     expires_at : float
         Time at which it is answered as unavailable.
-    number : int
-        Its number in the replicated log; 0 while there is no leader.
+    number : int or None
+        Its number in the replicated log, None while there is no leader.
     """
 
     call_id: int
-    command: cluster_state.Command | None
+    command: command_codec.Command | None
     expires_at: float
-    number: int = 0
+    number: int | None = None
--- a/src/limpetreel/cluster/published_state.py
+++ b/src/limpetreel/cluster/published_state.py
@@ -35,7 +35,7 @@
         self._empty_state = cluster_state.ClusterState(parser)
         self._started_at: float | None = None
         self._is_confirmed = False
-        self._checked_version = 0
+        self._checked_version: int | None = None
 
     @property
     def current(self) -> cluster_state.ClusterState:
@@ -53,14 +53,14 @@
     def check_document(self) -> list[log_line.LogLine]:
         """Return log lines for what is not known in a document, once per version."""
         version = self._state.version
-        if version == self._checked_version:
+        if version is None or version == self._checked_version:
             return []
         self._checked_version = version
         config = self._state.configuration
         if config is None:
             fields: dict[str, str | int | float] = {
                 "version": version,
-                "detail": self._state.unreadable,
+                "detail": self._state.unreadable or "",
             }
             return [log_line.LogLine("error", "configuration.unreadable", fields)]
         return [
--- a/src/limpetreel/cluster/upstream_directory.py
+++ b/src/limpetreel/cluster/upstream_directory.py
@@ -119,9 +119,11 @@
         return overdue
 
     def changed_since(
-        self, change: int
+        self, change: int | None
     ) -> tuple[tuple[upstream_record.UpstreamRecord, ...], tuple[str, ...]]:
-        """Return the records and removals after a change."""
+        """Return the records and removals after a change, all records if it is None."""
+        if change is None:
+            return tuple(e.record for e in self._upstreams.values()), ()
         records = tuple(e.record for e in self._upstreams.values() if e.change > change)
         removed = tuple(n for n, r in self._removed.items() if r.change > change)
         return records, removed
--- a/src/limpetreel/platform/http_operator_api.py
+++ b/src/limpetreel/platform/http_operator_api.py
@@ -13,6 +13,7 @@
 from limpetreel.runtime import http_response, http_server
 
 if TYPE_CHECKING:
+    from limpetreel.cluster import command_codec
     from limpetreel.cluster.actions import answer_call
     from limpetreel.configuration import document_parser
     from limpetreel.runtime import http_request
@@ -77,7 +78,7 @@
 
     def _command(
         self, req: http_request.HttpRequest
-    ) -> cluster_state.Command | http_response.HttpResponse:
+    ) -> command_codec.Change | http_response.HttpResponse:
         if req.path == paths.REPLACE_CONFIGURATION:
             try:
                 parsed = self._parser.parse(req.body)
@@ -108,12 +109,13 @@
         self, req: http_request.HttpRequest, answer: answer_call.AnswerCall
     ) -> http_response.HttpResponse:
         status = _STATUS[answer.status]
-        fields = {"call": req.path, "status": status, "leader": answer.leader}
-        self._telemetry.log_decision("info", "operator.answered", fields)
+        fields: dict[str, str | int] = {"call": req.path, "status": status}
         location = ""
-        if answer.leader:
+        if answer.leader is not None:
+            fields["leader"] = answer.leader
             location = f"http://{answer.leader}:{self._listen[1]}{req.path}"
-        body = answer.document
+        self._telemetry.log_decision("info", "operator.answered", fields)
+        body = answer.document or b""
         if status == 503:
             body = msgspec.json.encode({"Error": str(answer.status)})
         return http_response.HttpResponse(status, body, location)
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -200,9 +200,9 @@
         pending.offers += 1
         self._candidates.record_offer(name)
         self._pending[pending.offer_id] = pending
-        version = self._routes.version if self._routes is not None else 0
+        assert self._routes is not None
         message = offer.Offer(
-            pending.offer_id, version, pending.may_wait, pending.packet
+            pending.offer_id, self._routes.version, pending.may_wait, pending.packet
         )
         address = self._candidates.address(name)
         return [send_node.SendNode(address, stream_codec.encode(message))]
--- a/src/limpetreel/streams/placement/placement_lines.py
+++ b/src/limpetreel/streams/placement/placement_lines.py
@@ -32,7 +32,7 @@
 
     def __init__(self) -> None:
         self._sample = line_sample.LineSample()
-        self.version = 0
+        self.version: int | None = None
         self.refusals: dict[tuple[str, str], int] = {}
 
     def placed(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
@@ -132,12 +132,13 @@
         self.refusals[key] = self.refusals.get(key, 0) + 1
 
     def _fields(self, now: float, pending: pending_offer.PendingOffer) -> Fields:
+        version = {} if self.version is None else {"version": self.version}
         return {
             "flow": stream_key.text(pending.flow),
             "service": pending.service,
             "tried": len(pending.tried),
             "offers": pending.offers,
             "held_ms": int((now - pending.started_at) * 1000),
-            "version": self.version,
+            **version,
             **{f"said_{k.lower()}": v for k, v in pending.reasons.items()},
         }
--- a/src/limpetreel/streams/route_table.py
+++ b/src/limpetreel/streams/route_table.py
@@ -39,6 +39,23 @@
         return self._services.get(name)
 
 
+def newer(
+    source: configuration.Configuration | None, known: RouteTable | None
+) -> RouteTable | None:
+    """Return the index of a configuration, None if it is not newer than the known one.
+
+    Parameters
+    ----------
+    source : Configuration or None
+        The configuration, None if there is none.
+    known : RouteTable or None
+        The index in use, None before the first.
+    """
+    if source is None or (known is not None and source.version <= known.version):
+        return None
+    return RouteTable(source)
+
+
 def choose_service(matched_route: route.Route, flow: bytes) -> str:
     """Return the service of a new flow.
 
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -324,11 +324,11 @@
     def _change_view(self, now: float, view: fleet_view.FleetView) -> Actions:
         was_out = self._data_centre in self._view.zones_out
         is_out = self._data_centre in view.zones_out
-        version = self._routes.version if self._routes is not None else 0
         self._view = view
         actions: Actions = []
-        if view.configuration is not None and view.configuration.version > version:
-            self._routes = route_table.RouteTable(view.configuration)
+        newer = route_table.newer(view.configuration, self._routes)
+        if newer is not None:
+            self._routes = newer
             self._admission.routes = self._routes
             actions += self._compare_starts(now)
         if was_out and not is_out:
--- a/src/limpetreel/streams/stream_entry_core.py
+++ b/src/limpetreel/streams/stream_entry_core.py
@@ -132,15 +132,14 @@
         raise TypeError(type(event))
 
     def _change_view(self, now: float, view: fleet_view.FleetView) -> None:
-        version = self._routes.version if self._routes is not None else 0
         self._view = view
         self._candidates.update(view.upstreams, view.zones_out)
         self._owners.change_view(view)
-        is_new = view.configuration is not None and view.configuration.version > version
-        if view.configuration is not None and is_new:
-            self._routes = route_table.RouteTable(view.configuration)
-            self._placement.configure(self._routes)
-        self._services.update(now, view, is_new)
+        newer = route_table.newer(view.configuration, self._routes)
+        if newer is not None:
+            self._routes = newer
+            self._placement.configure(newer)
+        self._services.update(now, view, newer is not None)
 
     def _from_caller(self, now: float, data: bytes) -> Actions:
         segment = self._codec.from_caller(data)
--- a/tests/cluster/control_group.py
+++ b/tests/cluster/control_group.py
@@ -174,7 +174,7 @@
         self.calls = itertools.count(1)
         self.answers = {}
         self.updates = []
-        self.acked_version = 0
+        self.acked_version = None
         self.acked_zones = {}
         names = [f"10.0.0.{i + 1}:7000" for i in range(size)]
         self.seeds = names[:3]
@@ -249,7 +249,10 @@
         if isinstance(command, set_zone.SetZone):
             self.acked_zones[command.name] = command.is_out
         else:
-            self.acked_version = max(self.acked_version, command.version)
+            known = self.acked_version
+            self.acked_version = max(
+                command.version if known is None else known, command.version
+            )
 
     def replace(self, version, port=8080, kind="idempotent"):
         """Return a change that replaces the configuration."""
@@ -270,7 +273,8 @@
                 continue
             acked = self.acked_version
             version = self.read(name)
-            assert version is None or version >= acked, (name, version, acked)
+            is_current = version is None or acked is None or version >= acked
+            assert is_current, (name, version, acked)
 
     def check_final_state(self):
         """Check that all acknowledged changes are in force."""
@@ -282,6 +286,8 @@
         assert self.leader() is not None, "no leader at the end"
         self.check_reads()
         state = self.leader().core.state
-        assert state.version >= self.acked_version
+        if self.acked_version is not None:
+            assert state.version is not None
+            assert state.version >= self.acked_version
         for zone, is_out in self.acked_zones.items():
             assert (zone in state.zones_out) is is_out, zone
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -9,6 +9,7 @@
 _CLUSTER = "src/limpetreel/cluster/"
 _CONSENSUS = "src/limpetreel/consensus/"
 _STORAGE = "src/limpetreel/storage/"
+_ABSENT = "tests.cluster.test_absent_values."
 _GROUP = "tests.cluster.test_control_group."
 _SHELL = "tests.cluster.test_cluster_shell."
 _LINKS = "tests.cluster.test_control_links."
@@ -70,10 +71,39 @@
     (
         "lower version replaces the state",
         _CLUSTER + "cluster_state.py",
-        "        if command.version <= self.version:\n            return False\n",
-        "",
+        "    return known is None or version > known\n",
+        "    return True\n",
         _GROUP + "test_lower_version_is_acknowledged_and_changes_nothing",
     ),
+    (
+        "version 0 counts as none",
+        _CLUSTER + "cluster_state.py",
+        "    return known is None or version > known\n",
+        "    return version > (known or 0)\n",
+        _ABSENT + "test_first_document_of_version_0_is_stored_and_in_force",
+    ),
+    (
+        "document of version 0 is not in snapshots",
+        _CLUSTER + "cluster_state.py",
+        "        if self.version is None or self._compressed is None:\n",
+        "        if not self.version or self._compressed is None:\n",
+        _ABSENT + "test_document_of_version_0_survives_a_restart_from_the_log_and_a_"
+        "snapshot",
+    ),
+    (
+        "nodes do not get version 0",
+        _CLUSTER + "node_session.py",
+        "        is_newer = state.version is not None and (\n",
+        "        is_newer = bool(state.version) and (\n",
+        _ABSENT + "test_node_gets_version_0_once",
+    ),
+    (
+        "change of agents is read as a document",
+        _CLUSTER + "command_codec.py",
+        "    if not stored.document:\n",
+        "    if stored.agents_added:\n",
+        _ABSENT + "test_entry_of_an_earlier_release_with_version_0_is_a_document",
+    ),
     (
         "every instance gets a vote",
         _CONSENSUS + "open_membership.py",
--- a/tests/cluster/test_list_return.py
+++ b/tests/cluster/test_list_return.py
@@ -12,10 +12,11 @@
 from limpetreel.cluster import (
     agent_registry,
     cluster_state,
+    command_codec,
     upstream_directory,
     upstream_record,
 )
-from limpetreel.cluster.commands import set_configuration
+from limpetreel.cluster.commands import register_agents
 from limpetreel.cluster.events import report_arrived
 from limpetreel.cluster.messages import report
 from tests import fixtures
@@ -294,8 +295,9 @@
         zones_out: tuple[str, ...]
 
     state = cluster_state.ClusterState(control_group.PARSER)
-    command = set_configuration.SetConfiguration(0, b"", ("side-1",))
-    data = cluster_state.encode(command)
+    command = register_agents.RegisterAgents(("side-1",))
+    data = command_codec.encode(command)
+    assert command_codec.decode(data) == command
     assert msgspec.msgpack.decode(data, type=Earlier) == Earlier(0, b"")
     assert state.apply(1, data) and state.agents == {"side-1"}
     image = msgspec.msgpack.decode(state.snapshot(), type=EarlierImage)
--- a/tests/cluster/test_node_session.py
+++ b/tests/cluster/test_node_session.py
@@ -6,6 +6,7 @@
 
 from limpetreel.cluster import (
     cluster_state,
+    command_codec,
     node_session,
     upstream_directory,
     upstream_record,
@@ -68,14 +69,14 @@
     feed.add(0.0, 0)
     assert feed.next_update(0.0) is not None
     change = control_group.ControlGroup(1).replace(4)
-    feed.state.apply(1, cluster_state.encode(change))
+    feed.state.apply(1, command_codec.encode(change))
     assert feed.next_update(0.001).configuration.version == 4
 
 
 def test_kind_of_a_later_release_does_not_make_an_update_unreadable():
     """Guards against nodes that lose control during a rolling upgrade."""
     feed = Feed()
-    feed.state.apply(1, cluster_state.encode(control_group.ControlGroup(1).replace(4)))
+    feed.state.apply(1, command_codec.encode(control_group.ControlGroup(1).replace(4)))
     data = cluster_codec.encode(feed.next_update(0.0))
     message = cluster_codec.decode(data.replace(b"\xaaidempotent", b"\xaasubscribed"))
     assert isinstance(message, update.Update)
--- a/tests/platform/test_roles.py
+++ b/tests/platform/test_roles.py
@@ -108,11 +108,13 @@
 
 async def drive_roles(base):
     """Act as operator, upstream and caller."""
-    document = control_group.make_document(4)
-    words = (CONTROL, base + 6, "POST", paths.REPLACE_CONFIGURATION, document)
-    assert (await until_ok(*words))[0] == 200
-    status, body = await until_ok(CONTROL, base + 6, "GET", paths.READ_CONFIGURATION)
-    assert (status, body) == (200, document)
+    # Operators may count their documents from 0.
+    for version in (0, 4):
+        document = control_group.make_document(version)
+        words = (CONTROL, base + 6, "POST", paths.REPLACE_CONFIGURATION, document)
+        assert (await until_ok(*words))[0] == 200
+        words = (CONTROL, base + 6, "GET", paths.READ_CONFIGURATION)
+        assert await until_ok(*words) == (200, document)
     announcement = {
         "Backend": "s-1",
         "Address": f"{UPSTREAM}:{base + 8}",
