Refuse each document that is invalid by the platform's page

What callers saw: documents that the page calls invalid were acknowledged. A route with a known Backend could name an unknown service in WeightedBackends, and bytes that are no UTF-8 were accepted in fields that are skipped. A service without MaxConnections got the limit 0, so its upstreams took no flow, though the document was acknowledged.

Cause: only the services that get flows were looked up, the decoder does not read the contents of fields that it does not know, and 0 stood for a limit that is not in the document.

PROTOCOL.md: a desired state is invalid "if it cannot be read in full, if a route names an unknown service". All names are looked up, the whole body has to be UTF-8, and a missing limit is None.

--- a/src/limpetreel/platform/configuration_format.py
+++ b/src/limpetreel/platform/configuration_format.py
@@ -56,7 +56,7 @@
     """One service."""
 
     name: str
-    max_connections: _NotNegative = 0
+    max_connections: _NotNegative | msgspec.UnsetType = msgspec.UNSET
     slow_start_s: float = 0.0
     warmup_per_s: float = 0.0
 
@@ -85,8 +85,10 @@
     def parse(self, document: bytes) -> configuration.Configuration:
         """Return the configuration; see `DocumentParser.parse`."""
         try:
+            # The decoder skips the contents of fields that it does not know.
+            document.decode()
             decoded = _DECODER.decode(document)
-        except (msgspec.DecodeError, RecursionError) as exc:
+        except (UnicodeDecodeError, msgspec.DecodeError, RecursionError) as exc:
             raise exceptions.DocumentError("configuration.parse", str(exc)) from exc
         services = tuple(_service(s) for s in decoded.backends)
         known = {s.name for s in services}
@@ -104,15 +106,23 @@
 
 
 def _service(backend: _Service) -> service.Service:
+    limit = backend.max_connections
     return service.Service(
         backend.name,
-        backend.max_connections,
+        None if isinstance(limit, msgspec.UnsetType) else limit,
         backend.slow_start_s,
         backend.warmup_per_s,
     )
 
 
 def _route(document_route: _Route, services: set[str]) -> route.Route:
+    named = {s.backend for s in document_route.weighted_backends}
+    if document_route.backend:
+        named.add(document_route.backend)
+    for name in sorted(named - services):
+        raise _invalid(
+            f"route {document_route.name!r} refers to unknown service {name!r}"
+        )
     split = tuple(
         weighted_service.WeightedService(s.backend, s.weight)
         for s in document_route.weighted_backends
@@ -123,11 +133,6 @@
         raise _invalid(
             f"route {document_route.name!r} has no service with a weight above 0"
         )
-    for part in split:
-        if part.name not in services:
-            raise _invalid(
-                f"route {document_route.name!r} refers to unknown service {part.name!r}"
-            )
     kind = request_kind.RequestKind(document_route.type)
     return route.Route(
         document_route.name,
--- a/src/limpetreel/streams/serving/flow_admission.py
+++ b/src/limpetreel/streams/serving/flow_admission.py
@@ -9,7 +9,7 @@
 from limpetreel.streams.serving import overload_detector
 
 if TYPE_CHECKING:
-    from limpetreel.configuration import route
+    from limpetreel.configuration import route, service
     from limpetreel.streams import flow_set, route_table, upstream_state
     from limpetreel.streams.serving import (
         capacity,
@@ -109,7 +109,7 @@
         if self._upstream.is_blocked(now):
             return outcome.Outcome.UNRESPONSIVE
         limits = self.routes.service(self._service)
-        if limits is not None and self._flows.open_flows >= limits.max_connections:
+        if self._is_full(limits):
             return outcome.Outcome.FULL
         if not self._has_cold_start_capacity(now):
             return outcome.Outcome.WARMING
@@ -120,6 +120,11 @@
             return outcome.Outcome.BUSY
         return None
 
+    def _is_full(self, limits: service.Service | None) -> bool:
+        if limits is None or limits.max_connections is None:
+            return False
+        return self._flows.open_flows >= limits.max_connections
+
     def find_route(self, flow: bytes) -> route.Route | None:
         """Return the route of a flow, None if there is none."""
         return self.routes.find(flow) if self.routes is not None else None
--- a/tests/platform/mutants.py
+++ b/tests/platform/mutants.py
@@ -8,6 +8,7 @@
 
 _SOURCE = "src/limpetreel/platform/"
 _ODD = "tests.platform.test_odd_entries."
+_FORMATS = "tests.platform.test_formats."
 
 MUTANTS = [
     (
@@ -38,4 +39,25 @@
         "_Port = Annotated[int, msgspec.Meta(ge=1)]\n",
         _ODD + "test_report_with_an_odd_port_or_number_of_slots_is_refused",
     ),
+    (
+        "only services with flows have to be known",
+        _SOURCE + "configuration_format.py",
+        "    for name in sorted(named - services):\n",
+        "    for name in sorted({document_route.backend or ''} - services - {''}):\n",
+        _FORMATS + "test_each_service_that_a_route_names_is_known",
+    ),
+    (
+        "bytes in fields that are not read may be anything",
+        _SOURCE + "configuration_format.py",
+        "            document.decode()\n",
+        "",
+        _FORMATS + "test_document_that_cannot_be_read_in_full_is_refused",
+    ),
+    (
+        "limit that is not in the document is 0",
+        _SOURCE + "configuration_format.py",
+        "        None if isinstance(limit, msgspec.UnsetType) else limit,\n",
+        "        0 if isinstance(limit, msgspec.UnsetType) else limit,\n",
+        _FORMATS + "test_limit_that_is_not_in_the_document_is_no_limit_of_0",
+    ),
 ]
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -120,6 +120,32 @@
         assert refuses(document), document
 
 
+# A route could name a service that is not in the document, beside one that is.
+def test_each_service_that_a_route_names_is_known():
+    """Guards against an ack for a document that is invalid by the platform's page."""
+    split = [{"Backend": "s-2", "Weight": 1}]
+    assert refuses(changed({"WeightedBackends": split}))
+    split = [{"Backend": "s-1", "Weight": 1}, {"Backend": "s-2", "Weight": 0}]
+    assert refuses(changed({"Backend": "", "WeightedBackends": split}))
+    assert not refuses(changed({"WeightedBackends": split[:1]}))
+
+
+# Bytes that cannot be read were acknowledged in fields that have no meaning here.
+def test_document_that_cannot_be_read_in_full_is_refused():
+    """Guards against an ack for a document that is invalid by the platform's page."""
+    document = changed(HealthCheckPath="/health")
+    assert not refuses(document)
+    assert refuses(document.replace(b"/health", b"/\xff"))
+
+
+def test_limit_that_is_not_in_the_document_is_no_limit_of_0():
+    """Guards against a service whose upstreams take no flow at all."""
+    for limits, expected in (({}, None), ({"MaxConnections": 0}, 0)):
+        config = PARSER.parse(changed(Backends=[{"Name": "s-1", **limits}]))
+        assert config.services[0].max_connections == expected
+    assert refuses(changed(Backends=[{"Name": "s-1", "MaxConnections": None}]))
+
+
 def test_kinds_tell_whether_a_request_may_be_repeated():
     """Guards against a second run of an upload, and of a kind that is not known."""
     expected = {
