Reset flows that are older than the agent with a number near the caller's

What callers saw: when an upstream ended, callers of flows that its agent knew from the upstream's packets only got a reset that they ignore, and waited until their time limit.

Cause: 0 stood for the number that the caller has acknowledged while none was seen. A reset counts only if its number is within 76,800 of it (PROTOCOL.md, "Flows").

The number is None until a packet of the caller is seen, and the end of what the upstream has sent stands in for it, which is near what the caller acknowledges next. Without either no reset is sent, as it could not count. Shown by a unit test and a deliberate fault that it finds; not seen in a run.

--- a/src/limpetreel/streams/owned_flow.py
+++ b/src/limpetreel/streams/owned_flow.py
@@ -13,6 +13,7 @@
 ROUTE_BYTES = slice(6, 12)
 """Part of a key that names the service address; see `stream_key`."""
 _SEQUENCE_MASK = 0xFFFFFFFF
+_HALF_RANGE = 0x80000000
 
 
 class OwnedFlow:
@@ -70,9 +71,9 @@
         self.offer_id = 0
         self.entry = ("", 0)
         self.first_sequence: int | None = None
-        self.upstream_end = 0
+        self.upstream_end: int | None = None
         self.caller_end: int | None = None
-        self.caller_ack = 0
+        self.caller_ack: int | None = None
         self.requests = 0
         self.request_at = now
         self.data_at = now
@@ -93,20 +94,32 @@
     def record_sent(self, sequence: int, size: int) -> None:
         """Record data that the upstream has sent."""
         end = (sequence + size) & _SEQUENCE_MASK
-        if self.first_sequence is not None and self._offset(end) > self._offset(
-            self.upstream_end
-        ):
+        previous = self.upstream_end
+        if previous is None or self._is_after(end, previous):
             self.upstream_end = end
 
+    @property
+    def reset_ack(self) -> int | None:
+        """Return a number near what the caller acknowledged last, None if unknown.
+
+        A flow that is older than this process is known from its upstream's packets.
+        """
+        return self.upstream_end if self.caller_ack is None else self.caller_ack
+
     def has_sent(self, ack: int) -> bool:
         """Return whether the upstream has sent what the caller acknowledges.
 
         The handshake and the end of the flow each take one number without data.
         """
-        if self.first_sequence is None:
+        if self.first_sequence is None or self.upstream_end is None:
             return True
         return self._offset(ack) <= self._offset(self.upstream_end) + 2
 
+    def _is_after(self, end: int, previous: int) -> bool:
+        if self.first_sequence is not None:
+            return self._offset(end) > self._offset(previous)
+        return 0 < (end - previous) & _SEQUENCE_MASK < _HALF_RANGE
+
     def _offset(self, number: int) -> int:
         assert self.first_sequence is not None
         return (number - self.first_sequence) & _SEQUENCE_MASK
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -312,8 +312,8 @@
         for key, flow in self._flows.clear():
             fields: Fields = {"flow": stream_key.text(key), "reason": reason}
             actions.append(log_line.LogLine("warning", "flow.lost", fields))
-            if flow.is_confirmed:
-                actions.append(self._reset(key, flow.caller_ack, reason))
+            if flow.is_confirmed and flow.reset_ack is not None:
+                actions.append(self._reset(key, flow.reset_ack, reason))
         return actions
 
     def _reset(self, key: bytes, ack: int, reason: str) -> msgspec.Struct:
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -32,6 +32,14 @@
 _REFUSED = "tests.streams.placement.test_refused_openings."
 
 MUTANTS = [
+    (
+        "flow of which only the upstream was heard is reset with 0",
+        _SOURCE + "owned_flow.py",
+        "        return self.upstream_end if self.caller_ack is None else ",
+        "        return 0 if self.caller_ack is None else ",
+        "tests.streams.test_owned_flow."
+        "test_reset_of_a_flow_older_than_the_agent_is_near_what_its_caller_has",
+    ),
     (
         "unstable upstreams get requests that may run once only",
         "src/limpetreel/streams/upstream_state.py",
