Write log lines in a thread that may wait for their reader

What callers saw: a process hung once the pipe of its output was full and nobody read it.

Cause: LogWriter wrote to sys.stdout.buffer, a blocking file, on the thread of the event loop.

BackgroundStream keeps at most 1 MiB of lines and writes them in a daemon thread, so only that thread waits. The mode of the descriptor is left alone: it is shared with every process that holds the pipe, and a writer that checks first can still lose the race with another one. Lines without room are counted; the count is logged once there is room (log.output, left_out) and is on the metrics address (log_lines_left_out_total). A reader that ends costs an error a flush. At the end of the process the last lines have 0.5 s. The logging handlers of the standard library keep no bound in bytes and block or raise when their queue is full.

Test: a process with the platform's telemetry logs 40,000 lines that nobody reads; before, it did not end within 60 s.

--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -34,7 +34,12 @@
     settings_codec,
 )
 from limpetreel.storage import folder_disk, log_store
-from limpetreel.telemetry import log_writer, rotating_file, telemetry
+from limpetreel.telemetry import (
+    background_stream,
+    log_writer,
+    rotating_file,
+    telemetry,
+)
 from limpetreel.wire import address, frame_codec
 
 if TYPE_CHECKING:
@@ -187,11 +192,14 @@
     spans : SpanRecorder or None
         Recorder of spans; None for no traces.
     """
-    stream: log_writer.Stream = sys.stderr.buffer
-    if cfg.log_file and folder is not None:
-        stream = _rotating_file(cfg, folder, cfg.log_file)
+
+    def open_stream() -> log_writer.Stream:
+        if cfg.log_file and folder is not None:
+            return _rotating_file(cfg, folder, cfg.log_file)
+        return background_stream.BackgroundStream(sys.stderr.fileno())
+
     log = log_writer.LogWriter(
-        node, role_name, cfg.log_level, stream, loader.secrets(cfg)
+        node, role_name, cfg.log_level, open_stream, loader.secrets(cfg)
     )
     return telemetry.Telemetry(node, role_name, log, spans, decisions, cfg.metrics)
 
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -209,10 +209,24 @@
 
 def _build_telemetry(cfg: Settings, role: str) -> telemetry.Telemetry:
     log = log_writer.LogWriter(
-        cfg.node, cfg.role, "info", sys.stdout.buffer, is_deferred=True
+        cfg.node, cfg.role, "info", _open_output, is_deferred=True
     )
     address = (cfg.host, METRICS_PORTS[role])
-    return telemetry.Telemetry(cfg.node, cfg.role, log, metrics_address=address)
+    result = telemetry.Telemetry(cfg.node, cfg.role, log, metrics_address=address)
+    result.add_metric(
+        "log_lines_left_out_total",
+        "log lines for which the output had no room",
+        "",
+        lambda: {"": log.left_out},
+    )
+    return result
+
+
+def _open_output() -> log_writer.Stream:
+    # Imported here because the log is opened after the start.
+    from limpetreel.telemetry import background_stream
+
+    return background_stream.BackgroundStream(sys.stdout.fileno())
 
 
 def _attach_control(
--- a/src/limpetreel/slopes/stream_slopes.py
+++ b/src/limpetreel/slopes/stream_slopes.py
@@ -200,7 +200,7 @@
     """Return the time of one of a thousand openings that arrive within a second."""
     core = _entry(upstreams)
     numbers = _new_flows()
-    log = log_writer.LogWriter("entry-1", "entry", "info", io.BytesIO())
+    log = log_writer.LogWriter("entry-1", "entry", "info", io.BytesIO)
 
     def place() -> None:
         outputs = telemetry.Telemetry("entry-1", "entry", log)
--- a/src/limpetreel/telemetry/log_writer.py
+++ b/src/limpetreel/telemetry/log_writer.py
@@ -24,8 +24,8 @@
 class Stream(Protocol):
     """Destination of log lines."""
 
-    def write(self, data: bytes, /) -> object:
-        """Append data."""
+    def write(self, data: bytes, /) -> int:
+        """Append data; return the number of bytes, 0 if it was left out."""
 
     def flush(self) -> object:
         """Flush buffered data to the operating system."""
@@ -34,6 +34,8 @@
 class LogWriter:
     """Writes the log messages of one process as JSON lines.
 
+    Its attribute `left_out` counts lines for which the stream had no room.
+
     Parameters
     ----------
     node : str
@@ -42,8 +44,8 @@
         Role of the process.
     level : str
         Minimum level to write, a key of `LEVELS`.
-    stream : Stream
-        Destination of the lines.
+    open_stream : callable
+        Returns the destination of the lines; called once the first line is written.
     secrets : tuple of str
         Values that are redacted wherever they appear in a line.
     is_deferred : bool
@@ -57,17 +59,20 @@
         node: str,
         role: str,
         level: str,
-        stream: Stream,
+        open_stream: Callable[[], Stream],
         secrets: tuple[str, ...] = (),
         is_deferred: bool = False,
     ) -> None:
         self._node = node
         self._role = role
         self._min_level = LEVELS[level]
-        self._stream = stream
+        self._open_stream = open_stream
+        self._stream: Stream | None = None
         self._secrets = tuple(s for s in secrets if s)
         self._deferred: list[dict[str, Any]] = []
         self._dropped_lines = 0
+        self.left_out = 0
+        self._reported_left_out = 0
         self._emit: Callable[..., None] | None = None
         if not is_deferred:
             self.open()
@@ -133,7 +138,9 @@
 
     def flush(self) -> None:
         """Flush buffered lines to the operating system."""
-        self._stream.flush()
+        self._report_left_out()
+        if self._stream is not None:
+            self._stream.flush()
 
     def close(self) -> None:
         """Write the deferred lines and stop logging."""
@@ -141,7 +148,17 @@
         import eliot
 
         eliot.remove_destination(self._write)
-        self._stream.flush()
+        self.flush()
+
+    def _report_left_out(self) -> None:
+        """Log how many lines were left out, once there is room for that line."""
+        total = self.left_out
+        if total > self._reported_left_out:
+            fields = {"left_out": total - self._reported_left_out}
+            self.log("warning", "log.output", "", fields)
+            if self.left_out == total:
+                self._reported_left_out = total
+            self.left_out = total
 
     def _write(self, message: dict[str, Any]) -> None:
         # Destinations of eliot are global to the process; in tests, one process runs
@@ -149,7 +166,11 @@
         if message.get("node") != self._node or message.get("role") != self._role:
             return
         sanitized = {key: self._sanitize(value) for key, value in message.items()}
-        self._stream.write(msgspec.json.encode(sanitized, enc_hook=str) + b"\n")
+        if self._stream is None:
+            self._stream = self._open_stream()
+        line = msgspec.json.encode(sanitized, enc_hook=str) + b"\n"
+        if not self._stream.write(line):
+            self.left_out += 1
 
     def _sanitize(self, value: Any) -> Any:
         if isinstance(value, int | float) or value is None:
--- a/src/limpetreel/telemetry/rotating_file.py
+++ b/src/limpetreel/telemetry/rotating_file.py
@@ -34,22 +34,30 @@
         self._size = 0
         self.write_errors = 0
 
-    def write(self, data: bytes) -> None:
-        """Append data, in a new file if the current one is full."""
+    def write(self, data: bytes, /) -> int:
+        """Append data, in a new file if the current one is full.
+
+        Returns the number of bytes, 0 if they could not be written.
+        """
         if self._size and self._size + len(data) > self.limit:
             self.rotate()
-        self.append(data)
+        return self.append(data)
+
+    def append(self, data: bytes) -> int:
+        """Append data to the current file without rotation, even beyond the limit.
 
-    def append(self, data: bytes) -> None:
-        """Append data to the current file without rotation, even beyond the limit."""
+        Returns as `write` does.
+        """
         try:
             if self._stream is None:
                 self._open()
             if self._stream is not None:
                 self._stream.write(data)
                 self._size += len(data)
+                return len(data)
         except OSError:
             self.write_errors += 1
+        return 0
 
     def rotate(self) -> None:
         """Rename the current file to the previous one and start a new file."""
--- a/tests/bad_input.py
+++ b/tests/bad_input.py
@@ -20,7 +20,7 @@
 
     def __init__(self):
         self.stream = io.BytesIO()
-        log = log_writer.LogWriter("n", "r", "info", self.stream)
+        log = log_writer.LogWriter("n", "r", "info", lambda: self.stream)
         super().__init__("n", "r", log, clock=lambda: 0.0)
 
     def refused(self):
--- a/tests/telemetry/test_deferred_log.py
+++ b/tests/telemetry/test_deferred_log.py
@@ -13,7 +13,7 @@
 
 def make_log(stream):
     """Return a log writer that has not loaded its library."""
-    return log_writer.LogWriter("e1", "entry", "info", stream, is_deferred=True)
+    return log_writer.LogWriter("e1", "entry", "info", lambda: stream, is_deferred=True)
 
 
 def test_deferred_lines_are_written_in_order():
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -33,7 +33,7 @@
 
 
 def _make_telemetry(stream, clock):
-    log = log_writer.LogWriter("n1", "entry", "info", stream, (SECRET,))
+    log = log_writer.LogWriter("n1", "entry", "info", lambda: stream, (SECRET,))
     return telemetry.Telemetry("n1", "entry", log, clock=clock)
 
 
