Send the owner of a flow the last copy of a packet that was tried

So the last packets of the flow reached other upstreams only.

An entry that has found an owner by probes sends it the packet again, once the other agents that were probed have returned theirs, or after 0.3 s if an answer is lost. One packet for a flow that was probed; the upstream takes it for a copy.

The test lets probes of three agents be late, with their answers and without; it fails without the copy (two deliberate faults, found). Packets that reach others before the owner's first one within some milliseconds remain.

--- a/src/limpetreel/streams/ownership/flow_owners.py
+++ b/src/limpetreel/streams/ownership/flow_owners.py
@@ -59,8 +59,8 @@
 
     @property
     def is_searching(self) -> bool:
-        """Return whether the owner of a flow is searched for."""
-        return bool(len(self._search))
+        """Return whether the owner of a flow is searched for, or gets a last copy."""
+        return bool(len(self._search)) or self._search.has_copies_due
 
     @property
     def awaits_list(self) -> bool:
--- a/src/limpetreel/streams/ownership/owner_search.py
+++ b/src/limpetreel/streams/ownership/owner_search.py
@@ -9,6 +9,7 @@
 from limpetreel.streams.messages import carry, probe, stream_codec
 from limpetreel.streams.ownership import (
     known_agents,
+    last_copies,
     questions,
     sought_flow,
 )
@@ -65,6 +66,7 @@
         self._due: dict[bytes, sought_flow.SoughtFlow] = {}
         self._denied: dict[bytes, sought_flow.SoughtFlow] = {}
         self._questions = questions.Questions(first_number)
+        self._last_copies = last_copies.LastCopies()
         self._next_batch_at = float("-inf")
         self.probes = 0
 
@@ -72,6 +74,11 @@
         """Return the number of flows that are searched for."""
         return len(self._flows)
 
+    @property
+    def has_copies_due(self) -> bool:
+        """Return whether an owner gets a packet again soon."""
+        return bool(len(self._last_copies))
+
     @property
     def awaits_list(self) -> bool:
         """Return whether a search needs a list that is complete up to its start."""
@@ -121,6 +128,7 @@
             flow = self._remove(key)
             if flow is not None:
                 actions += [_send(source, carry.Carry(p)) for p in flow.packets]
+                self._last_copies.add(now, flow, source)
         for key in message.unsure:
             flow = self._flows.get(key)
             if flow is not None:
@@ -134,6 +142,8 @@
         """Apply an answer to the flows that an agent's upstream does not hold."""
         denied = [self._flows[key] for key in message.missing if key in self._flows]
         actions = self._deny(now, denied, {source})
+        for key in message.missing:
+            actions += self._last_copies.record_denial(key, source)
         if not message.is_rest_missing:
             return actions
         named = {*message.owned, *message.unsure, *message.pending}
@@ -190,7 +200,7 @@
     def tick(self, now: float) -> tuple[list[sought_flow.SoughtFlow], Actions]:
         """Ask agents again that have not answered; return expired searches too."""
         expired = []
-        actions: Actions = []
+        actions: Actions = self._last_copies.tick(now)
         for asked in self._questions.take_unapplied():
             actions += self._apply_denials(now, asked)
         for flow in list(self._flows.values()):
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -893,6 +893,20 @@
         _REFUSED + "test_late_answer_to_an_opening_that_was_given_up_does_not_open_"
         "the_flow",
     ),
+    (
+        "owner gets no last copy",
+        _OWNER + "owner_search.py",
+        "                self._last_copies.add(now, flow, source)\n",
+        "",
+        _PROBES + "test_owner_gets_the_last_copy_of_a_packet_that_was_tried",
+    ),
+    (
+        "last copy waits for an answer that is lost",
+        _OWNER + "last_copies.py",
+        "        actions: Actions = []\n        for key in [k for",
+        "        actions: Actions = []\n        for key in [k for _ in () for",
+        _PROBES + "test_owner_gets_the_last_copy_of_a_packet_that_was_tried",
+    ),
     (
         "unsure agents are probed while another one is silent",
         _OWNER + "owner_search.py",
--- a/tests/streams/test_probes.py
+++ b/tests/streams/test_probes.py
@@ -123,6 +123,37 @@
     assert not site.misdirected(flows)
 
 
+# The owner got the packet of a probe before the others, and its caller sent no more.
+def test_owner_gets_the_last_copy_of_a_packet_that_was_tried():
+    """Guards against a flow whose last packets reach other upstreams only.
+
+    All agents but some have restarted and are unsure. Probes of the others are late.
+    """
+    late = ("agent-1", "agent-2", "agent-3")
+    for answers_lost in (False, True):
+        site = faulty_site.make_site(53)
+        callers = test_ended_flows.open_flows(site, 20)
+        flows = faulty_site.owners(site, callers, "agent-0")
+        faulty_site.restart_agents(site, list(site.names))
+        faulty_site.restart_entries(site)
+
+        def delay(source, target, message, answers_lost=answers_lost):
+            if isinstance(message, probe.Probe) and target in late:
+                return 0.03
+            if answers_lost and source in late and is_denial(message):
+                return None
+            return stream_site.LINK_SECONDS
+
+        site.delay = delay
+        site.arrivals.clear()
+        test_ended_flows.send_again(site, callers)
+        assert flows
+        for flow, owner in flows.items():
+            arrivals = [(at, name) for at, name, f in site.arrivals if f == flow]
+            assert {name for _, name in arrivals} > {owner}
+            assert arrivals[-1][1] == owner, arrivals
+
+
 # Two entries tried three packets of a flow, as answers about the first were late.
 def test_agents_that_have_not_answered_count_as_tried_by_another_entry():
     """Guards against a third packet at wrong upstreams when callers change entries."""
