Let no start wait for one that no longer announces itself

A new start was believed only if no other one had been heard more often since the last announcement of the present one, also if that other one had fallen silent. Only starts count that were heard within the time in which the next announcement is due. Test and deliberate fault; found while reading the rule again.

--- a/src/limpetreel/streams/start_succession.py
+++ b/src/limpetreel/streams/start_succession.py
@@ -196,7 +196,11 @@
             if not (may_be_set_back and self.is_silent(now)):
                 return False
         # Another writer may use a new name for each announcement.
-        return all(r.number <= rival.number for r in self._rivals.values())
+        return all(
+            r.number <= rival.number
+            for r in self._rivals.values()
+            if now - r.last_at <= self._overdue_seconds
+        )
 
     def _install(self, claim: _Claim) -> Freshness:
         previous = self._present
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -816,11 +816,18 @@
     (
         "writer with a new id each time takes turns with the upstream",
         _SUCCESSION,
-        "        return all(r.number <= rival.number for r in self._rivals.values())\n",
-        "        return True\n",
+        "            r.number <= rival.number\n",
+        "            True\n",
         _UPSTREAM + "test_writer_with_a_new_id_each_time_does_not_displace_the_"
         "upstream",
     ),
+    (
+        "writer that has stopped holds back the next start",
+        _SUCCESSION,
+        "            if now - r.last_at <= self._overdue_seconds\n",
+        "",
+        _UPSTREAM + "test_writer_that_has_stopped_does_not_hold_back_the_next_start",
+    ),
     (
         "odd starts are kept for good",
         _SUCCESSION,
--- a/tests/streams/test_upstream_state.py
+++ b/tests/streams/test_upstream_state.py
@@ -219,6 +219,18 @@
     assert all(counts[5:])
 
 
+def test_writer_that_has_stopped_does_not_hold_back_the_next_start():
+    """Guards against a new start that waits for as many announcements as an odd one."""
+    upstream = upstream_state.UpstreamState(INTERVAL)
+    upstream.record_announcement(0.0, STATUS)
+    for number in range(1, 6):
+        odd = make_status(instance_id="i-x", started_ms=9000, sequence=number)
+        upstream.record_announcement(0.1 * number, odd)
+    following = make_status(instance_id="i-2", started_ms=2000)
+    result = upstream.record_announcement(2.5 * INTERVAL, following)
+    assert result is start_succession.Freshness.NEW_START
+
+
 def test_starts_that_are_kept_are_bounded():
     """Guards against memory that grows with each odd announcement."""
     upstream = upstream_state.UpstreamState(INTERVAL)
