Compare the service of an announcement only, not its address and zone

What callers would have seen: an upstream that knows itself by another address than its agent's settings, through a name or a second interface, would have been refused for good.

PROTOCOL.md calls an entry odd for missing fields, other types, a state or service that is not named, or bytes that cannot be read; not for its address. An odd entry with another address is a rival like any other (test_odd_announcements).

--- a/src/limpetreel/platform/announcement_format.py
+++ b/src/limpetreel/platform/announcement_format.py
@@ -43,28 +43,18 @@
     """Decides which announcements name the upstream beside the agent.
 
     Another writer's announcement may lack fields, or have fields of another type, words
-    that are not known, or the service, address or zone of another upstream. It changes
-    nothing: what the upstream has announced before holds.
+    that are not known, or the service of another upstream. It changes nothing: what the
+    upstream has announced before holds. The address and the zone are those that the
+    upstream knows of itself; the agent reaches it at the address in its own settings.
 
     Parameters
     ----------
     service : str
         Service of the upstream.
-    address : tuple of (str, int)
-        Address at which it receives packets.
-    data_centre : str
-        Data centre of the machine.
     """
 
-    def __init__(
-        self, service: str, address: tuple[str, int], data_centre: str
-    ) -> None:
-        host, port = address
-        self._expected = {
-            "Backend": service,
-            "Address": f"{host}:{port}",
-            "Zone": data_centre,
-        }
+    def __init__(self, service: str) -> None:
+        self._service = service
 
     def decode(
         self, instance_id: str, body: bytes
@@ -102,14 +92,8 @@
             return "the path has no instance id"
         if announcement.state not in (_READY, _DRAINING):
             return f"State {announcement.state!r} is not known"
-        found = {
-            "Backend": announcement.backend,
-            "Address": announcement.address,
-            "Zone": announcement.zone,
-        }
-        for field, expected in self._expected.items():
-            if found[field] != expected:
-                return f"{field} {found[field]!r} is not {expected!r}"
+        if announcement.backend != self._service:
+            return f"Backend {announcement.backend!r} is not {self._service!r}"
         return None
 
 
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -124,9 +124,7 @@
     api = http_upstream_api.HttpUpstreamApi(
         process_settings.required(cfg, "control"),
         cfg.ready,
-        announcement_format.AnnouncementFormat(
-            cfg.service, process_settings.required(cfg, "upstream"), cfg.data_centre
-        ),
+        announcement_format.AnnouncementFormat(cfg.service),
         telemetry,
     )
     shell = stream_agent_shell.StreamAgentShell(
