--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -16,7 +16,8 @@
 from hypothesis import strategies as st
 
 from limpetreel import exceptions
-from limpetreel.cluster import upstream_record
+from limpetreel.cluster import cluster_state, command_codec, upstream_record
+from limpetreel.cluster.commands import set_configuration
 from limpetreel.cluster.messages import cluster_codec, report, update
 from limpetreel.core import failure
 from limpetreel.platform import (
@@ -100,11 +101,20 @@
 
 
 def read_document(document):
-    """Read a document as control does, and use it as entries and agents do."""
+    """Store, read and restore a document as control does; use it as nodes do."""
+    parser = configuration_format.ConfigurationFormat()
     try:
-        cfg = configuration_format.ConfigurationFormat().parse(document)
+        cfg = parser.parse(document)
     except exceptions.DocumentError:
         return
+    stored = cluster_state.compress(document)
+    command = set_configuration.SetConfiguration(cfg.version, stored)
+    state, restored = (cluster_state.ClusterState(parser) for _ in range(2))
+    assert state.apply(1, command_codec.encode(command))
+    restored.restore(1, state.snapshot())
+    for part in (state, restored):
+        assert part.document == document
+        assert (part.version, part.configuration) == (cfg.version, cfg)
     message = update.Update(1, 1000, cfg, (), True, (), (), ())
     decoded = cluster_codec.decode(cluster_codec.encode(message))
     assert isinstance(decoded, update.Update) and decoded.configuration == cfg
