Take an upstream for gone once it has signed off and announces nothing

Cause: since an agent that is stopped reported the end of its upstream only if a connection to it was refused.

An upstream has left once it has signed off and missed its next announcement: the same evidence that replaces a start. One that lives takes the sign-off back by announcing itself. The agent waits for this within its grace time; the connection is gone.

A new connection of a node got no names of removed agents any more, which it kept for 5 s; they are in the first update again.

The test of sign-offs runs until the announcement is due, for a leaving upstream and one that lives; deliberate faults, found.

--- a/src/limpetreel/cluster/upstream_directory.py
+++ b/src/limpetreel/cluster/upstream_directory.py
@@ -121,9 +121,11 @@
     def changed_since(
         self, change: int | None
     ) -> tuple[tuple[upstream_record.UpstreamRecord, ...], tuple[str, ...]]:
-        """Return the records and removals after a change, all records if it is None."""
+        """Return the records and removals after a change, all if it is None."""
         if change is None:
-            return tuple(e.record for e in self._upstreams.values()), ()
+            return tuple(e.record for e in self._upstreams.values()), tuple(
+                self._removed
+            )
         records = tuple(e.record for e in self._upstreams.values() if e.change > change)
         removed = tuple(n for n, r in self._removed.items() if r.change > change)
         return records, removed
--- a/src/limpetreel/streams/start_succession.py
+++ b/src/limpetreel/streams/start_succession.py
@@ -106,6 +106,14 @@
         """Return whether the process of the present start is known to have ended."""
         return self._has_ended
 
+    def has_left(self, now: float) -> bool:
+        """Return whether the present start has signed off and announces nothing since.
+
+        A sign-off alone may be late or that of another writer; an upstream that lives
+        takes it back with its next announcement.
+        """
+        return self._has_signed_off and self.is_overdue(now)
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the present start has missed its next announcement."""
         return self._is_silent_for(now, self._overdue_seconds)
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -181,6 +181,15 @@
         """Return whether flows are open or waiting."""
         return bool(len(self._flows) or len(self._queue))
 
+    @property
+    def awaits_end(self) -> bool:
+        """Return whether the upstream has signed off, and it is not known if it left.
+
+        Once this process has reported that, no flow of the upstream is searched for.
+        """
+        is_signed_off = self.upstream.has_departed and not self.upstream.has_ended
+        return self._is_leaving and is_signed_off
+
     @property
     def probes(self) -> dict[str, int]:
         """Return the number of packets of unknown flows that were tried, by result."""
@@ -190,7 +199,7 @@
     def needs_tick_soon(self) -> bool:
         """Return whether a flow waits for an answer or a slot, or sends a request."""
         is_waiting = self._flows.offered or len(self._queue) or self._held.is_holding
-        return bool(is_waiting or self._flows.receiving)
+        return bool(is_waiting or self._flows.receiving or self.awaits_end)
 
     def is_accepting(self, now: float) -> bool:
         """Return whether the upstream accepts new flows."""
@@ -276,8 +285,8 @@
         return actions + self._refuse_waiting(outcome.Outcome.CLOSED)
 
     def _end_upstream(self, now: float, event: upstream_ended.UpstreamEnded) -> Actions:
-        may_have_ended = self.upstream.has_departed or self.upstream.is_overdue(now)
-        if not may_have_ended or not self.upstream.record_end(event.instance_id):
+        is_overdue = self.upstream.is_overdue(now)
+        if not is_overdue or not self.upstream.record_end(event.instance_id):
             return []
         self.upstream.record_break(now)
         fields: Fields = {"instance": event.instance_id}
@@ -290,6 +299,16 @@
         self._is_leaving = True
         return self._refuse_waiting(outcome.Outcome.CLOSED)
 
+    def _end_left(self, now: float) -> Actions:
+        """Reset the flows of an upstream that has left before this process ends."""
+        status = self.upstream.status
+        if status is None or not self.upstream.has_left(now):
+            return []
+        self.upstream.record_end(status.instance_id)
+        fields: Fields = {"instance": status.instance_id}
+        line = log_line.LogLine("info", "upstream.left", fields)
+        return [line, *self._reset_flows("upstream has left")]
+
     def _ask_upstream(self) -> Actions:
         """Send the last packet of each flow again, which shows whether the flow lives.
 
@@ -357,6 +376,8 @@
         self._flows.release_stalled(now, opening, working)
         self._requests.end_silent(now)
         self._held.sweep(now)
+        if self.awaits_end:
+            actions += self._end_left(now)
         for segment in self._held.take_held(now):
             actions += self._forward(now, segment)
         return actions + self._serve_waiting(now)
--- a/src/limpetreel/streams/stream_agent_shell.py
+++ b/src/limpetreel/streams/stream_agent_shell.py
@@ -97,9 +97,6 @@
         await stopped.wait()
         self._is_leaving = True
         self._handle(agent_leaving.AgentLeaving())
-        if self._core.upstream.has_departed:
-            # A sign-off may be late or that of another writer.
-            await self._check_upstream()
         self._report()
         self._telemetry.log("info", "agent.leaving")
         await self._wait_for_flows()
@@ -123,9 +120,12 @@
         self._report()
         return self._core.upstream.is_unused(instance_id)
 
+    def _is_needed(self) -> bool:
+        return self._core.has_work or self._core.awaits_end
+
     async def _wait_for_flows(self) -> None:
         until = time.monotonic() + self._grace_seconds - STOP_RESERVE_SECONDS
-        while self._core.has_work and time.monotonic() < until:
+        while self._is_needed() and time.monotonic() < until:
             await asyncio.sleep(stream_shell.SOON_SECONDS)
 
     def _after_tick(self) -> None:
@@ -138,7 +138,7 @@
             self._check = asyncio.create_task(self._check_upstream())
 
     async def _check_upstream(self) -> None:
-        """Connect to the upstream; a refusal shows that its process has ended."""
+        """Connect to a silent upstream; a refusal shows that its process has ended."""
         status = self._core.upstream.status
         assert status is not None
         try:
--- a/src/limpetreel/streams/upstream_state.py
+++ b/src/limpetreel/streams/upstream_state.py
@@ -77,6 +77,10 @@
         """Return whether the process of the present start is known to have ended."""
         return self._succession.has_ended
 
+    def has_left(self, now: float) -> bool:
+        """Return whether the present start has left; see `StartSuccession.has_left`."""
+        return self._succession.has_left(now)
+
     def record_end(self, instance_id: str) -> bool:
         """Record the end of a process; return whether it was the present start."""
         return self._succession.record_end(instance_id)
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -210,19 +210,27 @@
         "sign-off resets the flows of an upstream when its agent stops",
         _SOURCE + "stream_agent_core.py",
         "        return self._refuse_waiting(outcome.Outcome.CLOSED)\n\n"
-        "    def _ask_upstream",
+        "    def _end_left",
         "        actions = self._refuse_waiting(outcome.Outcome.CLOSED)\n"
         "        if self.upstream.has_departed:\n"
         '            actions += self._reset_flows("departed")\n'
         "        return actions\n\n"
-        "    def _ask_upstream",
+        "    def _end_left",
         _CERTAIN + "test_sign_off_alone_resets_no_flow_when_the_agent_leaves",
     ),
     (
-        "end of an upstream that has signed off is not believed",
+        "upstream that has signed off never counts as left",
+        _SUCCESSION,
+        "        return self._has_signed_off and self.is_overdue(now)\n",
+        "        return False\n",
+        _ENDED
+        + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
+    ),
+    (
+        "agent does not wait until it knows that its upstream has left",
         _SOURCE + "stream_agent_core.py",
-        "self.upstream.has_departed or self.upstream.is_overdue(now)\n",
-        "self.upstream.is_overdue(now)\n",
+        "        return self._is_leaving and is_signed_off\n",
+        "        return False\n",
         _ENDED
         + "test_flows_of_an_upstream_that_signed_off_are_reset_when_its_agent_leaves",
     ),
--- a/tests/streams/test_certain_ends.py
+++ b/tests/streams/test_certain_ends.py
@@ -129,6 +129,9 @@
         site.to_core(name, upstream_departed.UpstreamDeparted(f"i-{name}-0"))
         site.to_core(name, agent_leaving.AgentLeaving())
     assert_all_answered(site, callers)
+    site.run(site.now + 3 * stream_site.ANNOUNCEMENT_SECONDS)
+    assert not any(c.request.refused for c in callers)
+    assert not any(a.upstream.has_ended for a in site.agents.values())
 
 
 # Agents that restarted within the first interval denied flows that they had placed.
--- a/tests/streams/test_ended_flows.py
+++ b/tests/streams/test_ended_flows.py
@@ -301,13 +301,18 @@
     site.to_core("agent-0", upstream_departed.UpstreamDeparted("i-agent-0-0"))
     site.run(site.now + 0.1)
     assert not any(c.request.refused for c in callers)
+    site.upstreams["agent-0"].is_up = False
     site.to_core("agent-0", agent_leaving.AgentLeaving())
     site.to_core("agent-1", agent_leaving.AgentLeaving())
+    agent, other = site.agents["agent-0"], site.agents["agent-1"]
+    assert agent.awaits_end and not other.awaits_end
     site.run(site.now + 0.1)
     assert not any(c.request.refused for c in callers)
-    site.to_core("agent-0", upstream_ended.UpstreamEnded("i-agent-0-0"))
-    site.to_core("agent-1", upstream_ended.UpstreamEnded("i-agent-1-0"))
-    site.run(site.now + 0.1)
+    for _ in range(20):
+        listen(site, [c for c in callers if not c.request.refused])
+        site.run(site.now + 0.1)
+    assert agent.upstream.has_ended and not agent.awaits_end
+    assert not other.upstream.has_ended
     assert {c.flow for c in callers if c.request.refused} == {c.flow for c in lost}
 
 
