Drain no CoAP agent on the word of another run

What callers would have seen: one announcement of another writer with another run id ended all requests that were open at a living upstream, and with the state "draining" its agent drained for good, since that cannot be taken back.

Cause: any run id other than the known one was taken for a restart, and the state was applied whatever the run. The empty run id stood for "none yet".

The known run is believed until it has missed its next announcement (1.4 s; one comes each second). Another run begins a slow start at once, so a fresh upstream gets no more than it can bear, and nothing else. A real restart ends its requests with its second announcement at the latest.

The test failed before (deliberate fault, found). The test of a restart lets the known run miss its announcement first.

--- a/src/limpetreel/admission/admission_controller.py
+++ b/src/limpetreel/admission/admission_controller.py
@@ -264,6 +264,11 @@
         decisions.extend(self._dispatch(now))
         return decisions
 
+    def expect_cold(self, now: float) -> list[decision.Decision]:
+        """Begin slow start, since the upstream may have restarted."""
+        self._begin_cold_phase(now, is_repeated=False)
+        return self._dispatch(now)
+
     def drain(self, now: float) -> list[decision.Decision]:
         """Stop accepting new flows; requests of owned flows are still served."""
         self._draining = True
--- a/src/limpetreel/agent/agent_core.py
+++ b/src/limpetreel/agent/agent_core.py
@@ -52,6 +52,8 @@
 
 SOCKET_CHECK_SECONDS = 5.0
 SECONDS_PER_MINUTE = 60
+OVERDUE_SECONDS = 1.4
+"""Time after which the next announcement is overdue; they come once a second."""
 
 
 class AgentCore(core.Core):
@@ -84,7 +86,8 @@
         self._class: class_record.ClassRecord | None = None
         self._router: flow_router.FlowRouter | None = None
         self._requests: request_service.RequestService | None = None
-        self._run_id = ""
+        self._run_id: str | None = None
+        self._announced_at = float("-inf")
         self._callers_with_socket: dict[address.Address, None] = {}
         self._next_socket_check = 0.0
         self.dropped: dict[reason.Reason, int] = {}
@@ -120,7 +123,7 @@
     def _tick(self, now: float) -> Actions:
         actions: Actions = []
         # The agent joins only after its upstream has announced itself.
-        if self._run_id:
+        if self._run_id is not None:
             actions += self.link.tick(now)
         actions += self._apply_table(now)
         if self._router is not None and self._requests is not None:
@@ -153,14 +156,27 @@
     ) -> Actions:
         if event.class_name != self._identity.class_name:
             return self._drop(reason.Reason.WRONG_CLASS)
-        restarted = bool(self._run_id) and event.run_id != self._run_id
-        self._run_id = event.run_id
+        restarted = self._run_id is not None and event.run_id != self._run_id
+        if restarted and now - self._announced_at <= OVERDUE_SECONDS:
+            return self._expect_cold(now)
+        self._run_id, self._announced_at = event.run_id, now
         if event.draining and not self.link.is_draining:
             return self._drain(now)
         if restarted and self._requests is not None:
             return self._requests.upstream_restarted(now)
         return []
 
+    def _expect_cold(self, now: float) -> Actions:
+        """Treat the upstream as cold, since it may have restarted.
+
+        The announcement may also be that of another writer. The run that is known is
+        believed until it has missed its own next announcement.
+        """
+        self._drop(reason.Reason.STALE)
+        if self._requests is None:
+            return []
+        return self._requests.expect_cold(now)
+
     def _receive(self, now: float, event: frame_arrived.FrameArrived) -> Actions:
         if event.frame.kind in (kind.Kind.FORWARD, kind.Kind.RELAY):
             return self._handle_packet(now, event)
--- a/src/limpetreel/agent/request_service.py
+++ b/src/limpetreel/agent/request_service.py
@@ -237,6 +237,10 @@
         self._long_lived_by_token.clear()
         return self._apply_decisions(now, self.admission.upstream_restarted(now))
 
+    def expect_cold(self, now: float) -> Actions:
+        """Begin slow start; requests that are open at the upstream stay open."""
+        return self._apply_decisions(now, self.admission.expect_cold(now))
+
     def handle_upstream_datagram(
         self, now: float, flow: flow_key.FlowKey, datagram: bytes
     ) -> Actions:
--- a/tests/agent/mutants.py
+++ b/tests/agent/mutants.py
@@ -9,6 +9,14 @@
 _CORE = "tests.agent.test_agent_core."
 
 MUTANTS = [
+    (
+        "another run is believed at once",
+        _AGENT + "agent_core.py",
+        "        if restarted and now - self._announced_at <= OVERDUE_SECONDS:\n",
+        "        if False:\n",
+        _CORE + "test_announcement_of_another_run_changes_nothing_while_the_known_one_"
+        "lives",
+    ),
     (
         "skip the class check",
         _AGENT + "agent_core.py",
--- a/tests/agent/test_agent_core.py
+++ b/tests/agent/test_agent_core.py
@@ -126,9 +126,28 @@
     agent = builders.Agent()
     _fill_budget(agent)
     builders.sent_upstream(agent.send_request(11, post=True))
+    # The run that is known has missed its next announcement.
+    agent.now += 1.5
     actions = agent.announce("run-2")
     assert builders.responses(actions) == [(b"t", UNKNOWN)]
     assert not builders.sent_upstream(actions)
 
 
+# One announcement of another writer ended all requests, or drained the agent for good.
+def test_announcement_of_another_run_changes_nothing_while_the_known_one_lives():
+    """Guards against an upstream that is drained or restarted on another's word."""
+    agent = builders.Agent()
+    first = builders.sent_upstream(agent.send_request(11, post=True))[0]
+    for run_id, draining in (("run-x", False), ("run-x", True), ("run-y", True)):
+        agent.now += 0.2
+        assert not builders.responses(agent.announce(run_id, draining))
+    assert not agent.core.link.is_draining
+    assert agent.core.dropped[reason.Reason.STALE] == 3
+    agent.now += 0.2
+    agent.announce("run-1")
+    assert builders.responses(agent.answer(first.token)) == [(b"t", b"done")]
+    agent.announce("run-1", draining=True)
+    assert agent.core.link.is_draining
+
+
 load_tests = fixtures.load_functions(globals())
