Run the programs of the tree, not a copy among the libraries

Cause: the programs that ran were a copy in target/deps, and nothing tied the copy to the tree. That the users' machines have such a folder is not known.

Fix: there is no copy any more. `python -m limpetreel` finds the package at the root first, which loads the sources beside it, so a folder that was carried over holds no programs, built again or not. The build puts the same loader in place of an earlier copy and compiles the sources; each compiled file names the hash of its source and is compared at the import. That comes first and needs no network. Libraries are checked by version, contents and import, not by a stamp; those that serve stay, without pip. Others are installed aside, checked, and exchanged at once. Builds wait for each other, and each installs in a folder of its own, since the installer of one that was killed goes on.

The two tests of copy_package.sh, which is gone, asked for the copied files; the new ones run the program and ask which sources it has, over times, builds and folders.

--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,13 @@
 	$(PY) -m limpetreel demo
 
 lint: setup
-	$(PY) -m ruff format --check src tests tools
-	$(PY) -m ruff check src tests tools
+	$(PY) -m ruff format --check src tests tools deploy limpetreel
+	$(PY) -m ruff check src tests tools deploy limpetreel
 	$(PY) -m mypy
 
 format: setup
-	$(PY) -m ruff format src tests tools
-	$(PY) -m ruff check --fix src tests tools
+	$(PY) -m ruff format src tests tools deploy limpetreel
+	$(PY) -m ruff check --fix src tests tools deploy limpetreel
 
 test: setup lint
 	$(PY) tools/run_tests.py
--- a/tests/deploy/mutants.py
+++ b/tests/deploy/mutants.py
@@ -6,24 +6,116 @@
 
 from __future__ import annotations
 
-_COPY = "deploy/copy_package.sh"
-_TIMES = (
-    "tests.deploy.test_build.test_build_takes_the_sources_whatever_the_times_of_files"
-)
+_BUILD = "deploy/build.py"
+_LOADER = "limpetreel/__init__.py"
+_TESTS = "tests.deploy.test_build."
+_TREE = _TESTS + "test_programs_are_those_of_the_tree_whatever_build_folder_it_has"
+_COMPILED = _TESTS + "test_compiled_files_of_other_sources_are_not_run"
+_ELSEWHERE = _TESTS + "test_programs_started_elsewhere_are_those_of_the_tree"
+_SERVE = _TESTS + "test_libraries_that_serve_stay_without_pip"
+_REPLACED = _TESTS + "test_libraries_that_do_not_serve_are_replaced_or_named"
+_INSTALLED = _TESTS + "test_libraries_that_pip_installs_are_checked_too"
+_KILLED = _TESTS + "test_build_that_is_killed_leaves_what_there_was"
+_AT_ONCE = _TESTS + "test_builds_at_once_install_once"
 
 MUTANTS = [
     (
-        "earlier build with later files is kept",
-        _COPY,
-        '    if ! cmp -s "src/$file" "target/deps/$file"; then\n',
-        '    if [ "src/$file" -nt "target/deps/$file" ]; then\n',
-        _TIMES,
+        "loader at the root takes the package among the libraries",
+        _LOADER,
+        "sys.path.insert(0, _FOLDER)",
+        "sys.path.append(_FOLDER); sys.path.pop(0)",
+        _TREE,
     ),
     (
-        "files that are gone stay in the build",
-        _COPY,
-        '    [ -e "src/$file" ] || rm "target/deps/$file"\n',
-        "    true\n",
-        _TIMES,
+        "package among the libraries stays without a registry",
+        _BUILD,
+        "    install_loader(LIBRARIES)\n",
+        "",
+        _TREE,
+    ),
+    (
+        "package among the libraries stays as it is",
+        _BUILD,
+        '    scratch.replace(package / "__init__.py")\n',
+        "    scratch.unlink()\n",
+        _ELSEWHERE,
+    ),
+    (
+        "compiled files are believed by time and size",
+        _BUILD,
+        "            if compiled.read_bytes()[: len(expected)] == expected:\n",
+        "            if compiled.exists():\n",
+        _COMPILED,
+    ),
+    (
+        "compiled programs are not compared at imports",
+        _BUILD,
+        "        mode = py_compile.PycInvalidationMode.CHECKED_HASH\n"
+        "        flags = _HASHED | _CHECKED\n",
+        "        pass\n",
+        _COMPILED,
+    ),
+    (
+        "libraries are installed at each build",
+        _BUILD,
+        "    fault = find_fault(LIBRARIES, required)\n    if fault:\n",
+        "    fault = find_fault(LIBRARIES, required)\n    if True:\n",
+        _SERVE,
+    ),
+    (
+        "version of libraries is not compared",
+        _BUILD,
+        "        if versions != [version]:\n",
+        "        if not versions:\n",
+        _REPLACED,
+    ),
+    (
+        "contents of libraries are not compared",
+        _BUILD,
+        "        if fault:\n            return f",
+        "        if False:\n            return f",
+        _REPLACED,
+    ),
+    (
+        "libraries are not imported",
+        _BUILD,
+        "    return _find_import_fault(libraries, modules)\n",
+        "    return None\n",
+        _REPLACED,
+    ),
+    (
+        "extension modules are not imported",
+        _BUILD,
+        '        if file.suffix == ".so":\n',
+        '        if file.suffix == ".none":\n',
+        _REPLACED,
+    ),
+    (
+        "installed libraries are not checked",
+        _BUILD,
+        "    fault = find_fault(new, required)\n",
+        "    fault = None\n",
+        _INSTALLED,
+    ),
+    (
+        "libraries are installed in place",
+        _BUILD,
+        '    new = TARGET / f"{NEW_LIBRARIES}{os.getpid()}"\n',
+        "    new = LIBRARIES\n    shutil.rmtree(new)\n",
+        _KILLED,
+    ),
+    (
+        "all builds install in one folder",
+        _BUILD,
+        '    new = TARGET / f"{NEW_LIBRARIES}{os.getpid()}"\n',
+        '    new = TARGET / f"{NEW_LIBRARIES}1"\n',
+        _KILLED,
+    ),
+    (
+        "builds do not wait for each other",
+        _BUILD,
+        "        fcntl.flock(lock, fcntl.LOCK_EX)\n",
+        "",
+        _AT_ONCE,
     ),
 ]
--- a/tools/run_mutants.py
+++ b/tools/run_mutants.py
@@ -18,7 +18,7 @@
 import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PARTS = ("src", "tests", "tools", "deploy")
+PARTS = ("src", "tests", "tools", "deploy", "limpetreel")
 MAX_PROCESSES = 6
 TEST_TIMEOUT_SECONDS = 300
 FOUND = "found"
