Name the sources that a process runs, and a build that is not its tree's

What operators saw: nothing. A process that ran the programs of an earlier release, or had its libraries, said so nowhere; `version` ended with a traceback on the build, which holds no metadata of the package; libraries of another processor or Python ended each role with a traceback.

`--version`, the first line of a log (`process.start`, field `sources`) and the metric `limpetreel_build_info` name a digest of all source files, which is the same on all machines with the same files. A library that cannot be imported gives one line, which names it, the processor, the Python and the remedy.

Evidence: nine deliberate faults, all found by the new tests.

--- a/src/limpetreel/console/application.py
+++ b/src/limpetreel/console/application.py
@@ -87,6 +87,19 @@
         Exit code, see `console.exit_code.ExitCode`.
     """
     words = list(sys.argv[1:] if argv is None else argv)
+    try:
+        return _run_words(["version"] if words == ["--version"] else words)
+    except ImportError as exc:
+        if (exc.name or "").partition(".")[0] == "limpetreel":
+            raise
+        from limpetreel.platform import installed_build
+
+        print(f"limpetreel: {installed_build.explain_import(exc)}", file=sys.stderr)
+        return exit_code.ExitCode.FAILED
+
+
+def _run_words(words: list[str]) -> int:
+    """Run the command that the arguments select and return its exit code."""
     if " ".join(words) in _PLATFORM_ROLES:
         return _run(_load_role(" ".join(words)).run_role)
     parser = _build_parser(words)
@@ -124,6 +137,9 @@
         epilog=exit_code.HELP,
     )
     parser.set_defaults(command=None)
+    parser.add_argument(
+        "--version", action="store_true", help="the same as the command version"
+    )
     groups: _Groups = {"": parser.add_subparsers(metavar="COMMAND")}
     first_words = {name.split()[0] for name in _COMMANDS}
     # Any other first word leads to the help or an error, which list all commands.
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import sys
 import time
@@ -9,6 +10,7 @@
 
 import xxhash
 
+import limpetreel
 from limpetreel import exceptions
 from limpetreel.agent import agent_core, agent_shell
 from limpetreel.catalog import node_identity, role
@@ -25,6 +27,7 @@
 from limpetreel.core import failure, reason
 from limpetreel.entry import entry_core, entry_shell
 from limpetreel.node import node_link
+from limpetreel.release import source_digest
 from limpetreel.replay import core_state, entry_filter, full_filter, header, recorder
 from limpetreel.settings import (
     agent_settings,
@@ -201,7 +204,15 @@
     log = log_writer.LogWriter(
         node, role_name, cfg.log_level, open_stream, loader.secrets(cfg)
     )
-    return telemetry.Telemetry(node, role_name, log, spans, decisions, cfg.metrics)
+    return telemetry.Telemetry(
+        node,
+        role_name,
+        log,
+        spans,
+        decisions,
+        cfg.metrics,
+        sources=source_digest.SourceDigest(os.path.dirname(limpetreel.__file__)),
+    )
 
 
 def _node_telemetry(
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -14,7 +14,8 @@
 
 import limpetreel
 from limpetreel import exceptions
-from limpetreel.platform import process_settings, seed_source
+from limpetreel.platform import installed_build, process_settings, seed_source
+from limpetreel.release import source_digest
 from limpetreel.telemetry import log_writer, telemetry
 
 if TYPE_CHECKING:
@@ -210,7 +211,14 @@
         cfg.node, cfg.role, "info", _open_output, is_deferred=True
     )
     address = (cfg.host, METRICS_PORTS[role])
-    result = telemetry.Telemetry(cfg.node, cfg.role, log, metrics_address=address)
+    result = telemetry.Telemetry(
+        cfg.node,
+        cfg.role,
+        log,
+        metrics_address=address,
+        sources=source_digest.SourceDigest(installed_build.package_folder()),
+        find_faults=installed_build.find_faults,
+    )
     result.add_metric(
         "log_lines_left_out_total",
         "log lines for which the output had no room",
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -16,6 +16,7 @@
     import msgspec
 
     from limpetreel.node import record_span
+    from limpetreel.release import source_digest
     from limpetreel.replay import recorder
     from limpetreel.telemetry import log_writer, metrics_server, span_recorder
 
@@ -43,6 +44,11 @@
         Writes the decision log; None disables it.
     metrics_address : tuple of (str, int) or None
         Address that serves ``/metrics``; None for no server.
+    sources : SourceDigest or None
+        Digest of the programs, named in the first line and in a metric.
+    find_faults : callable or None
+        Returns in which ways the process does not run the build of its tree; each is
+        logged once the log is open.
     clock : callable
         Monotonic time in seconds.
     """
@@ -55,6 +61,8 @@
         spans: span_recorder.SpanRecorder | None = None,
         decisions: recorder.Recorder | None = None,
         metrics_address: tuple[str, int] | None = None,
+        sources: source_digest.SourceDigest | None = None,
+        find_faults: Callable[[], list[str]] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._node = node
@@ -63,6 +71,8 @@
         self._spans = spans
         self._decisions = decisions
         self._metrics_address = metrics_address
+        self._sources = sources
+        self._find_faults = find_faults
         self._clock = clock
         self._refusal_limit = rate_limit.RateLimit()
         self._decision_limit = rate_limit.RateLimit(rate_limit.DECISIONS_PER_PERIOD)
@@ -78,10 +88,21 @@
         self.add_metric(
             "events_total", "events of the core", "event", self._read_event_counts
         )
+        if sources is not None:
+            self.add_metric(
+                "build_info",
+                "1, with the digest of the programs",
+                "sources",
+                lambda: {str(sources): 1},
+            )
 
     async def start(self) -> None:
         """Start the metrics server and the regular flush of files."""
-        self.log("info", "process.start")
+        # Becomes text when the line is written, after a start that has to be fast.
+        fields: dict[str, Any] = {}
+        if self._sources is not None:
+            fields["sources"] = self._sources
+        self.log("info", "process.start", **fields)
         asyncio.get_running_loop().set_exception_handler(self._log_unhandled)
         if self._metrics_address is not None:
             # Imported here because the library takes memory that is not needed
@@ -259,8 +280,14 @@
 
     async def _open_log(self, log: log_writer.LogWriter) -> None:
         await asyncio.sleep(DEFER_SECONDS)
+        if self._sources is not None:
+            for _ in self._sources.compute_in_steps():
+                await asyncio.sleep(OPEN_STEP_SECONDS)
         for _ in log.open_in_steps():
             await asyncio.sleep(OPEN_STEP_SECONDS)
+        if self._find_faults is not None:
+            for fault in self._find_faults():
+                self.log("error", "build.outdated", detail=fault)
 
     async def _flush_regularly(self) -> None:
         while True:
--- a/tests/deploy/mutants.py
+++ b/tests/deploy/mutants.py
@@ -16,6 +16,12 @@
 _REPLACED = _TESTS + "test_libraries_that_do_not_serve_are_replaced_or_named"
 _INSTALLED = _TESTS + "test_libraries_that_pip_installs_are_checked_too"
 _KILLED = _TESTS + "test_build_that_is_killed_leaves_what_there_was"
+_BUILD_FAULTS = "src/limpetreel/platform/installed_build.py"
+_DIGEST = "src/limpetreel/release/source_digest.py"
+_RELEASE = "tests.deploy.test_release."
+_NAMED = _RELEASE + "test_build_of_another_tree_is_named"
+_ROLE = _RELEASE + "test_role_names_its_sources_in_log_and_metrics"
+_DIGEST_TESTS = "tests.release.test_source_digest."
 _AT_ONCE = _TESTS + "test_builds_at_once_install_once"
 
 MUTANTS = [
@@ -118,4 +124,67 @@
         "",
         _AT_ONCE,
     ),
+    (
+        "version is read from metadata that the build lacks",
+        "src/limpetreel/console/commands/version_command.py",
+        "{limpetreel.__version__}",
+        "{__import__('importlib.metadata').metadata.version('limpetreel')}",
+        _RELEASE + "test_version_names_the_sources_on_the_build",
+    ),
+    (
+        "programs of another tree are not named",
+        _BUILD_FAULTS,
+        "    faults = _other_tree(folder, os.getcwd())\n",
+        "    faults = []\n",
+        _NAMED,
+    ),
+    (
+        "libraries of another release are not named",
+        _BUILD_FAULTS,
+        "        if found != version:\n",
+        "        if found is None:\n",
+        _NAMED,
+    ),
+    (
+        "programs that are not compiled are not named",
+        _BUILD_FAULTS,
+        "        faults += _uncompiled(folder)\n",
+        "",
+        _NAMED,
+    ),
+    (
+        "library that cannot be imported ends with a traceback",
+        "src/limpetreel/console/application.py",
+        "    except ImportError as exc:\n",
+        "    except ZeroDivisionError as exc:\n",
+        _RELEASE + "test_library_that_cannot_be_imported_is_named",
+    ),
+    (
+        "first line does not name the sources",
+        "src/limpetreel/telemetry/telemetry.py",
+        '            fields["sources"] = self._sources\n',
+        "            pass\n",
+        _ROLE,
+    ),
+    (
+        "faults of the build are not logged",
+        "src/limpetreel/telemetry/telemetry.py",
+        "            for fault in self._find_faults():\n",
+        "            for fault in ():\n",
+        _ROLE,
+    ),
+    (
+        "digest leaves the names of files out",
+        _DIGEST,
+        'f"{name}\\0{len(content)}\\0"',
+        'f"{len(content)}\\0"',
+        _DIGEST_TESTS + "test_other_files_have_another_digest",
+    ),
+    (
+        "digest depends on the order of a folder",
+        _DIGEST,
+        "sorted(_source_files(self._folder))",
+        "reversed(list(_source_files(self._folder)))",
+        _DIGEST_TESTS + "test_same_files_have_the_same_digest",
+    ),
 ]
--- /dev/null
+++ b/tests/release/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of which release a process runs."""
+
+from __future__ import annotations
