--- a/src/limpetreel/console/commands/version_command.py
+++ b/src/limpetreel/console/commands/version_command.py
@@ -9,7 +9,7 @@
 import limpetreel
 from limpetreel.console import command, exit_code
 from limpetreel.platform import installed_build
-from limpetreel.release import source_digest
+from limpetreel.telemetry import source_digest
 from limpetreel.wire import frame
 
 if TYPE_CHECKING:
--- a/src/limpetreel/factory.py
+++ b/src/limpetreel/factory.py
@@ -27,7 +27,6 @@
 from limpetreel.core import failure, reason
 from limpetreel.entry import entry_core, entry_shell
 from limpetreel.node import node_link
-from limpetreel.release import source_digest
 from limpetreel.replay import core_state, entry_filter, full_filter, header, recorder
 from limpetreel.settings import (
     agent_settings,
@@ -211,7 +210,7 @@
         spans,
         decisions,
         cfg.metrics,
-        sources=source_digest.SourceDigest(os.path.dirname(limpetreel.__file__)),
+        package_folder=os.path.dirname(limpetreel.__file__),
     )
 
 
--- a/src/limpetreel/platform_factory.py
+++ b/src/limpetreel/platform_factory.py
@@ -14,8 +14,7 @@
 
 import limpetreel
 from limpetreel import exceptions
-from limpetreel.platform import installed_build, process_settings, seed_source
-from limpetreel.release import source_digest
+from limpetreel.platform import process_settings, seed_source
 from limpetreel.telemetry import log_writer, telemetry
 
 if TYPE_CHECKING:
@@ -216,8 +215,8 @@
         cfg.role,
         log,
         metrics_address=address,
-        sources=source_digest.SourceDigest(installed_build.package_folder()),
-        find_faults=installed_build.find_faults,
+        package_folder=os.path.dirname(limpetreel.__file__),
+        find_faults=_find_faults,
     )
     result.add_metric(
         "log_lines_left_out_total",
@@ -228,6 +227,13 @@
     return result
 
 
+def _find_faults() -> list[str]:
+    # Imported here because it runs after the start.
+    from limpetreel.platform import installed_build
+
+    return installed_build.find_faults()
+
+
 def _open_output() -> log_writer.Stream:
     # Imported here because the log is opened after the start.
     from limpetreel.telemetry import background_stream
--- a/src/limpetreel/release/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Which release of the programs a process runs."""
-
-from __future__ import annotations
--- a/src/limpetreel/telemetry/log_writer.py
+++ b/src/limpetreel/telemetry/log_writer.py
@@ -116,7 +116,7 @@
         peer : str
             Address or name of the peer, empty if there is none.
         fields : dict
-            Additional fields of the line.
+            Additional fields of the line; a function is called when it is written.
         """
         if LEVELS[level] < self._min_level:
             return
@@ -173,6 +173,8 @@
             self.left_out += 1
 
     def _sanitize(self, value: Any) -> Any:
+        if callable(value):
+            value = value()
         if isinstance(value, int | float) or value is None:
             return value
         if isinstance(value, list):
--- a/src/limpetreel/telemetry/telemetry.py
+++ b/src/limpetreel/telemetry/telemetry.py
@@ -11,14 +11,18 @@
 from limpetreel.telemetry import metrics, rate_limit
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
     import msgspec
 
     from limpetreel.node import record_span
-    from limpetreel.release import source_digest
     from limpetreel.replay import recorder
-    from limpetreel.telemetry import log_writer, metrics_server, span_recorder
+    from limpetreel.telemetry import (
+        log_writer,
+        metrics_server,
+        source_digest,
+        span_recorder,
+    )
 
 FLUSH_SECONDS = 1.0
 MAX_TRACE_CHARACTERS = 4000
@@ -44,8 +48,8 @@
         Writes the decision log; None disables it.
     metrics_address : tuple of (str, int) or None
         Address that serves ``/metrics``; None for no server.
-    sources : SourceDigest or None
-        Digest of the programs, named in the first line and in a metric.
+    package_folder : str or None
+        Folder of the programs, whose digest is named in the first line and in a metric.
     find_faults : callable or None
         Returns in which ways the process does not run the build of its tree; each is
         logged once the log is open.
@@ -61,7 +65,7 @@
         spans: span_recorder.SpanRecorder | None = None,
         decisions: recorder.Recorder | None = None,
         metrics_address: tuple[str, int] | None = None,
-        sources: source_digest.SourceDigest | None = None,
+        package_folder: str | None = None,
         find_faults: Callable[[], list[str]] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -71,7 +75,8 @@
         self._spans = spans
         self._decisions = decisions
         self._metrics_address = metrics_address
-        self._sources = sources
+        self._package_folder = package_folder
+        self._sources: source_digest.SourceDigest | None = None
         self._find_faults = find_faults
         self._clock = clock
         self._refusal_limit = rate_limit.RateLimit()
@@ -88,20 +93,19 @@
         self.add_metric(
             "events_total", "events of the core", "event", self._read_event_counts
         )
-        if sources is not None:
+        if package_folder is not None:
             self.add_metric(
                 "build_info",
                 "1, with the digest of the programs",
                 "sources",
-                lambda: {str(sources): 1},
+                lambda: {self._read_digest(): 1},
             )
 
     async def start(self) -> None:
         """Start the metrics server and the regular flush of files."""
-        # Becomes text when the line is written, after a start that has to be fast.
         fields: dict[str, Any] = {}
-        if self._sources is not None:
-            fields["sources"] = self._sources
+        if self._package_folder is not None:
+            fields["sources"] = self._read_digest
         self.log("info", "process.start", **fields)
         asyncio.get_running_loop().set_exception_handler(self._log_unhandled)
         if self._metrics_address is not None:
@@ -153,7 +157,7 @@
         peer : str
             Address or name of the peer.
         **fields
-            Additional fields of the line.
+            Additional fields of the line; a function is called when it is written.
         """
         if self._log is not None:
             self._log.log(level, step, peer, fields)
@@ -280,15 +284,29 @@
 
     async def _open_log(self, log: log_writer.LogWriter) -> None:
         await asyncio.sleep(DEFER_SECONDS)
-        if self._sources is not None:
-            for _ in self._sources.compute_in_steps():
-                await asyncio.sleep(OPEN_STEP_SECONDS)
+        for _ in self._compute_digest():
+            await asyncio.sleep(OPEN_STEP_SECONDS)
         for _ in log.open_in_steps():
             await asyncio.sleep(OPEN_STEP_SECONDS)
         if self._find_faults is not None:
             for fault in self._find_faults():
                 self.log("error", "build.outdated", detail=fault)
 
+    def _compute_digest(self) -> Iterator[None]:
+        if self._package_folder is None:
+            return
+        if self._sources is None:
+            # Imported here because a start has to be fast.
+            from limpetreel.telemetry import source_digest
+
+            self._sources = source_digest.SourceDigest(self._package_folder)
+        yield from self._sources.compute_in_steps()
+
+    def _read_digest(self) -> str:
+        for _ in self._compute_digest():
+            pass
+        return str(self._sources)
+
     async def _flush_regularly(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_SECONDS)
--- a/tests/deploy/mutants.py
+++ b/tests/deploy/mutants.py
@@ -17,11 +17,11 @@
 _INSTALLED = _TESTS + "test_libraries_that_pip_installs_are_checked_too"
 _KILLED = _TESTS + "test_build_that_is_killed_leaves_what_there_was"
 _BUILD_FAULTS = "src/limpetreel/platform/installed_build.py"
-_DIGEST = "src/limpetreel/release/source_digest.py"
+_DIGEST = "src/limpetreel/telemetry/source_digest.py"
 _RELEASE = "tests.deploy.test_release."
 _NAMED = _RELEASE + "test_build_of_another_tree_is_named"
 _ROLE = _RELEASE + "test_role_names_its_sources_in_log_and_metrics"
-_DIGEST_TESTS = "tests.release.test_source_digest."
+_DIGEST_TESTS = "tests.telemetry.test_source_digest."
 _AT_ONCE = _TESTS + "test_builds_at_once_install_once"
 
 MUTANTS = [
@@ -162,7 +162,7 @@
     (
         "first line does not name the sources",
         "src/limpetreel/telemetry/telemetry.py",
-        '            fields["sources"] = self._sources\n',
+        '            fields["sources"] = self._read_digest\n',
         "            pass\n",
         _ROLE,
     ),
--- a/tests/deploy/test_release.py
+++ b/tests/deploy/test_release.py
@@ -11,7 +11,7 @@
 
 import limpetreel
 from limpetreel import platform_factory
-from limpetreel.release import source_digest
+from limpetreel.telemetry import source_digest
 from tests import fixtures
 from tests.deploy import release_tree
 from tests.platform import test_roles
--- a/tests/release/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Tests of which release a process runs."""
-
-from __future__ import annotations
--- a/tests/release/test_source_digest.py
+++ b/tests/telemetry/test_source_digest.py
@@ -8,7 +8,7 @@
 import tempfile
 from unittest import mock
 
-from limpetreel.release import source_digest
+from limpetreel.telemetry import source_digest
 from tests import fixtures
 
 load_tests = fixtures.load_functions(globals())
