Refuse a document that a member of an earlier release would drop

What operators would see: in a rolling upgrade from a release that takes version 0 for no version, a leader of this release acknowledged a document of version 0, and it was gone after the upgrade.

No resend comes after an ack.

Fix: messages between control instances name the latest format of log entries that their sender applies. A leader refuses a document of version 0 with 503 while a member is known to drop it, and waits for at most 2 s after its election for members that it has not heard; operators repeat the order until the upgrade is done. `control.earlier_release` names such members in the log. Earlier releases ignore the field.

Not covered: a member of an earlier release that is down while the document is acknowledged and returns as it was, and a leader of an earlier release.

--- a/src/limpetreel/cluster/cluster_core.py
+++ b/src/limpetreel/cluster/cluster_core.py
@@ -9,6 +9,7 @@
     call_status,
     cluster_state,
     command_codec,
+    member_formats,
     node_session,
     pending_call,
     published_state,
@@ -118,6 +119,7 @@
         self._registry.replace(self._state.agents)
         self._registration: int | None = None
         self._missing: frozenset[str] = frozenset()
+        self._formats = member_formats.MemberFormats(raft.identity)
         self._sessions: dict[int, node_session.NodeSession] = {}
         self._direct_reports: dict[str, report.Report] = {}
         self._relay_at = 0.0
@@ -310,7 +312,7 @@
             elif call.number is not None:
                 continue
             elif is_leader:
-                actions += self._submit(now, call)
+                actions += self._submit_if_held(now, call)
             elif leader is not None:
                 self._calls.remove(call)
                 status = call_status.CallStatus.REDIRECT
@@ -326,6 +328,19 @@
                 return member.address.rpartition(":")[0]
         return None
 
+    def _submit_if_held(self, now: float, call: pending_call.PendingCall) -> Actions:
+        """Submit a call unless a member would drop its entry; refuse it then."""
+        needed = 0
+        if call.command is not None:
+            needed = command_codec.required_format(call.command)
+        if self._formats.are_lacking(self._raft.members, needed):
+            self._calls.remove(call)
+            status = call_status.CallStatus.UNAVAILABLE
+            return [self._answer(call.call_id, status)]
+        if needed and self._formats.are_unheard(now, self._raft.members):
+            return []
+        return self._submit(now, call)
+
     def _submit(self, now: float, call: pending_call.PendingCall) -> Actions:
         self._next_number += 1
         call.number = self._next_number
@@ -364,7 +379,21 @@
         if isinstance(decoded, failure.Failure):
             fields: Fields = {"reason": str(decoded.reason)}
             return [log_line.LogLine("warning", decoded.step, fields)]
-        return self._run_raft(now, message_received.MessageReceived(decoded))
+        actions = self._record_format(decoded)
+        return actions + self._run_raft(now, message_received.MessageReceived(decoded))
+
+    def _record_format(self, received: envelope.Envelope) -> Actions:
+        """Record which entries a member applies; log one that drops some."""
+        if not self._formats.record(received.sender, received.log_format):
+            return []
+        if received.log_format >= command_codec.LOG_FORMAT:
+            return []
+        fields: Fields = {
+            "member": received.sender,
+            "log_format": received.log_format,
+            "latest": command_codec.LOG_FORMAT,
+        }
+        return [log_line.LogLine("warning", "control.earlier_release", fields)]
 
     def _run_raft(self, now: float, event: msgspec.Struct) -> Actions:
         actions: Actions = []
@@ -376,7 +405,7 @@
             elif isinstance(action, send.Send):
                 actions.append(self._send_consensus(action))
             else:
-                actions += self._handle_raft_action(action)
+                actions += self._handle_raft_action(now, action)
         if self._state.agents is not agents:
             actions += self._use_registered(now)
         if (self._state.version, self._state.zones_out) != before:
@@ -385,12 +414,16 @@
 
     def _send_consensus(self, action: send.Send) -> msgspec.Struct:
         outgoing = envelope.Envelope(
-            self._raft.identity, self._address, action.peer, action.message
+            self._raft.identity,
+            self._address,
+            action.peer,
+            action.message,
+            command_codec.LOG_FORMAT,
         )
         message = consensus_message.ConsensusMessage(envelope_codec.encode(outgoing))
         return send_control.SendControl(action.address, cluster_codec.encode(message))
 
-    def _handle_raft_action(self, action: msgspec.Struct) -> Actions:
+    def _handle_raft_action(self, now: float, action: msgspec.Struct) -> Actions:
         match action:
             case apply.Apply():
                 return self._apply(action)
@@ -405,6 +438,7 @@
             case read_result.ReadResult():
                 return self._finish(action.read_id, _status(action.current))
             case role_changed.RoleChanged():
+                self._formats.record_role(now, action.role is role.Role.LEADER)
                 fields: Fields = {
                     "state": str(action.role),
                     "term": action.term,
@@ -412,6 +446,7 @@
                 }
                 return [log_line.LogLine("info", "control.role", fields)]
             case membership_changed.MembershipChanged():
+                self._formats.retain(action.members)
                 names = [
                     f"{m.identity}@{m.address}{'' if m.voting else ' (no vote)'}"
                     for m in action.members
--- a/src/limpetreel/cluster/command_codec.py
+++ b/src/limpetreel/cluster/command_codec.py
@@ -11,6 +11,11 @@
 Command = Change | register_agents.RegisterAgents
 
 
+LOG_FORMAT = 1
+"""Latest format of entries that this release applies. Format 0 has no document of
+version 0, which releases of that format drop."""
+
+
 class _StoredConfiguration(msgspec.Struct, frozen=True, tag="set_configuration"):
     """A configuration, or a change of the registered agents.
 
@@ -30,6 +35,13 @@
 )
 
 
+def required_format(command: Command) -> int:
+    """Return the earliest format that has a command."""
+    if isinstance(command, set_configuration.SetConfiguration):
+        return 1 if command.version == 0 else 0
+    return 0
+
+
 def encode(command: Command) -> bytes:
     """Return the data of a log entry."""
     if isinstance(command, register_agents.RegisterAgents):
--- a/src/limpetreel/consensus/messages/envelope.py
+++ b/src/limpetreel/consensus/messages/envelope.py
@@ -45,9 +45,13 @@
         drops the message, since it may have replaced an instance that lost its disk.
     message : Message
         The message.
+    log_format : int
+        Latest format of log entries that the sender applies; releases that do not
+        send it apply format 0.
     """
 
     sender: str
     address: str
     target: str
     message: Message
+    log_format: int = 0
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -235,4 +235,44 @@
         "            if True:\n",
         _SHELL + "test_unexpected_error_of_a_node_drops_only_its_event",
     ),
+    (
+        "document that a member would drop is accepted",
+        "src/limpetreel/cluster/member_formats.py",
+        "        return any(x < log_format for x in known)\n",
+        "        return False\n",
+        "tests.cluster.test_member_formats."
+        "test_document_that_a_member_would_drop_is_refused_until_its_upgrade",
+    ),
+    (
+        "all entries wait for the upgrade",
+        "src/limpetreel/cluster/command_codec.py",
+        "        return 1 if command.version == 0 else 0\n",
+        "        return 1\n",
+        "tests.cluster.test_member_formats.test_what_earlier_members_hold_is_accepted",
+    ),
+    (
+        "leader does not wait for members it has not heard",
+        "src/limpetreel/cluster/cluster_core.py",
+        "        if needed and self._formats.are_unheard(now, self._raft.members):\n",
+        "        if False:\n",
+        "tests.cluster.test_member_formats."
+        "test_new_leader_waits_for_members_it_has_not_heard",
+    ),
+    (
+        "leader waits for members that are down",
+        "src/limpetreel/cluster/member_formats.py",
+        "        if self._leads_since is None or now >= "
+        "self._leads_since + UNHEARD_SECONDS:\n",
+        "        if self._leads_since is None:\n",
+        "tests.cluster.test_member_formats."
+        "test_member_that_is_down_does_not_hold_up_a_first_document",
+    ),
+    (
+        "members do not say what they hold",
+        "src/limpetreel/cluster/cluster_core.py",
+        "            command_codec.LOG_FORMAT,\n        )\n        message",
+        "        )\n        message",
+        "tests.cluster.test_member_formats."
+        "test_format_does_not_change_what_earlier_releases_read",
+    ),
 ]
