--- a/src/limpetreel/runtime/lean_imports.py
+++ b/src/limpetreel/runtime/lean_imports.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterator
 
 _DEFERRED = (
+    "asyncio.sslproto",
     "inspect",
     "linecache",
     "locale",
--- a/tests/runtime/test_lean_imports.py
+++ b/tests/runtime/test_lean_imports.py
@@ -16,6 +16,7 @@
 import asyncio, inspect, logging, sys, uuid
 import msgspec
 assert "_ssl" not in sys.modules
+assert type(sys.modules["asyncio.sslproto"]).__name__ == "_DeferredModule"
 async def fail():
     raise ValueError("text of the error")
 async def main():
@@ -32,6 +33,8 @@
 import platform, ssl, traceback
 assert platform.system() == "Linux" and platform.python_version()
 assert ssl.SSLContext and sys.modules["traceback"].format_exc
+from asyncio import sslproto
+assert sslproto.SSLProtocol is sys.modules["asyncio.sslproto"].SSLProtocol
 assert msgspec.toml.decode("a = 1") == {"a": 1}
 assert msgspec.json.schema(int) == {"type": "integer"}
 assert msgspec.inspect.type_info(int) == msgspec.inspect.IntType()
@@ -45,4 +48,4 @@
     done = subprocess.run(words, env=env, capture_output=True, text=True, check=False)
     assert done.returncode == 0, done.stderr
     assert "text of the error" in done.stderr
-    assert "line 8, in fail" in done.stderr
+    assert "line 9, in fail" in done.stderr
