Offer flows to upstreams that do not respond while no other is left

What callers saw: after a stall of a tenth of a second of all upstreams, a second in which every new flow was refused, without an offer.

Cause: an agent that hears no answer to an opening within 60 ms says UNRESPONSIVE, and an entry then left it out for a second. 384 callers at once bring each entry that answer from all agents. Refused callers come back at once and use up their attempts; the upstreams had answered some milliseconds too late. The agents dropped those late answers and went on saying UNRESPONSIVE for half a second.

Fix: such an agent gets flows only if no other may. A flow that has met no other answer is held for up to 0.4 s and offered once each 0.1 s, then refused: it is not known that it cannot be served, and callers wait 1.4 s. A late answer shows the agent that its upstream responds; the flow itself stays refused.

The new tests fail without each of the four guards (deliberate faults, all found).

--- a/src/limpetreel/streams/placement/candidates.py
+++ b/src/limpetreel/streams/placement/candidates.py
@@ -25,6 +25,9 @@
 CLOSED_SECONDS = 1.0
 """Pause after an agent answered that its upstream accepts no flows; an update from
 control usually arrives earlier."""
+UNRESPONSIVE_SECONDS = 1.0
+"""Time for which an agent gets flows only if no other may, after it answered that its
+upstream does not respond."""
 WARMING_SECONDS = 0.1
 """Pause after a cold upstream reached its rate limit; about a tenth of the one-second
 window of the limit."""
@@ -147,8 +150,10 @@
         reason = self._pools[hint.record.service].record(now, hint, message)
         if message.outcome in (outcome.Outcome.BUSY, outcome.Outcome.QUEUED):
             hint.record_busy(now)
-        elif message.outcome in (outcome.Outcome.CLOSED, outcome.Outcome.UNRESPONSIVE):
+        elif message.outcome is outcome.Outcome.CLOSED:
             hint.avoid(now, CLOSED_SECONDS)
+        elif message.outcome is outcome.Outcome.UNRESPONSIVE:
+            self._pools[hint.record.service].suspend(now, hint, UNRESPONSIVE_SECONDS)
         elif message.outcome is outcome.Outcome.STARTING:
             pool = self._pools[hint.record.service]
             pool.record_starting(now, hint, STARTING_SECONDS)
--- a/src/limpetreel/streams/placement/flow_placement.py
+++ b/src/limpetreel/streams/placement/flow_placement.py
@@ -32,6 +32,9 @@
 """Time for which a flow is held while upstreams may become known. A refused caller
 retries at once, and would use up its retries before an outage ends."""
 HOLD_STEP_SECONDS = 0.05
+UNRESPONSIVE_STEP_SECONDS = 0.1
+"""Time between offers of a flow while no upstream of its service responds. Upstreams
+stall for tenths of a second; more offers of all callers would load the entry."""
 MAX_BUSY_ANSWERS = 4
 """Agents without a free slot after which a flow is only offered for waiting. After four
 random ones few others are free, and each further offer delays the refusal."""
@@ -160,7 +163,10 @@
         if self._may_hold(now, pending):
             self._renumber(pending)
             self._pending[pending.offer_id] = pending
-            pending.retry_at = now + HOLD_STEP_SECONDS
+            step = HOLD_STEP_SECONDS
+            if pending.is_unresponsive:
+                step = UNRESPONSIVE_STEP_SECONDS
+            pending.retry_at = now + step
             return []
         if self._services.may_appear(now, pending.service):
             return self._give_up(now, pending)
@@ -182,11 +188,16 @@
         """Return whether an upstream may become known in time."""
         if now - pending.started_at >= HOLD_SECONDS:
             return False
+        if pending.is_unresponsive:
+            return True
         is_starting = self._candidates.has_starting(now, pending.service)
         return is_starting or self._services.may_appear(now, pending.service)
 
     def _retry(self, now: float, pending: pending_offer.PendingOffer) -> Actions:
         pending.restart()
+        if pending.is_unresponsive:
+            # One offer shows whether the stall is over; more would load the entry.
+            pending.offers = MAX_OFFERS - 1
         return self._offer_next(now, pending)
 
     def _offer(
--- a/src/limpetreel/streams/placement/pending_offer.py
+++ b/src/limpetreel/streams/placement/pending_offer.py
@@ -85,6 +85,11 @@
         """
         return self.is_copy or bool(self.unanswered)
 
+    @property
+    def is_unresponsive(self) -> bool:
+        """Return whether no upstream answered the agents that were asked."""
+        return self.reasons.keys() == {"UNRESPONSIVE"}
+
     def restart(self) -> None:
         """Allow offers to all agents again."""
         self.tried.clear()
--- a/src/limpetreel/streams/placement/service_pool.py
+++ b/src/limpetreel/streams/placement/service_pool.py
@@ -103,7 +103,7 @@
         hint.record_load(now, message, self.means)
         reason = hint.health.record(message, self.means)
         if reason:
-            self._suspend(now, hint)
+            self.suspend(now, hint, hint.health.pause)
             self._failing[hint.record.name] = hint
         else:
             self._failing.pop(hint.record.name, None)
@@ -113,7 +113,7 @@
         """Return a failing agent that is due for one flow, None if there is none."""
         for name, hint in self._failing.items():
             if hint.is_usable(now) and name not in tried:
-                self._suspend(now, hint)
+                self.suspend(now, hint, hint.health.pause)
                 return hint
         return None
 
@@ -152,8 +152,9 @@
         ]
         return min(left, key=lambda h: cost(now, h), default=None)
 
-    def _suspend(self, now: float, hint: agent_hint.AgentHint) -> None:
-        hint.suspended_until = now + hint.health.pause
+    def suspend(self, now: float, hint: agent_hint.AgentHint, seconds: float) -> None:
+        """Give an agent flows only if no other may get any, for some time."""
+        hint.suspended_until = max(hint.suspended_until, now + seconds)
         self._suspended_until = max(self._suspended_until, hint.suspended_until)
 
     def _last_resort(self, now: float) -> list[agent_hint.AgentHint]:
--- a/src/limpetreel/streams/stream_agent_core.py
+++ b/src/limpetreel/streams/stream_agent_core.py
@@ -449,6 +449,7 @@
         if flow is None and segment.is_open_reply:
             # Entries were told that the upstream does not respond, or were not told
             # anything. The flow may have been refused, so it must not open now.
+            self.upstream.record_answer()
             return self._drop("late answer to an opening")
         if flow is None:
             # The flow is older than this process.
--- a/tests/streams/mutants.py
+++ b/tests/streams/mutants.py
@@ -943,4 +943,34 @@
         "        if flow.awaits_sure_agent:\n",
         _PROBES + "test_nothing_is_tried_before_the_owner_must_be_among_the_unsure",
     ),
+    (
+        "agent whose upstream does not respond is excluded",
+        _PLACEMENT + "candidates.py",
+        "            self._pools[hint.record.service].suspend("
+        "now, hint, UNRESPONSIVE_SECONDS)\n",
+        "            hint.avoid(now, CLOSED_SECONDS)\n",
+        _LOAD + "test_callers_that_come_during_a_short_stall_are_served",
+    ),
+    (
+        "late answer to an opening is no sign of life",
+        _SOURCE + "stream_agent_core.py",
+        "            self.upstream.record_answer()\n            return self._drop",
+        "            return self._drop",
+        "tests.streams.placement.test_refused_openings."
+        "test_late_answer_to_an_opening_that_was_given_up_does_not_open_the_flow",
+    ),
+    (
+        "flow that no upstream responded to is refused at once",
+        _PLACEMENT + "pending_offer.py",
+        '        return self.reasons.keys() == {"UNRESPONSIVE"}\n',
+        "        return False\n",
+        _LOAD + "test_callers_that_come_during_a_short_stall_are_served",
+    ),
+    (
+        "flows are offered to all agents again while none responds",
+        _PLACEMENT + "flow_placement.py",
+        "            pending.offers = MAX_OFFERS - 1\n",
+        "            pass\n",
+        _LOAD + "test_upstreams_that_stay_silent_cost_few_offers",
+    ),
 ]
--- a/tests/streams/stream_site.py
+++ b/tests/streams/stream_site.py
@@ -105,6 +105,7 @@
     def __init__(self, site, name, slots, work_s):
         self.site, self.name, self.slots, self.work_s = site, name, slots, work_s
         self.is_up = True
+        self.stalled_until = 0.0
         self.in_progress = 0
         self.waiting = []
         self.flows = {}
@@ -119,6 +120,10 @@
         """Handle a packet from the agent."""
         if not self.is_up:
             return
+        if now < self.stalled_until:
+            wait = self.stalled_until - now
+            self.site.after(wait, lambda at: self.receive(at, data))
+            return
         segment = CODEC.from_caller(data)
         if segment.is_open:
             first = self.flows.setdefault(
--- a/tests/streams/test_load_patterns.py
+++ b/tests/streams/test_load_patterns.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from limpetreel.streams.events import upstream_announced
+from limpetreel.streams.placement import flow_placement
 from tests import fixtures
 from tests.streams import stream_site
 
@@ -255,3 +256,39 @@
     held = sorted(x.fields["held_ms"] for at, x in lines if at >= 2.0)
     assert held[int(0.95 * len(held))] <= 400 / 4, held[int(0.95 * len(held))]
     assert site.in_time(2, 6) * 2 >= 0.9
+
+
+# Each entry heard that no upstream responded, and refused all callers for a second
+# without an offer; the upstreams had answered a few milliseconds too late.
+def test_callers_that_come_during_a_short_stall_are_served():
+    """Guards against an outage of a second that follows a stall of a tenth of one."""
+    for seed, stall in ((21, 0.12), (22, 0.12), (23, 0.12), (21, 0.4)):
+        site = stream_site.StreamSite(seed, (0.03,) * 24)
+        site.run(0.1)
+        site.load(150, 6)
+        site.run(3)
+        for upstream in site.upstreams.values():
+            upstream.stalled_until = site.now + stall
+        site.load(2000, 0.05)
+        site.run(9)
+        asked = [r for r in site.requests if 3.0 <= r.began_at < 4.2]
+        lost = [r for r in asked if r.answered_at is None]
+        assert len(lost) <= 0.01 * len(asked), (seed, stall, len(lost), len(asked))
+
+
+def test_upstreams_that_stay_silent_cost_few_offers():
+    """Guards against entries that spend an outage on offers."""
+    site = stream_site.StreamSite(24, (0.03,) * 24)
+    site.run(0.1)
+    for upstream in site.upstreams.values():
+        upstream.stalled_until = 9.0
+    site.load(300, 1, retries=0)
+    site.run(0.4)
+    before = site.messages
+    site.run(2.5)
+    refused = [x for _, _, x in site.log_lines if x.step == "flow.refused"]
+    held = [x.fields["held_ms"] for x in refused]
+    assert len(refused) >= 0.9 * len(site.requests)
+    assert max(held) <= 1000 * flow_placement.QUEUED_SECONDS, max(held)
+    # Twelve offers with their answers, and one copy of the opening packet.
+    assert site.messages - before <= 26 * len(site.requests)
