Close the connections of a test of links between control instances

The run of all tests printed "Exception ignored in StreamWriter.__del__" three times for them; the pattern of this module printed it three times before and not at all now.

--- a/tests/control/test_peer_links.py
+++ b/tests/control/test_peer_links.py
@@ -22,6 +22,7 @@
         self.dropped = 0
         self.accepted = 0
         self.tasks = []
+        self.writers = []
 
     async def serve(self, port):
         return await asyncio.start_server(self._accept, "127.0.0.1", port)
@@ -30,6 +31,7 @@
         self.accepted += 1
         number = self.accepted
         upstream = await asyncio.open_connection("127.0.0.1", self.target)
+        self.writers += [writer, upstream[1]]
         self.tasks += [
             asyncio.create_task(self._pump(number, reader, upstream[1])),
             asyncio.create_task(self._pump(number, upstream[0], writer)),
@@ -76,6 +78,8 @@
     for task in box.tasks:
         task.cancel()
     await asyncio.gather(*tasks, *box.tasks, return_exceptions=True)
+    for writer in box.writers:
+        writer.close()
     assert box.dropped
     assert arrived[-1] > dropped_from + 1
 
