--- a/tests/telemetry/test_background_stream.py
+++ b/tests/telemetry/test_background_stream.py
@@ -6,6 +6,7 @@
 import json
 import os
 import select
+import socket
 import subprocess
 import sys
 import time
@@ -78,6 +79,31 @@
         process.stderr.close()
 
 
+def socket_ends():
+    """Return the descriptors of a socket's reading and writing ends."""
+    return tuple(end.detach() for end in socket.socketpair())
+
+
+# The output may also be a terminal, or a socket of the supervisor.
+def test_process_goes_on_while_nobody_reads_a_terminal_or_a_socket():
+    """Guards against a process that waits for an output other than a pipe."""
+    for make_ends in (os.openpty, socket_ends):
+        source, sink = make_ends()
+        process = subprocess.Popen(
+            [sys.executable, "-c", PROGRAM], stdout=sink, stderr=subprocess.PIPE
+        )
+        try:
+            process.wait(60)
+            assert process.returncode == 0, make_ends
+            assert int(process.stderr.read()) < 1000, make_ends
+        finally:
+            process.kill()
+            process.wait()
+            process.stderr.close()
+            os.close(source)
+            os.close(sink)
+
+
 def test_lines_are_written_whole_and_in_order():
     """Guards against lines that are lost or mixed while the reader is slow."""
     lines = [b"%d\n" % n for n in range(50_000)]
